--- /dev/null
+++ b/crates/hollywell/src/cli/mod.rs
@@ -0,0 +1,129 @@
+//! The command line. Thin: each subcommand reads its arguments, asks the
+//! library or a running instance, and prints.
+
+use std::{fmt, path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+mod ask;
+mod replay;
+mod report;
+mod status;
+pub mod table;
+
+/// Exit code for faulty arguments, settings or input files.
+const EXIT_INPUT: u8 = 2;
+
+/// Why a subcommand failed.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// What the person gave is at fault.
+    Input(String),
+    /// Something else went wrong.
+    Run(String),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Input(text) | Failure::Run(text) => f.write_str(text),
+        }
+    }
+}
+
+impl Failure {
+    fn run(error: impl fmt::Display) -> Failure {
+        Failure::Run(error.to_string())
+    }
+}
+
+/// Runs the command that the process was started with.
+#[must_use]
+pub fn run() -> ExitCode {
+    let matches = match command().try_get_matches() {
+        Ok(matches) => matches,
+        Err(error) => {
+            // Nothing sensible is left to do if the terminal has gone.
+            let _gone = error.print();
+            let code = if error.use_stderr() { EXIT_INPUT } else { 0 };
+            return ExitCode::from(code);
+        }
+    };
+    let ended = match matches.subcommand() {
+        Some(("serve", args)) => serve(args),
+        Some(("check", args)) => check(args),
+        Some(("table", args)) => table::run(args),
+        Some(("status", args)) => status::run(args),
+        Some(("report", args)) => report::run(args),
+        Some(("replay", args)) => replay::run(args),
+        _ => Err(Failure::Input(String::from("no subcommand; see --help"))),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("hollywell: {failure}");
+            match failure {
+                Failure::Input(_) => ExitCode::from(EXIT_INPUT),
+                Failure::Run(_) => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+/// The command line's definition.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("hollywell")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Rollouts for reinforcement learning on engines shared with live traffic")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("serve")
+                .about("Run an entry instance until SIGTERM; it then hands over and exits")
+                .arg(config_arg()),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Check a settings file and print every fault; exit code 2 if there is one")
+                .arg(config_arg()),
+        )
+        .subcommand(table::command())
+        .subcommand(status::command())
+        .subcommand(report::command())
+        .subcommand(replay::command())
+}
+
+fn config_arg() -> Arg {
+    Arg::new("config")
+        .short('c')
+        .long("config")
+        .value_name("FILE")
+        .help("Settings file (INI)")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn load(args: &ArgMatches) -> Result<crate::settings::Settings, Failure> {
+    let path = args.get_one::<PathBuf>("config").cloned().unwrap_or_default();
+    crate::settings::Settings::load(&path).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Failure::Input(lines.join("\nhollywell: "))
+    })
+}
+
+fn serve(args: &ArgMatches) -> Result<(), Failure> {
+    let settings = load(args)?;
+    crate::logs::start(&settings.logs).map_err(Failure::run)?;
+    crate::serve::run(&settings).map_err(Failure::run)
+}
+
+fn check(args: &ArgMatches) -> Result<(), Failure> {
+    let settings = load(args)?;
+    let config = &settings.config;
+    println!(
+        "ok: instance {} in {}, callers on {}, peers on {}",
+        config.me.name, config.domain, settings.listen, settings.peer_listen
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/hollywell/src/control.rs
@@ -0,0 +1,197 @@
+//! The one control thread: it owns the reducer's state, feeds it events and
+//! hands its effects out.
+//!
+//! Traffic threads hand events in through a [`Handle`] on a bounded queue
+//! and get effects on another. A full queue is the caller's to refuse; the
+//! control thread itself never waits for traffic longer than it takes to
+//! pass an effect on.
+
+use std::{
+    fs::File,
+    io::{BufWriter, Write as _},
+    path::Path,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    core::{
+        effect::Effect,
+        event::Event,
+        reducer::{Config, State},
+        time::Time,
+    },
+    metrics::Metrics,
+    view::View,
+};
+
+/// Time between ticks.
+pub const TICK: Duration = Duration::from_millis(100);
+/// Longest time for which a [`View`] is out of date, in milliseconds.
+const VIEW_MS: u64 = 200;
+
+/// The process's monotonic clock, as the reducer sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts at one second, so that no instant of the run is
+    /// mistaken for "never".
+    #[must_use]
+    pub fn start() -> Clock {
+        Clock { start: Instant::now() }
+    }
+
+    /// The instant now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        let elapsed_ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        Time(1_000).after(elapsed_ms)
+    }
+
+    /// Time left until an instant; zero if it has passed.
+    #[must_use]
+    pub fn left(&self, until: Time) -> Duration {
+        Duration::from_millis(until.since(self.now()))
+    }
+}
+
+/// One line of a recorded trace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recorded {
+    /// When the event was taken.
+    pub now: Time,
+    /// The event.
+    pub event: Event,
+}
+
+/// The queue was full, or the control thread has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Busy;
+
+/// Where traffic hands its events in.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    events: mpsc::Sender<Event>,
+    view: watch::Receiver<Arc<View>>,
+}
+
+impl Handle {
+    /// Hands an event in if there is room for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Busy`] if there is none; the caller refuses what it stands for.
+    pub fn offer(&self, event: Event) -> Result<(), Busy> {
+        self.events.try_send(event).map_err(|_| Busy)
+    }
+
+    /// Hands an event in, waiting for room: for events that must not be
+    /// lost, such as the end of an attempt.
+    pub async fn tell(&self, event: Event) {
+        // A closed queue means that the process ends; nobody is left to tell.
+        let _closed = self.events.send(event).await;
+    }
+
+    /// What the reducer's state looked like a moment ago.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+}
+
+/// What the control thread is started with.
+#[derive(Debug)]
+pub struct Options<'a> {
+    /// The reducer's configuration.
+    pub config: Config,
+    /// Room in each queue.
+    pub queue: usize,
+    /// File to record events to, if any.
+    pub trace: Option<&'a Path>,
+    /// Where to count.
+    pub metrics: Metrics,
+    /// The process's clock.
+    pub clock: Clock,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// If the trace file cannot be created or the thread cannot be started.
+pub fn start(options: Options<'_>) -> std::io::Result<(Handle, mpsc::Receiver<Effect>)> {
+    let (events, events_in) = mpsc::channel(options.queue);
+    let (effects_out, effects) = mpsc::channel(options.queue);
+    let state = State::new(options.config);
+    let (view_out, view) = watch::channel(Arc::new(View::new(&state)));
+    let trace = options.trace.map(File::create).transpose()?;
+    let mut thread = Control {
+        state,
+        clock: options.clock,
+        metrics: options.metrics,
+        trace: trace.map(BufWriter::new),
+        view_out,
+        viewed_at: Time(0),
+    };
+    thread::Builder::new()
+        .name(String::from("control"))
+        .spawn(move || thread.run(events_in, &effects_out))?;
+    Ok((Handle { events, view }, effects))
+}
+
+struct Control {
+    state: State,
+    clock: Clock,
+    metrics: Metrics,
+    trace: Option<BufWriter<File>>,
+    view_out: watch::Sender<Arc<View>>,
+    viewed_at: Time,
+}
+
+impl Control {
+    fn run(&mut self, mut events: mpsc::Receiver<Event>, effects: &mpsc::Sender<Effect>) {
+        while let Some(event) = events.blocking_recv() {
+            let now = self.clock.now();
+            self.record(now, &event);
+            let started = Instant::now();
+            let step_effects = self.state.step(now, &event);
+            self.metrics.step(&event, started.elapsed());
+            for effect in step_effects {
+                if effects.blocking_send(effect).is_err() {
+                    return;
+                }
+            }
+            self.publish(now, &event);
+        }
+    }
+
+    fn record(&mut self, now: Time, event: &Event) {
+        let Some(trace) = &mut self.trace else {
+            return;
+        };
+        let line = Recorded { now, event: event.clone() };
+        let written = serde_json::to_writer(&mut *trace, &line)
+            .map_err(std::io::Error::from)
+            .and_then(|()| trace.write_all(b"\n"))
+            .and_then(|()| trace.flush());
+        if let Err(error) = written {
+            log::warn!("trace recording stops: {error}");
+            self.trace = None;
+        }
+    }
+
+    fn publish(&mut self, now: Time, event: &Event) {
+        let changed = matches!(event, Event::LogRead { records, .. } if !records.is_empty());
+        if changed || now.since(self.viewed_at) >= VIEW_MS {
+            self.viewed_at = now;
+            self.view_out.send_replace(Arc::new(View::new(&self.state)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/mod.rs
@@ -0,0 +1,36 @@
+//! The decisions of hollywell, as pure code.
+//!
+//! Everything in here is a function of a state, a time and an event: no
+//! clock, no I/O, no async runtime, no locks. [`reducer::State`] composes the
+//! parts; each part also stands alone and knows nothing of its siblings, so
+//! that other programs can embed just one of them.
+//!
+//! | part | decides |
+//! |---|---|
+//! | [`stream`] | the agreed state, folded from the platform's log |
+//! | [`table`] | what the operators' table says, folded from the log |
+//! | [`owner`] | who owns an idempotency key, and when it may act |
+//! | [`claim`] | whether a keyed request runs, joins, replays or is refused |
+//! | [`member`] | which instances and targets are usable |
+//! | [`lease`] | who may give orders to a failure domain's engines |
+//! | [`route`] | which target takes a request |
+//! | [`retry`] | whether a failed attempt may be tried again, and when |
+//! | [`rollout`] | which samples run next and which are delivered |
+//!
+//! What it leaves out: bodies, sockets and threads, which are in
+//! [`crate::traffic`], [`crate::peer`] and [`crate::control`].
+
+pub mod claim;
+pub mod effect;
+pub mod event;
+pub mod id;
+pub mod lease;
+pub mod member;
+pub mod owner;
+pub mod reducer;
+pub mod retry;
+pub mod rollout;
+pub mod route;
+pub mod stream;
+pub mod table;
+pub mod time;
--- /dev/null
+++ b/crates/hollywell/src/core/owner.rs
@@ -0,0 +1,476 @@
+//! Which instance owns an idempotency key, and when it may act on it.
+//!
+//! Keys belong to a failure domain, and within it to one instance by
+//! rendezvous hashing (Thaler and Ravishankar, 1998) over a [`Map`] of
+//! members. Maps change only by a record on the platform's log: each names
+//! the map that it replaces, and the fold takes the first and rejects the
+//! rest. The record's offset is the map's epoch.
+//!
+//! A member acts in an epoch only between [`State::activate`] and reading of
+//! a newer map, and only while it holds a lease ([`State::lease_until`]):
+//!
+//! * a read of the log that reached its end and was sent less than
+//!   [`Config::lease_ms`] ago showed no newer map, or
+//! * every other member has said, in answer to a message sent less than
+//!   `lease_ms` ago, that it knows no newer map, and the log was reached
+//!   less than [`Config::log_away_ms`] ago.
+//!
+//! A member of a newer map becomes active once it has heard a [`Handoff`]
+//! from every member that stays, and, if a member that did not hand over was
+//! removed, once that one's lease must have run out. Where no member stays,
+//! it waits `log_away_ms` instead. Keys of which nobody left knows anything
+//! are answered "unknown" for the callers' retry horizon ([`Blind`]).
+//!
+//! What it leaves out: the claims themselves ([`crate::core::claim`]), and
+//! when to propose a new map (the reducer does, from membership).
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::core::{claim::Copy, id::Instance, time::Time};
+
+/// How many replaced maps are remembered.
+const HISTORY_LIMIT: usize = 64;
+
+/// Times that ownership is held and handed over by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// How long one confirmation lets a member act, in milliseconds.
+    pub lease_ms: u64,
+    /// Added to every wait for another's lease, for clock drift, in
+    /// milliseconds.
+    pub guard_ms: u64,
+    /// How long members may go on by promises alone while the log is away,
+    /// in milliseconds.
+    pub log_away_ms: u64,
+    /// How long callers may send a key again, in milliseconds.
+    pub horizon_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { lease_ms: 3_000, guard_ms: 500, log_away_ms: 900_000, horizon_ms: 600_000 }
+    }
+}
+
+/// The members that share a failure domain's keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Map {
+    /// Offset of the record that installed it.
+    pub epoch: u64,
+    /// Epoch of the map that it replaced, if any.
+    pub base: Option<u64>,
+    /// The members.
+    pub members: BTreeSet<Instance>,
+}
+
+impl Map {
+    /// The member that owns `key`.
+    #[must_use]
+    pub fn owner(&self, key: &str) -> Option<&Instance> {
+        self.ranked(key).map(|(owner, _)| owner)
+    }
+
+    /// The member that keeps a copy of the owner's claim on `key`; `None`
+    /// where the map has fewer than two members.
+    #[must_use]
+    pub fn deputy(&self, key: &str) -> Option<&Instance> {
+        self.ranked(key).and_then(|(_, deputy)| deputy)
+    }
+
+    fn ranked(&self, key: &str) -> Option<(&Instance, Option<&Instance>)> {
+        let key_hash = xxh3_64_with_seed(key.as_bytes(), 0);
+        let mut best: Option<(u64, &Instance)> = None;
+        let mut second: Option<(u64, &Instance)> = None;
+        for member in &self.members {
+            let seed = key_hash ^ member.incarnation;
+            let score = xxh3_64_with_seed(member.name.as_bytes(), seed);
+            if best.is_none_or(|(top, _)| score > top) {
+                second = best;
+                best = Some((score, member));
+            } else if second.is_none_or(|(top, _)| score > top) {
+                second = Some((score, member));
+            }
+        }
+        best.map(|(_, owner)| (owner, second.map(|(_, deputy)| deputy)))
+    }
+
+    fn covers(&self, key: &str, heirs: &BTreeSet<Instance>) -> bool {
+        self.ranked(key).is_some_and(|(owner, deputy)| {
+            heirs.contains(owner) || deputy.is_some_and(|deputy| heirs.contains(deputy))
+        })
+    }
+}
+
+/// A proposed map, as a record on the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// The failure domain whose keys the map shares out.
+    pub domain: String,
+    /// Epoch of the map that it replaces; `None` for the first.
+    pub base: Option<u64>,
+    /// The proposed members.
+    pub members: BTreeSet<Instance>,
+}
+
+/// The maps of all failure domains, folded from the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Maps(pub BTreeMap<String, Map>);
+
+impl Maps {
+    /// Folds the proposal at `offset` and returns true if it was accepted.
+    ///
+    /// The first proposal on a base wins; the others are rejected, and so is
+    /// an empty one.
+    pub fn apply(&mut self, offset: u64, proposal: &Proposal) -> bool {
+        let current = self.0.get(&proposal.domain);
+        let current_epoch = current.map(|map| map.epoch);
+        if proposal.members.is_empty() || proposal.base != current_epoch {
+            return false;
+        }
+        let map = Map { epoch: offset, base: proposal.base, members: proposal.members.clone() };
+        self.0.insert(proposal.domain.clone(), map);
+        true
+    }
+}
+
+/// What a member tells the others when it has read a newer map.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handoff {
+    /// The epoch that it hands over to.
+    pub epoch: u64,
+    /// The last epoch in which it was active, if any.
+    pub last_active: Option<u64>,
+    /// Replaced maps that it remembers, oldest first.
+    pub history: Vec<Map>,
+    /// Keys that may have run.
+    pub copies: Vec<Copy>,
+    /// Keys of which it knows that nobody knows.
+    pub blind: Vec<BlindCopy>,
+}
+
+/// Keys whose claims were lost with their owner and deputy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Blind {
+    /// The map in which the claims may have been made.
+    pub map: Map,
+    /// The members that handed over.
+    pub heirs: BTreeSet<Instance>,
+    /// When no caller sends those keys any longer.
+    pub until: Time,
+}
+
+impl Blind {
+    fn copy(&self, now: Time) -> BlindCopy {
+        BlindCopy {
+            map: self.map.clone(),
+            heirs: self.heirs.clone(),
+            left_ms: self.until.since(now),
+        }
+    }
+}
+
+/// [`Blind`] as handed from one instance to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlindCopy {
+    /// The map in which the claims may have been made.
+    pub map: Map,
+    /// The members that handed over.
+    pub heirs: BTreeSet<Instance>,
+    /// Milliseconds until no caller sends those keys any longer.
+    pub left_ms: u64,
+}
+
+/// One instance's place in its own failure domain's ownership.
+#[derive(Clone, Debug)]
+pub struct State {
+    config: Config,
+    me: Instance,
+    map: Map,
+    read_at: Time,
+    given: Option<Handoff>,
+    history: Vec<Map>,
+    active: bool,
+    last_active: Option<u64>,
+    heard: BTreeMap<Instance, (Handoff, Time)>,
+    blind: Vec<Blind>,
+    log_confirmed: Option<Time>,
+    promises: BTreeMap<Instance, Time>,
+}
+
+impl State {
+    /// An instance that has read no map yet.
+    #[must_use]
+    pub fn new(me: Instance, config: Config) -> State {
+        State {
+            config,
+            me,
+            map: Map::default(),
+            read_at: Time(0),
+            given: None,
+            history: vec![],
+            active: false,
+            last_active: None,
+            heard: BTreeMap::new(),
+            blind: vec![],
+            log_confirmed: None,
+            promises: BTreeMap::new(),
+        }
+    }
+
+    /// The newest map that was read.
+    #[must_use]
+    pub fn map(&self) -> &Map {
+        &self.map
+    }
+
+    /// This instance, with the incarnation under which it takes part.
+    #[must_use]
+    pub fn me(&self) -> &Instance {
+        &self.me
+    }
+
+    /// True if this instance may make and copy claims in the map's epoch,
+    /// as far as hand-over goes. Making one also takes the lease.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.active
+    }
+
+    /// True if this instance has a place in the newest map.
+    #[must_use]
+    pub fn is_member(&self) -> bool {
+        self.map.members.contains(&self.me)
+    }
+
+    /// Takes a newer map: the instance stops acting until it is active again.
+    ///
+    /// Returns true if the map was newer. An instance that was removed takes
+    /// a higher incarnation, under which it may be proposed again: a removed
+    /// incarnation must never return, or a hand-over could miss what it did
+    /// in between.
+    pub fn install(&mut self, map: &Map, now: Time) -> bool {
+        let first = self.map.members.is_empty();
+        if !first && map.epoch <= self.map.epoch {
+            return false;
+        }
+        let replaced = std::mem::replace(&mut self.map, map.clone());
+        if !first {
+            self.history.push(replaced);
+        }
+        if self.history.len() > HISTORY_LIMIT {
+            self.history.remove(0);
+        }
+        self.read_at = now;
+        self.active = false;
+        self.promises.clear();
+        self.heard.retain(|_, (handoff, _)| handoff.epoch >= map.epoch);
+        self.given = None;
+        true
+    }
+
+    /// Moves to a higher incarnation after a removal. Returns true if it did.
+    pub fn rejoin(&mut self) -> bool {
+        let removed =
+            !self.is_member() && self.history.iter().any(|map| map.members.contains(&self.me));
+        if removed {
+            self.me.incarnation += 1;
+            self.last_active = None;
+        }
+        removed
+    }
+
+    /// What this instance hands over to the map's members.
+    ///
+    /// It is made once an epoch, from what was known before activation, and
+    /// repeated until every member has it: claims made in the new epoch are
+    /// no member's to inherit, and the last active epoch must not move.
+    pub fn handoff(&mut self, copies: impl FnOnce() -> Vec<Copy>, now: Time) -> &Handoff {
+        let blind = &self.blind;
+        let epoch = self.map.epoch;
+        let last_active = self.last_active;
+        let history = &self.history;
+        self.given.get_or_insert_with(|| Handoff {
+            epoch,
+            last_active,
+            history: history.clone(),
+            copies: copies(),
+            blind: blind.iter().map(|blind| blind.copy(now)).collect(),
+        })
+    }
+
+    /// Notes a hand-over heard from `from`, for this epoch or a later one.
+    pub fn hear(&mut self, from: &Instance, handoff: &Handoff, now: Time) {
+        let known = self.heard.get(from).map(|(known, _)| known.epoch);
+        let wanted =
+            handoff.epoch > self.map.epoch || handoff.epoch == self.map.epoch && !self.active;
+        if wanted && known < Some(handoff.epoch) {
+            self.heard.insert(from.clone(), (handoff.clone(), now));
+        }
+    }
+
+    /// Becomes active if all that the module's text asks for has come about.
+    ///
+    /// Returns the copies of claims to keep, or `None` if it is not time.
+    pub fn activate(&mut self, now: Time) -> Option<Vec<Copy>> {
+        if self.active || !self.is_member() || now < self.ready_at()? {
+            return None;
+        }
+        let unknown = self.lost_maps();
+        let until = now.after(self.config.horizon_ms);
+        let heirs = self.heirs();
+        let epoch = self.map.epoch;
+        let of_epoch = |_: &Instance, (handoff, _): &mut (Handoff, Time)| handoff.epoch == epoch;
+        let heard: BTreeMap<_, _> = self.heard.extract_if(.., of_epoch).collect();
+        for map in unknown {
+            self.blind.push(Blind { map, heirs: heirs.clone(), until });
+        }
+        let mut copies = vec![];
+        for (handoff, _) in heard.into_values() {
+            copies.extend(handoff.copies);
+            for blind in handoff.blind {
+                let until = now.after(blind.left_ms);
+                self.blind.push(Blind { map: blind.map, heirs: blind.heirs, until });
+            }
+        }
+        self.blind.retain(|blind| blind.until > now);
+        self.active = true;
+        self.last_active = Some(self.map.epoch);
+        Some(copies)
+    }
+
+    /// Members whose hand-over this instance has, itself included.
+    fn heirs(&self) -> BTreeSet<Instance> {
+        let current = |(handoff, _): &(Handoff, Time)| handoff.epoch == self.map.epoch;
+        let heard = self.heard.iter().filter(|(_, heard)| current(heard));
+        let mut heirs: BTreeSet<Instance> = heard.map(|(from, _)| from.clone()).collect();
+        heirs.insert(self.me.clone());
+        heirs
+    }
+
+    /// The last epoch known to have been acted in, by anyone heard.
+    fn last_active_known(&self) -> Option<u64> {
+        let heard = self.heard.values().filter_map(|(handoff, _)| handoff.last_active);
+        heard.chain(self.last_active).max()
+    }
+
+    /// Replaced maps in which claims may have been made that were not
+    /// inherited yet: from the last one known to be active onwards.
+    fn open_maps(&self) -> Vec<Map> {
+        let last_active = self.last_active_known();
+        let mut maps: BTreeMap<u64, Map> = BTreeMap::new();
+        let told = self.heard.values().flat_map(|(handoff, _)| &handoff.history);
+        for map in self.history.iter().chain(told) {
+            let open = last_active.is_none_or(|epoch| map.epoch >= epoch);
+            if open && map.epoch < self.map.epoch {
+                maps.insert(map.epoch, map.clone());
+            }
+        }
+        maps.into_values().collect()
+    }
+
+    fn lost_maps(&self) -> Vec<Map> {
+        let heirs = self.heirs();
+        let mut maps = self.open_maps();
+        maps.retain(|map| !map.members.is_subset(&heirs));
+        if !self.reaches_back() {
+            // Nothing is known of who acted before: a map without members
+            // covers no key, so every key is unknown.
+            maps.push(Map::default());
+        }
+        maps
+    }
+
+    /// True if the open maps leave no gap back to an epoch whose claims are
+    /// known: the last active one, or the first map ever.
+    fn reaches_back(&self) -> bool {
+        let maps = self.open_maps();
+        let Some(oldest) = maps.first() else {
+            return self.map.base.is_none();
+        };
+        let links = maps.iter().skip(1).map(|map| map.base).chain([self.map.base]);
+        let unbroken = maps.iter().zip(links).all(|(map, base)| base == Some(map.epoch));
+        let rooted = oldest.base.is_none() || self.last_active_known() == Some(oldest.epoch);
+        unbroken && rooted
+    }
+
+    /// When this instance may become active; `None` while a hand-over from
+    /// a member that stays is missing.
+    fn ready_at(&self) -> Option<Time> {
+        let heirs = self.heirs();
+        let maps = self.open_maps();
+        let staying = |map: &Map| -> BTreeSet<Instance> {
+            map.members.intersection(&self.map.members).cloned().collect()
+        };
+        let missing = maps.iter().any(|map| !staying(map).is_subset(&heirs));
+        if missing {
+            return None;
+        }
+        let heard = self.heard.iter().filter(|(from, _)| heirs.contains(from));
+        let last_heard = heard.map(|(_, (_, at))| *at).max().unwrap_or(self.read_at);
+        let from = last_heard.max(self.read_at);
+        let all_handed_over = maps.iter().all(|map| map.members.is_subset(&heirs));
+        let some_stay = maps.iter().all(|map| !staying(map).is_empty());
+        if !self.reaches_back() || !some_stay && !all_handed_over {
+            return Some(self.read_at.after(self.config.log_away_ms + self.config.guard_ms));
+        }
+        if all_handed_over {
+            return Some(from);
+        }
+        Some(from.after(self.config.lease_ms + self.config.guard_ms))
+    }
+
+    /// Notes that a read of the log, sent at `sent`, reached its end and
+    /// that every map it showed is installed.
+    ///
+    /// A newer map can only have been appended after `sent`, so a lease that
+    /// is counted from `sent` runs out before whoever reads that map may act.
+    pub fn confirm_by_log(&mut self, sent: Time) {
+        self.log_confirmed = self.log_confirmed.max(Some(sent));
+    }
+
+    /// Notes a peer's promise: in answer to a message sent at `sent` it said
+    /// that it knows no newer map than that of `epoch`.
+    pub fn confirm_by_peer(&mut self, from: &Instance, epoch: u64, sent: Time) {
+        if epoch == self.map.epoch && sent >= self.read_at {
+            let promise = self.promises.entry(from.clone()).or_insert(sent);
+            *promise = sent.max(*promise);
+        }
+    }
+
+    /// Until when this instance may act as an owner; the past if it may not.
+    #[must_use]
+    pub fn lease_until(&self) -> Time {
+        let Some(log_confirmed) = self.log_confirmed else {
+            return Time(0);
+        };
+        if !self.active {
+            return Time(0);
+        }
+        let by_log = log_confirmed.after(self.config.lease_ms);
+        let others = self.map.members.iter().filter(|member| **member != self.me);
+        let oldest = others.map(|member| self.promises.get(member).copied()).min();
+        let by_promise = match oldest {
+            None => log_confirmed.after(self.config.log_away_ms),
+            Some(None) => Time(0),
+            Some(Some(promise)) => promise
+                .after(self.config.lease_ms)
+                .min(log_confirmed.after(self.config.log_away_ms)),
+        };
+        by_log.max(by_promise)
+    }
+
+    /// True if claims on `key` may have been lost.
+    #[must_use]
+    pub fn is_blind(&self, key: &str, now: Time) -> bool {
+        self.blind.iter().any(|blind| blind.until > now && !blind.map.covers(key, &blind.heirs))
+    }
+
+    /// Drops what no caller can ask for any longer.
+    pub fn expire(&mut self, now: Time) {
+        self.blind.retain(|blind| blind.until > now);
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/agreed.rs
@@ -0,0 +1,182 @@
+//! The agreed state: reading the log, taking a peer's state when the log is
+//! away, snapshots, and operators' edits.
+
+use super::{PendingEdit, State};
+use crate::{
+    core::{
+        effect::Reply,
+        event::Message,
+        id::Request,
+        lease,
+        stream::{Change, Record, Snapshot},
+        table,
+        time::Time,
+    },
+    error::Kind,
+};
+
+/// How long a peer may be ahead before its state is asked for, in
+/// milliseconds. Shorter, and every instance that polls the log a little
+/// later than another would ask.
+const BEHIND_MS: u64 = 1_000;
+/// Time between appends of the same edit, in milliseconds.
+const EDIT_RETRY_MS: u64 = 1_000;
+
+impl State {
+    pub(super) fn on_log(
+        &mut self,
+        sent: Time,
+        first: u64,
+        records: &[(u64, Record)],
+        at_end: bool,
+    ) {
+        self.fold.retained_from(first);
+        for (offset, record) in records {
+            if matches!(record, Record::Snapshot(_)) {
+                self.snapshot_at = self.now;
+            }
+            let changes = self.fold.read(*offset, record);
+            self.on_changes(changes);
+        }
+        if at_end && !self.fold.has_gap() {
+            self.log_read = true;
+            self.owner.confirm_by_log(sent);
+        }
+    }
+
+    fn on_changes(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Edit { id, outcome } => self.end_edit(&id, &outcome),
+                Change::Map(domain) if domain == self.config.domain => self.install_map(),
+                Change::Map(_) => {}
+                Change::Lease { domain, .. } if domain == self.config.domain => {
+                    self.observe_lease();
+                }
+                Change::Lease { .. } => {}
+                Change::Loaded => {
+                    self.install_map();
+                    self.observe_lease();
+                    self.end_known_edits();
+                }
+            }
+        }
+    }
+
+    fn observe_lease(&mut self) {
+        let Some(grant) = self.fold.state().leases.0.get(&self.config.domain) else {
+            return;
+        };
+        let grant: lease::Grant = grant.clone();
+        let held_before = self.lease.held_until() > self.now;
+        let me = self.owner.me();
+        self.lease.observe(me, &grant, self.now, self.config.ownership.lease_ms);
+        if !held_before && self.lease.held_until() > self.now {
+            let wait_ms = self.config.order_ms + self.config.ownership.guard_ms;
+            self.lease_from = self.now.after(wait_ms);
+        }
+    }
+
+    pub(super) fn on_push(&mut self, snapshot: &Snapshot) {
+        let changes = self.fold.load(snapshot);
+        self.on_changes(changes);
+    }
+
+    /// Asks a peer that is ahead for its state, and writes a snapshot when
+    /// one is due.
+    pub(super) fn keep_agreed(&mut self) {
+        self.catch_up();
+        self.write_snapshot();
+        self.keep_edits();
+    }
+
+    fn catch_up(&mut self) {
+        let next = self.fold.state().next;
+        let peers = self.members.peers.values();
+        let ahead = peers.filter(|peer| peer.next > next).max_by_key(|peer| peer.next);
+        let Some(address) = ahead.map(|peer| peer.listed.address.clone()) else {
+            self.behind_since = None;
+            return;
+        };
+        let since = *self.behind_since.get_or_insert(self.now);
+        if self.now.since(since) >= BEHIND_MS {
+            self.behind_since = Some(self.now);
+            self.send(&address, Message::Pull);
+        }
+    }
+
+    fn write_snapshot(&mut self) {
+        let many = self.fold.since_snapshot() >= self.config.snapshot_records;
+        let late = self.now.since(self.snapshot_at) >= self.config.snapshot_ms;
+        let empty = self.fold.state().next == 0;
+        let known = self.log_read && !self.fold.has_gap();
+        if empty || !known || !(many || late) || !self.is_first_live() {
+            return;
+        }
+        // Counting from now also spaces repeated tries.
+        self.snapshot_at = self.now;
+        let snapshot = Box::new(self.fold.state().clone());
+        self.append(Record::Snapshot(snapshot));
+    }
+
+    /// True if no live instance has a smaller name. Two instances may both
+    /// think so for a while; a second snapshot does no harm.
+    fn is_first_live(&self) -> bool {
+        let live = self.members.peers.values().filter(|peer| self.is_live(peer));
+        live.map(|peer| &peer.listed.name).all(|name| *name > self.config.me.name)
+    }
+
+    pub(super) fn on_edit(&mut self, request: Request, edit: &table::Edit) {
+        if self.edits.len() >= self.config.calls {
+            self.refuse(request, Kind::Overloaded);
+            return;
+        }
+        let edit = edit.clone();
+        let pending =
+            PendingEdit { request, edit: edit.clone(), since: self.now, appended_at: self.now };
+        self.edits.push(pending);
+        self.append(Record::Edit(edit));
+    }
+
+    fn end_edit(&mut self, id: &str, outcome: &table::Outcome) {
+        let ended = self.edits.extract_if(.., |pending| pending.edit.id == id);
+        for pending in ended.collect::<Vec<PendingEdit>>() {
+            self.reply(pending.request, Reply::Edited(outcome.clone()));
+        }
+    }
+
+    fn end_known_edits(&mut self) {
+        let table = &self.fold.state().table;
+        let known = |pending: &PendingEdit| {
+            let outcome = table.outcome(&pending.edit.id).cloned();
+            outcome.map(|outcome| (pending.edit.id.clone(), outcome))
+        };
+        let ended: Vec<_> = self.edits.iter().filter_map(known).collect();
+        for (id, outcome) in ended {
+            self.end_edit(&id, &outcome);
+        }
+    }
+
+    /// Appends edits again whose record was not read back, and gives up on
+    /// them as unknown when their time is up: the record may still come, and
+    /// the operator can ask by the edit's id.
+    fn keep_edits(&mut self) {
+        let now = self.now;
+        let edit_ms = self.config.edit_ms;
+        let late = |pending: &mut PendingEdit| now.since(pending.since) >= edit_ms;
+        let given_up: Vec<PendingEdit> = self.edits.extract_if(.., late).collect();
+        for pending in given_up {
+            self.refuse(pending.request, Kind::LogAway);
+        }
+        let mut again = vec![];
+        for pending in &mut self.edits {
+            if now.since(pending.appended_at) >= EDIT_RETRY_MS {
+                pending.appended_at = now;
+                again.push(pending.edit.clone());
+            }
+        }
+        for edit in again {
+            self.append(Record::Edit(edit));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/keyed.rs
@@ -0,0 +1,352 @@
+//! Keyed calls: at most one run for a key, whichever instances its sends
+//! reach.
+//!
+//! The entry sends the call to the key's owner. The owner claims the key,
+//! has its deputy keep a copy, and only then dispatches. Only the owner may
+//! say "not run", and a key refused so is numbered, so that a send that
+//! reached its entry before the refusal never runs after it. Everyone else
+//! says "unknown", after which sending the same key again is safe.
+
+use super::{Asking, Path, Purpose, State};
+use crate::{
+    core::{
+        claim::{Phase, Verdict},
+        effect::{Counted, Effect, Reply},
+        event::{Call, End, Forward, ForwardResult, Message},
+        id::{Dispatch, Instance, Request},
+        member::Reading,
+        time::Time,
+    },
+    error::Kind,
+};
+
+use super::Pending;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How often a forwarded call is sent to its owner.
+const MOST_FORWARDS: u32 = 3;
+/// Refusals whose times are remembered, to tell which a local caller's send
+/// came after.
+const MOST_REFUSED_AT: usize = 256;
+
+impl State {
+    /// Takes a keyed call at its entry.
+    pub(super) fn enter_keyed(&mut self, request: Request, arrived: Time, key: &str) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let home = self.home_of(&pending.call, key);
+        let map = self.fold.state().maps.0.get(&home);
+        let owner = map.and_then(|map| map.owner(key)).cloned();
+        let epoch = map.map(|map| map.epoch);
+        match (owner, epoch) {
+            (Some(owner), Some(epoch)) if owner == *self.owner.me() => {
+                let seen = self.refusals_before(arrived);
+                self.own(request, epoch, seen);
+            }
+            (Some(owner), Some(epoch)) => self.forward(request, arrived, &owner, epoch),
+            _ => self.refuse(request, Kind::Unverified),
+        }
+    }
+
+    /// The failure domain that a key belongs to: the one that the caller
+    /// names, else one by hash of the key.
+    fn home_of(&self, call: &Call, key: &str) -> String {
+        let domains = &self.config.domains;
+        let named = call.home.as_ref().filter(|home| domains.contains(home));
+        if let Some(home) = named {
+            return home.clone();
+        }
+        let count = domains.len().max(1) as u64;
+        let index = xxh3_64(key.as_bytes()) % count;
+        let by_hash = usize::try_from(index).ok().and_then(|index| domains.get(index));
+        by_hash.unwrap_or(&self.config.domain).clone()
+    }
+
+    fn forward(&mut self, request: Request, arrived: Time, owner: &Instance, epoch: u64) {
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let peer = self.members.peers.get(&owner.name);
+        let current = |reading: &Reading| reading.from == *owner && reading.epoch == epoch;
+        let told = peer.filter(|peer| peer.reading().is_some_and(current));
+        let clock = told.and_then(|peer| peer.clock_at(self.now));
+        let (Some(peer), Some(clock)) = (told, clock) else {
+            self.refuse(request, Kind::Unverified);
+            return;
+        };
+        let forward = Forward {
+            call: pending.call.clone(),
+            owner: owner.clone(),
+            epoch,
+            seen: peer.heard_before(arrived, owner, epoch),
+            until: clock.after(pending.deadline.since(self.now)),
+        };
+        let address = peer.listed.address.clone();
+        let path = Path::Forwarded { forward: forward.clone(), address: address.clone(), tries: 1 };
+        if let Some(pending) = self.pending.get_mut(&request) {
+            pending.path = path;
+        }
+        self.emit(Effect::Forward { request, address, forward });
+    }
+
+    pub(super) fn on_forward_ended(&mut self, request: Request, result: Option<&ForwardResult>) {
+        if let Some(reading) = result.and_then(|result| result.reading.as_ref()) {
+            self.note_reading(reading);
+        }
+        match result.map(|result| result.refused) {
+            Some(None) => self.reply(request, Reply::Relayed),
+            Some(Some(kind)) => self.refuse(request, kind),
+            None => self.forward_again(request),
+        }
+    }
+
+    /// Sends a call to the same owner again after a broken exchange. That is
+    /// safe: the owner tells by the key whether it ran. An owner that has
+    /// changed meanwhile cannot be told what was heard before the call came.
+    fn forward_again(&mut self, request: Request) {
+        let now = self.now;
+        let Some(Pending { path, deadline, .. }) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let Path::Forwarded { forward, address, tries } = path else {
+            return;
+        };
+        *tries += 1;
+        if *tries > MOST_FORWARDS || now >= *deadline {
+            self.refuse(request, Kind::Unverified);
+            return;
+        }
+        let (address, forward) = (address.clone(), forward.clone());
+        self.emit(Effect::Forward { request, address, forward });
+    }
+
+    /// Takes a call that a peer forwarded.
+    pub(super) fn on_forwarded(&mut self, request: Request, forward: &Forward) {
+        let call = forward.call.clone();
+        let pending = Pending { call, deadline: forward.until, path: Path::Owned };
+        self.pending.insert(request, pending);
+        if forward.owner == *self.owner.me() && forward.call.key.is_some() {
+            self.own(request, forward.epoch, forward.seen);
+        } else {
+            self.refuse(request, Kind::Unverified);
+        }
+    }
+
+    /// True if this instance may act as an owner in `epoch`.
+    fn may_act(&self, epoch: u64) -> bool {
+        epoch == self.owner.map().epoch && self.now < self.owner.lease_until()
+    }
+
+    /// Decides about a call whose key this instance is asked to own.
+    fn own(&mut self, request: Request, epoch: u64, seen: u64) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        pending.path = Path::Owned;
+        let (call, until) = (pending.call.clone(), pending.deadline);
+        let key = call.key.clone().unwrap_or_default();
+        let is_owner = self.owner.map().owner(&key) == Some(self.owner.me());
+        if !is_owner || !self.may_act(epoch) || seen < self.activated_order {
+            self.refuse(request, Kind::Unverified);
+            return;
+        }
+        match self.book.judge(&key, call.digest, seen, request) {
+            Verdict::Fresh => self.claim(request, &key, &call, until),
+            Verdict::Joined => {}
+            Verdict::Replay(dispatch) => {
+                self.count(Counted::Replay);
+                self.reply(request, Reply::Stored(dispatch));
+            }
+            Verdict::Uncertain => self.refuse(request, Kind::OutcomeUnknown),
+            Verdict::Superseded => self.refuse(request, Kind::Superseded),
+            Verdict::Mismatch => self.refuse(request, Kind::KeyMismatch),
+        }
+    }
+
+    fn claim(&mut self, request: Request, key: &str, call: &Call, until: Time) {
+        if self.owner.is_blind(key, self.now) {
+            self.refuse(request, Kind::OutcomeUnknown);
+            return;
+        }
+        self.book.claim(key, call.digest, self.now, request);
+        if let Some(kind) = self.refusal_by_owner(call, until) {
+            self.refuse_key(key, kind);
+            return;
+        }
+        let map = self.owner.map();
+        let epoch = map.epoch;
+        let Some(deputy) = map.deputy(key).cloned() else {
+            self.dispatch_key(key, request, vec![], Kind::NoTarget);
+            return;
+        };
+        let message = Message::Claim { epoch, key: key.to_owned(), digest: call.digest };
+        self.send_to(&deputy, message);
+        let asking = Asking { request, epoch, deputy, since: self.now, until };
+        self.asking.insert(key.to_owned(), asking);
+    }
+
+    fn refusal_by_owner(&self, call: &Call, until: Time) -> Option<Kind> {
+        if self.now >= until {
+            return Some(Kind::DeadlinePassed);
+        }
+        if self.pending.len() > self.config.calls {
+            return Some(Kind::Overloaded);
+        }
+        let known = self.members.has_pool(&call.pool);
+        (!known).then_some(Kind::UnknownPool)
+    }
+
+    /// Refuses a claimed key as not run, and numbers the refusal.
+    fn refuse_key(&mut self, key: &str, kind: Kind) {
+        self.refusals += 1;
+        self.refused_at.push_back((self.now, self.refusals));
+        if self.refused_at.len() > MOST_REFUSED_AT {
+            self.refused_at.pop_front();
+        }
+        for request in self.book.refuse(key, self.refusals, self.now) {
+            self.refuse(request, kind);
+        }
+    }
+
+    /// How many refusals were numbered before a local caller's send came.
+    fn refusals_before(&self, arrived: Time) -> u64 {
+        let later = self.refused_at.iter().find(|(at, _)| *at >= arrived);
+        later.map_or(self.refusals, |(_, order)| order - 1)
+    }
+
+    /// A peer asks this instance to keep a copy of its claim.
+    pub(super) fn on_claim(&mut self, from: &Instance, epoch: u64, key: &str, digest: u64) {
+        let map = self.owner.map();
+        let in_place = self.owner.is_active()
+            && map.epoch == epoch
+            && map.owner(key) == Some(from)
+            && map.deputy(key) == Some(self.owner.me());
+        if !in_place {
+            return;
+        }
+        let copy = crate::core::claim::Copy { key: key.to_owned(), digest, age_ms: 0 };
+        self.book.keep(&copy, self.now);
+        self.send_to(from, Message::Claimed { epoch, key: key.to_owned() });
+    }
+
+    /// The deputy has the copy: dispatch.
+    pub(super) fn on_claimed(&mut self, from: &Instance, epoch: u64, key: &str) {
+        let expected = |asking: &&Asking| asking.deputy == *from && asking.epoch == epoch;
+        let Some(asking) = self.asking.get(key).filter(expected).cloned() else {
+            return;
+        };
+        self.asking.remove(key);
+        if !self.may_act(epoch) {
+            self.give_up_key(key, Kind::Unverified);
+        } else if self.now >= asking.until {
+            self.refuse_key(key, Kind::DeadlinePassed);
+        } else {
+            self.dispatch_key(key, asking.request, vec![], Kind::NoTarget);
+        }
+    }
+
+    /// Drops a claim that was not dispatched and that this instance may no
+    /// longer decide about.
+    fn give_up_key(&mut self, key: &str, kind: Kind) {
+        for request in self.book.advance(key, Phase::Uncertain, self.now) {
+            self.refuse(request, kind);
+        }
+    }
+
+    fn dispatch_key(&mut self, key: &str, request: Request, tried: Vec<String>, otherwise: Kind) {
+        let Some(pending) = self.pending.get(&request) else {
+            self.refuse_key(key, Kind::DeadlinePassed);
+            return;
+        };
+        let (pool, deadline) = (pending.call.pool.clone(), pending.deadline);
+        let Some(target) = self.choose_target(&pool, &tried) else {
+            self.refuse_key(key, otherwise);
+            return;
+        };
+        let mut tried = tried;
+        tried.push(target.clone());
+        let purpose = Purpose::Key { key: key.to_owned(), request, tried };
+        let before = deadline.min(self.owner.lease_until());
+        let dispatch = self.dispatch(&target, request, purpose, before, deadline);
+        self.book.advance(key, Phase::Running(dispatch), self.now);
+    }
+
+    /// An attempt for a key ended.
+    pub(super) fn end_keyed(
+        &mut self,
+        key: &str,
+        request: Request,
+        tried: Vec<String>,
+        dispatch: Dispatch,
+        end: End,
+    ) {
+        match end {
+            End::Answered => {
+                let waiters = self.book.advance(key, Phase::Done(dispatch), self.now);
+                for request in waiters {
+                    self.reply(request, Reply::Stored(dispatch));
+                }
+            }
+            End::Broken => {
+                for request in self.book.advance(key, Phase::Uncertain, self.now) {
+                    self.refuse(request, Kind::OutcomeUnknown);
+                }
+            }
+            End::NotSent | End::NotRun => self.retry_key(key, request, tried),
+        }
+    }
+
+    /// The target certainly did not run it: try another one, if this
+    /// instance still may.
+    fn retry_key(&mut self, key: &str, request: Request, tried: Vec<String>) {
+        if !self.may_act(self.owner.map().epoch)
+            || self.owner.map().owner(key) != Some(self.owner.me())
+        {
+            self.give_up_key(key, Kind::Unverified);
+            return;
+        }
+        let expired = self.pending.get(&request).is_none_or(|p| self.now >= p.deadline);
+        if expired || !self.budget.spend() {
+            self.refuse_key(key, Kind::TargetRefused);
+            return;
+        }
+        self.count(Counted::Retry);
+        self.dispatch_key(key, request, tried, Kind::TargetRefused);
+    }
+
+    /// Refuses claims whose deputy did not answer in time, asks it again
+    /// meanwhile, and forgets claims past the callers' retry horizon.
+    pub(super) fn keep_claims(&mut self) {
+        let asking: Vec<(String, Asking)> =
+            self.asking.iter().map(|(key, asking)| (key.clone(), asking.clone())).collect();
+        for (key, asking) in asking {
+            if self.now.since(asking.since) >= self.config.deputy_ms || self.now >= asking.until {
+                self.asking.remove(&key);
+                let may_say = self.may_act(asking.epoch);
+                match may_say {
+                    true => self.refuse_key(&key, Kind::NoDeputy),
+                    false => self.give_up_key(&key, Kind::Unverified),
+                }
+                continue;
+            }
+            let digest = self.book.get(&key).map(|claim| claim.digest).unwrap_or_default();
+            let message = Message::Claim { epoch: asking.epoch, key, digest };
+            self.send_to(&asking.deputy, message);
+        }
+        for dispatch in self.book.expire(self.now, self.config.ownership.horizon_ms) {
+            self.emit(Effect::Forget { dispatch });
+        }
+        self.owner.expire(self.now);
+    }
+
+    /// Gives up what was claimed and not dispatched, at a change of the map.
+    pub(super) fn abandon_claims(&mut self) {
+        self.asking.clear();
+        for (_, waiters) in self.book.abandon() {
+            for request in waiters {
+                self.refuse(request, Kind::Unverified);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/mod.rs
@@ -0,0 +1,422 @@
+//! One reducer over all events, with effects as data.
+//!
+//! [`State::step`] is the single entry: it takes a time and an [`Event`] and
+//! returns [`Effect`]s. It has no hidden input: the same configuration and
+//! the same events give the same effects, which is what recorded traces and
+//! generated schedules rely on. The submodules hold the steps by subject.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    core::{
+        claim::Book,
+        effect::{Counted, Effect, Reply},
+        event::{Call, Event, Forward, Message},
+        id::{Dispatch, Instance, Request},
+        lease,
+        member::{Members, Peer, Reading},
+        owner,
+        retry::Budget,
+        rollout::{Slot, Steps},
+        stream::{Fold, Record},
+        table,
+        time::Time,
+    },
+    error::Kind,
+};
+
+mod agreed;
+mod calls;
+mod keyed;
+mod orders;
+mod peers;
+mod samples;
+mod stop;
+
+/// What an instance is told once, at its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// This run of this instance.
+    pub me: Instance,
+    /// Its failure domain.
+    pub domain: String,
+    /// All failure domains, the same list at every instance: keys whose home
+    /// the caller does not name are spread over them.
+    pub domains: Vec<String>,
+    /// Seed of the draws among targets.
+    pub seed: u64,
+    /// Times of ownership and of the lease on orders.
+    pub ownership: owner::Config,
+    /// Time between heartbeats within the failure domain, in milliseconds.
+    pub beat_ms: u64,
+    /// Time between heartbeats to other failure domains, in milliseconds.
+    pub remote_beat_ms: u64,
+    /// Silence after which a peer is taken for dead, in milliseconds.
+    pub suspect_ms: u64,
+    /// How long a change of membership must last before a new map is
+    /// proposed, in milliseconds.
+    pub settle_ms: u64,
+    /// Records between snapshots.
+    pub snapshot_records: u64,
+    /// Longest time between snapshots, in milliseconds.
+    pub snapshot_ms: u64,
+    /// Calls in flight at once.
+    pub calls: usize,
+    /// Steps open at once.
+    pub steps: usize,
+    /// Percentage of an engine's slots that rollouts leave to live traffic.
+    pub reserve_percent: u32,
+    /// How long a deputy may take to copy a claim, in milliseconds.
+    pub deputy_ms: u64,
+    /// How long an order to an engine may take, in milliseconds.
+    pub order_ms: u64,
+    /// Engines of the failure domain that may change weights at once.
+    pub orders: usize,
+    /// How long an operator's edit may take, in milliseconds.
+    pub edit_ms: u64,
+    /// How long a stopping instance waits for its successors, in
+    /// milliseconds.
+    pub resign_ms: u64,
+}
+
+impl Config {
+    /// A configuration with the usual times.
+    #[must_use]
+    pub fn new(me: Instance, domain: &str, domains: &[&str]) -> Config {
+        Config {
+            seed: me.incarnation,
+            me,
+            domain: domain.to_owned(),
+            domains: domains.iter().map(|name| (*name).to_owned()).collect(),
+            ownership: owner::Config::default(),
+            beat_ms: 500,
+            remote_beat_ms: 2_000,
+            suspect_ms: 2_000,
+            settle_ms: 500,
+            snapshot_records: 500,
+            snapshot_ms: 60_000,
+            calls: 1_024,
+            steps: 64,
+            reserve_percent: 25,
+            deputy_ms: 1_000,
+            order_ms: 5_000,
+            orders: 2,
+            edit_ms: 5_000,
+            resign_ms: 4_000,
+        }
+    }
+}
+
+/// A caller's request and how far it has come.
+#[derive(Clone, Debug)]
+struct Pending {
+    call: Call,
+    deadline: Time,
+    path: Path,
+}
+
+#[derive(Clone, Debug)]
+enum Path {
+    /// Sent to a target from here, without a key.
+    Plain { tried: Vec<String> },
+    /// Owned here.
+    Owned,
+    /// Sent to the key's owner.
+    Forwarded { forward: Forward, address: String, tries: u32 },
+}
+
+/// An attempt at a target.
+#[derive(Clone, Debug)]
+struct Flight {
+    target: String,
+    purpose: Purpose,
+}
+
+#[derive(Clone, Debug)]
+enum Purpose {
+    Call(Request),
+    Key { key: String, request: Request, tried: Vec<String> },
+    Sample { request: Request, slot: Slot },
+}
+
+/// A claim that waits for its deputy.
+#[derive(Clone, Debug)]
+struct Asking {
+    request: Request,
+    epoch: u64,
+    deputy: Instance,
+    since: Time,
+    until: Time,
+}
+
+/// An operator's edit that was not read back yet.
+#[derive(Clone, Debug)]
+struct PendingEdit {
+    request: Request,
+    edit: table::Edit,
+    since: Time,
+    appended_at: Time,
+}
+
+/// The whole state of one instance.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::{
+///     effect::{Effect, Reply}, event::{Call, Event}, id::{Instance, Request},
+///     reducer::{Config, State}, time::Time,
+/// };
+/// use hollywell::error::Kind;
+///
+/// let config = Config::new(Instance::new("a", 1), "ruwi-hall", &["ruwi-hall"]);
+/// let mut state = State::new(config);
+/// let call = Call {
+///     pool: "board-app".into(), idempotent: false, key: Some("k1".into()),
+///     home: None, digest: 7, timeout_ms: 1_000,
+/// };
+/// let event = Event::Call { request: Request(1), arrived: Time(4), call };
+/// // Nobody owns the key yet, so nobody can say that it did not run.
+/// let refused = Reply::Refused(Kind::Unverified);
+/// assert_eq!(
+///     state.step(Time(5), &event),
+///     [Effect::Reply { request: Request(1), reply: refused, reading: None }],
+/// );
+/// ```
+#[derive(Clone, Debug)]
+pub struct State {
+    config: Config,
+    now: Time,
+    members: Members,
+    fold: Fold,
+    behind_since: Option<Time>,
+    log_read: bool,
+    snapshot_at: Time,
+    owner: owner::State,
+    desired: (BTreeSet<Instance>, Time),
+    proposed_at: Option<Time>,
+    book: Book,
+    refusals: u64,
+    refused_at: VecDeque<(Time, u64)>,
+    activated_order: u64,
+    asking: BTreeMap<String, Asking>,
+    pending: BTreeMap<Request, Pending>,
+    flights: BTreeMap<Dispatch, Flight>,
+    last_dispatch: u64,
+    budget: Budget,
+    steps: Steps,
+    edits: Vec<PendingEdit>,
+    lease: lease::State,
+    lease_from: Time,
+    ordered: BTreeMap<String, Time>,
+    draining: Option<Time>,
+    exited: bool,
+    rng: SmallRng,
+    out: Vec<Effect>,
+}
+
+impl State {
+    /// An instance that knows nothing but its configuration.
+    #[must_use]
+    pub fn new(config: Config) -> State {
+        State {
+            now: Time(0),
+            members: Members::default(),
+            fold: Fold::default(),
+            behind_since: None,
+            log_read: false,
+            snapshot_at: Time(0),
+            owner: owner::State::new(config.me.clone(), config.ownership),
+            desired: (BTreeSet::new(), Time(0)),
+            proposed_at: None,
+            book: Book::default(),
+            refusals: 0,
+            refused_at: VecDeque::new(),
+            activated_order: 0,
+            asking: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            last_dispatch: 0,
+            budget: Budget::default(),
+            steps: Steps::default(),
+            edits: vec![],
+            lease: lease::State::default(),
+            lease_from: Time(0),
+            ordered: BTreeMap::new(),
+            draining: None,
+            exited: false,
+            rng: SmallRng::seed_from_u64(config.seed),
+            out: vec![],
+            config,
+        }
+    }
+
+    /// Takes one event at `now` and returns what is to be done about it.
+    ///
+    /// A `now` earlier than that of the event before counts as the same
+    /// instant. Effects are to be carried out in order.
+    pub fn step(&mut self, now: Time, event: &Event) -> Vec<Effect> {
+        self.now = now.max(self.now);
+        match event {
+            Event::Tick => self.on_tick(),
+            Event::Listed(list) => self.members.take_list(list.clone(), &self.config.me.name),
+            Event::LogRead { sent, first, records, at_end } => {
+                self.on_log(*sent, *first, records, *at_end);
+            }
+            Event::Peer { from, message } => self.on_message(from, message),
+            Event::Call { request, arrived, call } => self.on_call(*request, *arrived, call),
+            Event::Forwarded { request, forward } => self.on_forwarded(*request, forward),
+            Event::ForwardEnded { request, result } => {
+                self.on_forward_ended(*request, result.as_ref());
+            }
+            Event::TargetEnded { dispatch, end, leaving } => {
+                self.on_target_ended(*dispatch, *end, *leaving);
+            }
+            Event::CallerGone { request } => self.on_caller_gone(*request),
+            Event::Loaded { target, load } => self.on_load(target, load.as_ref()),
+            Event::Version { trainer, version } => self.steps.note_version(trainer, *version),
+            Event::StepOpened { request, opening } => self.on_step_opened(*request, opening),
+            Event::SampleEnded { dispatch, end } => self.on_sample_ended(*dispatch, end),
+            Event::Edit { request, edit } => self.on_edit(*request, edit),
+            Event::OrderEnded { target, taken } => self.on_order_ended(target, *taken),
+            Event::Drain => self.draining = self.draining.or(Some(self.now)),
+        }
+        self.pump_samples();
+        std::mem::take(&mut self.out)
+    }
+
+    fn on_tick(&mut self) {
+        self.send_beats();
+        self.keep_ownership();
+        self.keep_claims();
+        self.keep_agreed();
+        self.keep_orders();
+        self.end_late_steps();
+        self.keep_stopping();
+    }
+
+    fn emit(&mut self, effect: Effect) {
+        self.out.push(effect);
+    }
+
+    fn count(&mut self, counted: Counted) {
+        self.emit(Effect::Count(counted));
+    }
+
+    fn reply(&mut self, request: Request, reply: Reply) {
+        self.pending.remove(&request);
+        let reading = self.reading();
+        self.emit(Effect::Reply { request, reply, reading });
+    }
+
+    fn refuse(&mut self, request: Request, kind: Kind) {
+        self.reply(request, Reply::Refused(kind));
+    }
+
+    fn send(&mut self, address: &str, message: Message) {
+        let from = self.owner.me().clone();
+        let address = address.to_owned();
+        self.emit(Effect::Send { from, address, message });
+    }
+
+    fn send_to(&mut self, to: &Instance, message: Message) {
+        let peer = self.members.peers.get(&to.name);
+        if let Some(address) = peer.map(|peer| peer.listed.address.clone()) {
+            self.send(&address, message);
+        }
+    }
+
+    fn append(&mut self, record: Record) {
+        self.emit(Effect::Append { record });
+    }
+
+    fn new_dispatch(&mut self) -> Dispatch {
+        self.last_dispatch += 1;
+        Dispatch(self.last_dispatch)
+    }
+
+    /// The offset before which everything is folded, and whether that state
+    /// is known to have no gap.
+    #[must_use]
+    pub fn folded(&self) -> (u64, bool) {
+        (self.fold.state().next, !self.fold.has_gap())
+    }
+
+    /// What this instance was told at its start.
+    #[must_use]
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// True if a peer answered lately.
+    #[must_use]
+    pub fn is_live(&self, peer: &Peer) -> bool {
+        let is_near = peer.listed.domain == self.config.domain;
+        let far_ms = self.config.suspect_ms.max(self.config.remote_beat_ms * 2);
+        let window_ms = if is_near { self.config.suspect_ms } else { far_ms };
+        peer.is_live(self.now, window_ms)
+    }
+
+    /// The agreed state as far as it is known here.
+    #[must_use]
+    pub fn agreed(&self) -> &crate::core::stream::Snapshot {
+        self.fold.state()
+    }
+
+    /// The instances and targets known here.
+    #[must_use]
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// This instance's place in its failure domain's ownership.
+    #[must_use]
+    pub fn ownership(&self) -> &owner::State {
+        &self.owner
+    }
+
+    /// Number of keys whose claims are known here.
+    #[must_use]
+    pub fn claims(&self) -> usize {
+        self.book.len()
+    }
+
+    /// The open steps.
+    #[must_use]
+    pub fn steps(&self) -> &Steps {
+        &self.steps
+    }
+
+    /// Calls and steps that were not answered yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.pending.len() + self.steps.open.len() + self.edits.len()
+    }
+
+    /// True once the instance was asked to stop.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.is_some()
+    }
+
+    /// True if this instance can take calls and steps: it has a state
+    /// without gaps and is not stopping.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.log_read && !self.fold.has_gap() && self.draining.is_none()
+    }
+
+    /// What this instance says of itself as an owner, if it is active.
+    fn reading(&self) -> Option<Reading> {
+        let reading = || Reading {
+            from: self.owner.me().clone(),
+            epoch: self.owner.map().epoch,
+            order: self.refusals,
+            clock: self.now,
+        };
+        self.owner.is_active().then(reading)
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/orders.rs
@@ -0,0 +1,99 @@
+//! Orders to the failure domain's engines: which one loads which version.
+//!
+//! Orders are level-triggered. The holder of the lease compares the version
+//! that an engine reports with the newest one and repeats the order until
+//! they agree, so a lost answer, a failed swap or a second holder is put
+//! right by the next report.
+
+use super::State;
+use crate::core::{
+    effect::{Effect, Order},
+    lease::{Claim, Step},
+    member::{Kind, Target},
+    stream::Record,
+    time::Time,
+};
+
+impl State {
+    pub(super) fn keep_orders(&mut self) {
+        self.keep_lease();
+        let left_ms = self.lease.held_until().since(self.now);
+        let too_short = left_ms <= self.config.order_ms.min(self.order_limit_ms());
+        if too_short || self.now < self.lease_from || self.draining.is_some() {
+            return;
+        }
+        self.ordered.retain(|_, until| *until > self.now);
+        for (target, address, order) in self.due_orders() {
+            let until = self.now.after(self.config.order_ms);
+            self.ordered.insert(target.clone(), until);
+            let before = Time(self.lease.held_until().0.saturating_sub(self.order_limit_ms()));
+            self.emit(Effect::Order { target, address, order, before });
+        }
+    }
+
+    /// How much of the lease must be left when an order is sent, in
+    /// milliseconds.
+    fn order_limit_ms(&self) -> u64 {
+        self.config.ownership.lease_ms / 3
+    }
+
+    fn keep_lease(&mut self) {
+        if !self.log_read || self.fold.has_gap() || self.draining.is_some() {
+            return;
+        }
+        let grant = self.fold.state().leases.0.get(&self.config.domain);
+        let base = grant.map(|grant| grant.renewed);
+        let is_holder = grant.is_some_and(|grant| grant.holder == *self.owner.me());
+        let times = self.config.ownership;
+        let step = self.lease.step(is_holder, self.now, times.lease_ms, times.guard_ms);
+        if step == Step::Claim {
+            let domain = self.config.domain.clone();
+            let holder = self.owner.me().clone();
+            self.append(Record::Claim(Claim { domain, holder, base }));
+        }
+    }
+
+    /// Orders for engines of this failure domain that report an old version,
+    /// as many as may change at once.
+    fn due_orders(&self) -> Vec<(String, String, Order)> {
+        let room = self.config.orders.saturating_sub(self.ordered.len());
+        let grant = self.fold.state().leases.0.get(&self.config.domain);
+        let Some(fence) = grant.map(|grant| grant.fence) else {
+            return vec![];
+        };
+        let ours = |target: &&Target| {
+            target.listed.kind == Kind::Engine
+                && target.listed.domain == self.config.domain
+                && !target.leaving
+                && !self.ordered.contains_key(&target.listed.name)
+        };
+        let engines = self.members.targets.values().filter(ours);
+        let due = engines.filter_map(|engine| {
+            let (trainer, version) = self.next_version(engine)?;
+            let holder = self.owner.me().clone();
+            let order = Order { fence, holder, trainer, version };
+            Some((engine.listed.name.clone(), engine.listed.address.clone(), order))
+        });
+        due.take(room).collect()
+    }
+
+    /// The first trainer of which the engine serves an old version, with the
+    /// version that it should serve.
+    fn next_version(&self, engine: &Target) -> Option<(String, u64)> {
+        let load = engine.load.as_ref()?;
+        let old = |(trainer, served): (&String, &u64)| {
+            let newest = self.steps.newest(trainer);
+            (newest > *served).then(|| (trainer.clone(), newest))
+        };
+        load.versions.iter().find_map(old)
+    }
+
+    pub(super) fn on_order_ended(&mut self, target: &str, taken: bool) {
+        // A taken order stays noted until its time is up, so that the lagging
+        // report does not cause a second one at once.
+        if !taken {
+            let retry_at = self.now.after(self.config.beat_ms);
+            self.ordered.insert(target.to_owned(), retry_at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/peers.rs
@@ -0,0 +1,210 @@
+//! Heartbeats, ownership of the failure domain's keys, and control messages.
+
+use std::collections::BTreeSet;
+
+use super::State;
+use crate::core::{
+    effect::Counted,
+    event::Message,
+    id::Instance,
+    member::{Peer, Reading},
+    owner::Proposal,
+    stream::Record,
+    time::Time,
+};
+
+impl State {
+    /// Sends the heartbeats that are due.
+    pub(super) fn send_beats(&mut self) {
+        let message = Message::Beat {
+            sent: self.now,
+            next: self.fold.state().next,
+            leaving: self.members.leaving(),
+        };
+        let mut due = vec![];
+        for peer in self.members.peers.values_mut() {
+            let is_near = peer.listed.domain == self.config.domain;
+            let every_ms = match is_near {
+                true => self.config.beat_ms,
+                false => self.config.remote_beat_ms,
+            };
+            if peer.beaten_at.is_none_or(|at| self.now.since(at) >= every_ms) {
+                peer.beaten_at = Some(self.now);
+                due.push(peer.listed.address.clone());
+            }
+        }
+        for address in due {
+            self.send(&address, message.clone());
+        }
+    }
+
+    pub(super) fn on_message(&mut self, from: &Instance, message: &Message) {
+        match message {
+            Message::Beat { sent, next, leaving } => self.on_beat(from, *sent, *next, leaving),
+            Message::Echo { sent, epoch, reading, next, draining } => {
+                self.on_echo(from, *sent, *epoch, reading.as_ref(), *draining);
+                self.note_offset(from, *next);
+            }
+            Message::Claim { epoch, key, digest } => self.on_claim(from, *epoch, key, *digest),
+            Message::Claimed { epoch, key } => self.on_claimed(from, *epoch, key),
+            Message::Handoff(handoff) => {
+                self.owner.hear(from, handoff, self.now);
+                self.activate();
+            }
+            Message::Pull => {
+                let snapshot = Box::new(self.fold.state().clone());
+                self.send_to(from, Message::Push(snapshot));
+            }
+            Message::Push(snapshot) => self.on_push(snapshot),
+        }
+    }
+
+    fn on_beat(&mut self, from: &Instance, sent: Time, next: u64, leaving: &[String]) {
+        for name in leaving {
+            self.members.mark_leaving(name);
+        }
+        self.note_offset(from, next);
+        let echo = Message::Echo {
+            sent,
+            epoch: self.owner.map().epoch,
+            reading: self.reading(),
+            next: self.fold.state().next,
+            draining: self.draining.is_some(),
+        };
+        self.send_to(from, echo);
+    }
+
+    fn on_echo(
+        &mut self,
+        from: &Instance,
+        sent: Time,
+        epoch: u64,
+        reading: Option<&Reading>,
+        draining: bool,
+    ) {
+        let now = self.now;
+        let Some(peer) = self.members.peers.get_mut(&from.name) else {
+            return;
+        };
+        let is_older = peer.instance.as_ref().is_some_and(|known| known > from);
+        if is_older {
+            return;
+        }
+        peer.instance = Some(from.clone());
+        peer.heard_at = Some(now);
+        peer.draining = draining;
+        let is_near = peer.listed.domain == self.config.domain;
+        if let Some(reading) = reading {
+            peer.note_reading(reading, now);
+        }
+        if is_near {
+            self.owner.confirm_by_peer(from, epoch, sent);
+            let active_epoch = reading.map(|reading| reading.epoch);
+            if active_epoch != Some(self.owner.map().epoch) {
+                self.hand_over_to(from);
+            }
+        }
+    }
+
+    pub(super) fn note_reading(&mut self, reading: &Reading) {
+        if let Some(peer) = self.members.peers.get_mut(&reading.from.name) {
+            peer.note_reading(reading, self.now);
+        }
+    }
+
+    fn note_offset(&mut self, from: &Instance, next: u64) {
+        if let Some(peer) = self.members.peers.get_mut(&from.name) {
+            peer.next = next;
+        }
+    }
+
+    /// Takes the newest map of the failure domain into use.
+    pub(super) fn install_map(&mut self) {
+        let maps = &self.fold.state().maps.0;
+        let Some(map) = maps.get(&self.config.domain).cloned() else {
+            return;
+        };
+        if !self.owner.install(&map, self.now) {
+            return;
+        }
+        self.proposed_at = None;
+        self.abandon_claims();
+        for member in &map.members {
+            self.hand_over_to(member);
+        }
+        if self.draining.is_none() {
+            self.owner.rejoin();
+        }
+        self.activate();
+    }
+
+    fn hand_over_to(&mut self, to: &Instance) {
+        if *to == *self.owner.me() || self.owner.map().members.is_empty() {
+            return;
+        }
+        let (book, now) = (&self.book, self.now);
+        let handoff = self.owner.handoff(|| book.copies(now), now).clone();
+        self.send_to(to, Message::Handoff(handoff));
+    }
+
+    fn activate(&mut self) {
+        let Some(copies) = self.owner.activate(self.now) else {
+            return;
+        };
+        for copy in &copies {
+            self.book.keep(copy, self.now);
+        }
+        self.refusals += 1;
+        self.activated_order = self.refusals;
+        self.count(Counted::Activation);
+    }
+
+    /// Activates when it is time, and proposes a map that matches who is
+    /// live.
+    pub(super) fn keep_ownership(&mut self) {
+        self.activate();
+        let desired = self.desired_members();
+        if desired != self.desired.0 {
+            self.desired = (desired, self.now);
+        }
+        let settled = self.now.since(self.desired.1) >= self.config.settle_ms;
+        let retry = |at: Time| self.now.since(at) < self.config.beat_ms * 2;
+        let waits = self.proposed_at.is_some_and(retry);
+        let same = self.desired.0 == self.owner.map().members;
+        if !settled || waits || same || !self.may_propose() {
+            return;
+        }
+        let members = self.desired.0.clone();
+        let base = self.fold.state().maps.0.get(&self.config.domain).map(|map| map.epoch);
+        let domain = self.config.domain.clone();
+        self.proposed_at = Some(self.now);
+        self.append(Record::Proposal(Proposal { domain, base, members }));
+    }
+
+    fn may_propose(&self) -> bool {
+        let known = self.log_read && !self.fold.has_gap();
+        let first = self.desired.0.first();
+        let leaves = self.draining.is_some() && self.owner.is_member();
+        known && (leaves || first == Some(self.owner.me())) && !self.desired.0.is_empty()
+    }
+
+    /// The instances of this failure domain that should share its keys.
+    fn desired_members(&self) -> BTreeSet<Instance> {
+        let near = |peer: &&Peer| {
+            peer.listed.domain == self.config.domain && self.is_live(peer) && !peer.draining
+        };
+        let peers = self.members.peers.values().filter(near);
+        let mut desired: BTreeSet<Instance> =
+            peers.filter_map(|peer| peer.instance.clone()).collect();
+        if self.draining.is_none() {
+            desired.insert(self.owner.me().clone());
+        }
+        desired
+    }
+
+    /// Live instances of all failure domains, this one included.
+    pub(super) fn live_instances(&self) -> usize {
+        let peers = self.members.peers.values();
+        1 + peers.filter(|peer| self.is_live(peer)).count()
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -0,0 +1,258 @@
+//! Steps and samples: starting them on engines, judging and delivering them.
+
+use super::{Flight, Purpose, State, calls::load_of};
+use crate::{
+    core::{
+        effect::{Counted, Effect},
+        id::{Dispatch, Request},
+        member::{self, Target},
+        rollout::{End, Opening, Slot, Step, Verdict},
+        route::{self, Candidate},
+        table,
+    },
+    error::Kind,
+};
+
+impl State {
+    pub(super) fn on_load(&mut self, target: &str, load: Option<&member::Load>) {
+        let now = self.now;
+        let Some(known) = self.members.targets.get_mut(target) else {
+            return;
+        };
+        let Some(load) = load else {
+            known.load = None;
+            return;
+        };
+        known.breaker.succeed();
+        known.load = Some(load.clone());
+        if load.leaving {
+            known.leaving = true;
+        }
+        // An engine that serves what was ordered needs no order any longer.
+        self.ordered.retain(|_, until| *until > now);
+    }
+
+    pub(super) fn on_step_opened(&mut self, request: Request, opening: &Opening) {
+        if let Some(kind) = self.step_refusal(opening) {
+            let missing = opening.groups.iter().map(|group| group.missing.len()).sum();
+            self.emit(Effect::EndStep { request, missing, reason: Some(kind) });
+            return;
+        }
+        self.steps.note_version(&opening.trainer, opening.version);
+        self.steps.open.insert(request, Step::new(opening.clone(), self.now));
+        self.end_if_done(request);
+    }
+
+    fn step_refusal(&self, opening: &Opening) -> Option<Kind> {
+        if self.draining.is_some() {
+            return Some(Kind::Draining);
+        }
+        if self.fold.state().table.row(&opening.trainer).is_none() {
+            return Some(Kind::UnknownTrainer);
+        }
+        (self.steps.open.len() >= self.config.steps).then_some(Kind::Overloaded)
+    }
+
+    /// Starts samples as long as there is a slot to run and an engine with
+    /// room for it.
+    pub(super) fn pump_samples(&mut self) {
+        if self.draining.is_some() {
+            return;
+        }
+        loop {
+            let order = self.steps.in_order(&self.fold.state().table);
+            let started = order.into_iter().any(|request| self.start_sample(request));
+            if !started {
+                return;
+            }
+        }
+    }
+
+    fn start_sample(&mut self, request: Request) -> bool {
+        let Some(step) = self.steps.open.get(&request) else {
+            return false;
+        };
+        let (deadline, trainer) = (step.deadline(), step.opening().trainer.clone());
+        let row = self.fold.state().table.row(&trainer).cloned();
+        let (Some(slot), Some(row)) = (step.next_waiting(), row) else {
+            return false;
+        };
+        let Some(target) = self.choose_engine(&row) else {
+            return false;
+        };
+        let dispatch = self.new_dispatch();
+        let Some(engine) = self.members.targets.get_mut(&target) else {
+            return false;
+        };
+        engine.samples += 1;
+        let address = engine.listed.address.clone();
+        if let Some(step) = self.steps.open.get_mut(&request) {
+            step.start(slot, dispatch);
+        }
+        let purpose = Purpose::Sample { request, slot };
+        self.flights.insert(dispatch, Flight { target, purpose });
+        let priority = row.priority;
+        self.emit(Effect::Generate { request, dispatch, slot, address, priority, deadline });
+        true
+    }
+
+    /// An engine with room that serves an acceptable version.
+    fn choose_engine(&mut self, row: &table::Row) -> Option<String> {
+        let oldest = self.steps.oldest(row);
+        let sharers = self.live_instances();
+        let reserve = self.config.reserve_percent;
+        let serves = |target: &&Target| {
+            let load = target.load.as_ref();
+            let version = load.and_then(|load| load.versions.get(&row.trainer));
+            let room = load.map_or(0, |load| room_for_samples(load.slots, reserve, sharers));
+            let queued = load.is_some_and(|load| load.running + load.waiting >= load.slots);
+            version.is_some_and(|version| *version >= oldest)
+                && target.samples < room
+                && !(queued && target.samples > 0)
+                && target.is_usable(self.now)
+        };
+        let candidates: Vec<Candidate<'_>> = self
+            .members
+            .targets
+            .values()
+            .filter(serves)
+            .map(|target| Candidate {
+                name: &target.listed.name,
+                load: load_of(target),
+                // Every engine may serve rollouts of every domain: keeping to
+                // the nearest would leave the others' share idle.
+                is_local: true,
+            })
+            .collect();
+        route::choose(&candidates, &mut self.rng).map(str::to_owned)
+    }
+
+    pub(super) fn on_sample_ended(&mut self, dispatch: Dispatch, end: &End) {
+        let Some(flight) = self.flights.remove(&dispatch) else {
+            return;
+        };
+        if let Some(engine) = self.members.targets.get_mut(&flight.target) {
+            engine.samples = engine.samples.saturating_sub(1);
+            match end {
+                End::Whole(_) => engine.breaker.succeed(),
+                End::Broken | End::Refused => engine.breaker.fail(self.now),
+            }
+        }
+        let Purpose::Sample { request, slot } = flight.purpose else {
+            return;
+        };
+        self.judge_sample(request, slot, dispatch, end);
+        self.end_if_done(request);
+    }
+
+    fn judge_sample(&mut self, request: Request, slot: Slot, dispatch: Dispatch, end: &End) {
+        let trainer = self.steps.open.get(&request).map(|step| step.opening().trainer.clone());
+        let table = &self.fold.state().table;
+        let row = trainer.as_deref().and_then(|trainer| table.row(trainer));
+        let Some(row) = row.cloned() else {
+            self.emit(Effect::Forget { dispatch });
+            return;
+        };
+        if let End::Whole(versions) = end {
+            for version in versions {
+                self.steps.note_version(&row.trainer, *version);
+            }
+        }
+        let oldest = self.steps.oldest(&row);
+        let Some(step) = self.steps.open.get_mut(&request) else {
+            return;
+        };
+        let verdict = step.end(slot, dispatch, end, oldest);
+        let counted = match verdict {
+            Verdict::Deliver(slot) => {
+                self.deliver(request, dispatch, slot, end);
+                Counted::SampleDelivered
+            }
+            Verdict::Duplicate => Counted::SampleDuplicate,
+            Verdict::Stale => Counted::SampleStale,
+            Verdict::Unversioned => Counted::SampleUnversioned,
+            Verdict::Failed => Counted::SampleFailed,
+        };
+        self.count(counted);
+        self.emit(Effect::Forget { dispatch });
+    }
+
+    fn deliver(&mut self, request: Request, dispatch: Dispatch, slot: Slot, end: &End) {
+        if let End::Whole(versions) = end {
+            let versions = versions.clone();
+            self.emit(Effect::Deliver { request, dispatch, slot, versions });
+        }
+    }
+
+    fn end_if_done(&mut self, request: Request) {
+        let Some(step) = self.steps.open.get(&request) else {
+            return;
+        };
+        let missing = step.missing();
+        let moves = self.draining.is_some() && step.running() == 0;
+        if missing == 0 {
+            self.end_step(request, None);
+        } else if moves {
+            self.end_step(request, Some(Kind::Draining));
+        }
+    }
+
+    fn end_step(&mut self, request: Request, reason: Option<Kind>) {
+        let Some(step) = self.steps.open.remove(&request) else {
+            return;
+        };
+        let missing = step.missing();
+        self.emit(Effect::EndStep { request, missing, reason });
+        self.cancel_samples(request);
+    }
+
+    /// Drops a step whose trainer has gone.
+    pub(super) fn abandon_step(&mut self, request: Request) {
+        if self.steps.open.remove(&request).is_some() {
+            self.cancel_samples(request);
+        }
+    }
+
+    fn cancel_samples(&mut self, request: Request) {
+        let of_step = |flight: &Flight| matches!(flight.purpose, Purpose::Sample { request: owner, .. } if owner == request);
+        let running: Vec<Dispatch> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| of_step(flight))
+            .map(|(dispatch, _)| *dispatch)
+            .collect();
+        for dispatch in running {
+            self.emit(Effect::Cancel { dispatch });
+        }
+    }
+
+    /// Ends steps whose trainer has stopped waiting, and those that a
+    /// stopping instance hands over.
+    pub(super) fn end_late_steps(&mut self) {
+        let late: Vec<Request> = self
+            .steps
+            .open
+            .iter()
+            .filter(|(_, step)| self.now >= step.deadline())
+            .map(|(request, _)| *request)
+            .collect();
+        for request in late {
+            self.end_step(request, Some(Kind::DeadlinePassed));
+        }
+        if self.draining.is_some() {
+            let open: Vec<Request> = self.steps.open.keys().copied().collect();
+            for request in open {
+                self.end_if_done(request);
+            }
+        }
+    }
+}
+
+/// Samples that one of `sharers` instances may have in flight at an engine
+/// of `slots` slots. At least one: with more instances than slots the
+/// engine's queue sorts it out.
+fn room_for_samples(slots: u32, reserve_percent: u32, sharers: usize) -> u32 {
+    let open = slots * (100 - reserve_percent.min(100)) / 100;
+    let sharers = u32::try_from(sharers).unwrap_or(u32::MAX).max(1);
+    (open / sharers).max(1)
+}
--- /dev/null
+++ b/crates/hollywell/src/core/reducer/stop.rs
@@ -0,0 +1,34 @@
+//! Stopping: an instance that is asked to stop takes no new work, finishes
+//! what is in flight, hands its keys over, and then exits.
+
+use super::State;
+use crate::core::{effect::Effect, member::Peer};
+
+impl State {
+    pub(super) fn keep_stopping(&mut self) {
+        let Some(since) = self.draining else {
+            return;
+        };
+        let idle = self.in_flight() == 0 && self.flights.is_empty();
+        let waited = self.now.since(since) >= self.config.resign_ms;
+        if idle && !self.exited && (self.has_handed_over() || waited) {
+            self.exited = true;
+            self.emit(Effect::Exit);
+        }
+    }
+
+    /// True if the keys are in others' hands: a map without this instance is
+    /// in force and every member that is live acts under it. Where nobody is
+    /// left to take them, there is nothing to wait for.
+    fn has_handed_over(&self) -> bool {
+        if self.owner.is_member() {
+            let near = |peer: &&Peer| peer.listed.domain == self.config.domain;
+            let mut peers = self.members.peers.values().filter(near);
+            return !peers.any(|peer| self.is_live(peer) && !peer.draining);
+        }
+        let map = self.owner.map();
+        let acts = |peer: &Peer| peer.reading().is_some_and(|reading| reading.epoch == map.epoch);
+        let named = map.members.iter().filter_map(|m| self.members.peers.get(&m.name));
+        named.filter(|p| self.is_live(p)).all(acts)
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/core/route.rs
@@ -0,0 +1,52 @@
+//! Which target takes a request.
+//!
+//! Load reports lag, and several instances choose from the same report, so
+//! the least loaded target of the report must not be everybody's choice: two
+//! candidates are drawn and the less loaded one is taken (Mitzenmacher, "The
+//! power of two choices in randomized load balancing", 2001), with the
+//! instance's own requests in flight counted on top of the report.
+
+use rand::{Rng, rngs::SmallRng};
+
+/// A target that could take the request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate<'a> {
+    /// The target's name.
+    pub name: &'a str,
+    /// Its load; comparable among candidates of one choice.
+    pub load: f64,
+    /// True if it is in the chooser's own failure domain.
+    pub is_local: bool,
+}
+
+/// Chooses a target: of the chooser's failure domain if there is any, and
+/// the less loaded of two drawn at random.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::route::{Candidate, choose};
+/// use rand::{SeedableRng, rngs::SmallRng};
+///
+/// let near = Candidate { name: "near", load: 0.9, is_local: true };
+/// let far = Candidate { name: "far", load: 0.1, is_local: false };
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// // A loaded target nearby goes before an idle one in another domain.
+/// assert_eq!(choose(&[far, near], &mut rng), Some("near"));
+/// ```
+#[must_use]
+pub fn choose<'a>(candidates: &[Candidate<'a>], rng: &mut SmallRng) -> Option<&'a str> {
+    let local: Vec<&Candidate<'a>> = candidates.iter().filter(|c| c.is_local).collect();
+    let all: Vec<&Candidate<'a>> = candidates.iter().collect();
+    let drawn = if local.is_empty() { all } else { local };
+    match drawn.as_slice() {
+        [] => None,
+        [only] => Some(only.name),
+        many => {
+            let first = rng.random_range(0..many.len());
+            let step = rng.random_range(1..many.len());
+            let (a, b) = (many[first], many[(first + step) % many.len()]);
+            Some(if b.load < a.load { b.name } else { a.name })
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/engine.rs
@@ -0,0 +1,213 @@
+//! Talking to a model engine: completions as server-sent events in the usual
+//! OpenAI-compatible form, and orders to load weights.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use serde::Deserialize;
+
+use crate::{
+    core::{effect::Order, id::Dispatch, rollout::End, time::Time},
+    http::{Client, Error, build, uri},
+    traffic::registry::Prompt,
+};
+
+/// Longest time for an engine to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer to an order, in bytes.
+const MOST_ORDER_BYTES: usize = 64 << 10;
+/// Largest part of a stream without an end of event, in bytes.
+const MOST_EVENT_BYTES: usize = 1 << 20;
+/// Largest sample, in bytes.
+const MOST_SAMPLE_BYTES: usize = 16 << 20;
+
+/// What an engine is asked, besides the prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The attempt.
+    pub dispatch: Dispatch,
+    /// The engine's address.
+    pub address: String,
+    /// Place in the engine's queue; lower goes first.
+    pub priority: u8,
+    /// Instant by which the sample must be whole.
+    pub deadline: Time,
+}
+
+/// A whole sample.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sample {
+    /// The text.
+    pub text: String,
+    /// The weight versions that produced it, in order, without repeats next
+    /// to each other.
+    pub versions: Vec<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+    weight_version: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    finish_reason: Option<String>,
+}
+
+/// Asks an engine for a sample and reads its whole stream.
+///
+/// # Errors
+///
+/// [`End::Refused`] if the engine did not take the request, [`End::Broken`]
+/// if the stream ended early, could not be understood, or had a chunk with
+/// text that named no version.
+pub async fn generate(
+    client: &Client,
+    ask: &Ask,
+    trainer: &str,
+    prompt: &Prompt,
+    timeout: Duration,
+) -> Result<Sample, End> {
+    let body = serde_json::json!({
+        "model": trainer,
+        "prompt": prompt.text,
+        "max_tokens": prompt.max_tokens,
+        "priority": ask.priority,
+        "stream": true,
+    });
+    let builder = Request::post(uri(&ask.address, "/v1/completions"))
+        .header("content-type", "application/json");
+    let request = build(builder, Bytes::from(body.to_string())).map_err(|_| End::Refused)?;
+    let exchange = async {
+        let response = client.open(request).await.map_err(|error| match error {
+            Error::NotSent(_) => End::Refused,
+            _ => End::Broken,
+        })?;
+        if !response.status().is_success() {
+            return Err(End::Refused);
+        }
+        read_stream(response.into_body()).await
+    };
+    tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(End::Broken))
+}
+
+async fn read_stream(mut body: Incoming) -> Result<Sample, End> {
+    let mut reader = Reader::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| End::Broken)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        reader.push(data)?;
+        if reader.done {
+            return reader.finish();
+        }
+    }
+    Err(End::Broken)
+}
+
+/// Collects a completion's server-sent events (WHATWG HTML, section 9.2).
+#[derive(Debug, Default)]
+pub struct Reader {
+    pending: Vec<u8>,
+    sample: Sample,
+    finished: bool,
+    done: bool,
+}
+
+impl Reader {
+    /// Takes the next part of the stream.
+    ///
+    /// # Errors
+    ///
+    /// [`End::Broken`] if it cannot be understood or is too large.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hollywell::{core::rollout::End, engine::Reader};
+    ///
+    /// let mut reader = Reader::default();
+    /// let chunk = r#"{"choices":[{"text":"a"}],"weight_version":4}"#;
+    /// reader.push(format!("data: {chunk}\n\nda").as_bytes())?;
+    /// // The stream broke off before its end was marked: not a sample.
+    /// assert_eq!(reader.finish(), Err(End::Broken));
+    /// # Ok::<(), End>(())
+    /// ```
+    pub fn push(&mut self, data: &[u8]) -> Result<(), End> {
+        self.pending.extend_from_slice(data);
+        while let Some(end) = self.pending.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.pending.drain(..=end).collect();
+            let line = std::str::from_utf8(&line).map_err(|_| End::Broken)?;
+            self.take_line(line.trim_end())?;
+        }
+        match self.pending.len() > MOST_EVENT_BYTES {
+            true => Err(End::Broken),
+            false => Ok(()),
+        }
+    }
+
+    fn take_line(&mut self, line: &str) -> Result<(), End> {
+        let Some(data) = line.strip_prefix("data:").map(str::trim) else {
+            return Ok(());
+        };
+        if data == "[DONE]" {
+            self.done = true;
+            return Ok(());
+        }
+        let chunk: Chunk = serde_json::from_str(data).map_err(|_| End::Broken)?;
+        for choice in &chunk.choices {
+            self.sample.text.push_str(&choice.text);
+            self.finished |= choice.finish_reason.is_some();
+            let version = match chunk.weight_version {
+                Some(version) => version,
+                None if choice.text.is_empty() => continue,
+                None => return Err(End::Broken),
+            };
+            if self.sample.versions.last() != Some(&version) {
+                self.sample.versions.push(version);
+            }
+        }
+        match self.sample.text.len() > MOST_SAMPLE_BYTES {
+            true => Err(End::Broken),
+            false => Ok(()),
+        }
+    }
+
+    /// The whole sample.
+    ///
+    /// # Errors
+    ///
+    /// [`End::Broken`] if the stream did not say that it is whole.
+    pub fn finish(self) -> Result<Sample, End> {
+        match self.done && self.finished {
+            true => Ok(self.sample),
+            false => Err(End::Broken),
+        }
+    }
+}
+
+/// Gives an order to an engine and returns true if the engine took it.
+pub async fn order(client: &Client, address: &str, order: &Order) -> bool {
+    let Ok(body) = serde_json::to_vec(order) else {
+        return false;
+    };
+    let answer = client.post(address, "/orders", body, MOST_ORDER_BYTES, ORDER_TIMEOUT).await;
+    match answer {
+        Ok(answer) if answer.status().is_success() => true,
+        Ok(answer) => {
+            log::info!("engine {address} refused an order: status {}", answer.status());
+            false
+        }
+        Err(error) => {
+            log::info!("order to engine {address} failed: {error}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/error.rs
@@ -0,0 +1,192 @@
+//! The closed list of error kinds, and the table from kind to answer.
+//!
+//! Everything that hollywell can tell a caller other than a target's own
+//! answer is one [`Kind`]. [`Kind::answer`] is the single place where a kind
+//! becomes a status, a `Retry-After` and a word on whether the request ran.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What hollywell knows about whether a refused request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It did not run, and no earlier send of the same key did.
+    NotRun,
+    /// It may have run. Sending it again with the same key is safe.
+    Unknown,
+}
+
+impl Outcome {
+    /// The value of the `Hollywell-Outcome` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a request was refused or given up on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The request could not be understood.
+    Malformed,
+    /// The body or the headers exceed the configured size.
+    TooLarge,
+    /// No such path or method.
+    NoRoute,
+    /// The table has no row for the trainer.
+    UnknownTrainer,
+    /// No target of that pool has ever been listed.
+    UnknownPool,
+    /// The key was used before with a different request.
+    KeyMismatch,
+    /// Another edit of the same row came first.
+    Conflict,
+    /// The instance has no room for more work.
+    Overloaded,
+    /// The instance is stopping.
+    Draining,
+    /// No usable target at the moment.
+    NoTarget,
+    /// The target refused the connection or said that it did not run it.
+    TargetRefused,
+    /// The deadline passed before the request was dispatched.
+    DeadlinePassed,
+    /// A copy of the claim could not be placed, so it was not dispatched.
+    NoDeputy,
+    /// The send was overtaken by an earlier refusal of the same key.
+    Superseded,
+    /// The key's owner could not be asked, or cannot act now.
+    Unverified,
+    /// The request was dispatched and no whole answer came back.
+    OutcomeUnknown,
+    /// The platform's log cannot be reached.
+    LogAway,
+    /// A fault of hollywell itself.
+    Internal,
+}
+
+/// How a kind is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status (RFC 9110, section 15).
+    pub status: u16,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// When to come back, in seconds; `None` where repeating cannot help.
+    pub retry_after_s: Option<u32>,
+    /// One sentence for a person.
+    pub text: &'static str,
+}
+
+const fn answer(
+    status: u16,
+    outcome: Outcome,
+    retry_after_s: Option<u32>,
+    text: &'static str,
+) -> Answer {
+    Answer { status, outcome, retry_after_s, text }
+}
+
+impl Kind {
+    /// Every kind, in the order of the documentation.
+    pub const ALL: [Kind; 18] = [
+        Kind::Malformed,
+        Kind::TooLarge,
+        Kind::NoRoute,
+        Kind::UnknownTrainer,
+        Kind::UnknownPool,
+        Kind::KeyMismatch,
+        Kind::Conflict,
+        Kind::Overloaded,
+        Kind::Draining,
+        Kind::NoTarget,
+        Kind::TargetRefused,
+        Kind::DeadlinePassed,
+        Kind::NoDeputy,
+        Kind::Superseded,
+        Kind::Unverified,
+        Kind::OutcomeUnknown,
+        Kind::LogAway,
+        Kind::Internal,
+    ];
+
+    /// The answer that a kind is given.
+    ///
+    /// A kind whose outcome is [`Outcome::NotRun`] may only be used by code
+    /// that knows it: for a keyed request that is the key's owner alone.
+    /// Anyone else uses [`Kind::Unverified`], because an earlier send of the
+    /// same key may have run elsewhere.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hollywell::error::{Kind, Outcome};
+    ///
+    /// // A stopping instance that does not own the key cannot say "not run".
+    /// assert_eq!(Kind::Draining.answer().outcome, Outcome::NotRun);
+    /// assert_eq!(Kind::Unverified.answer().outcome, Outcome::Unknown);
+    /// ```
+    #[must_use]
+    pub const fn answer(self) -> Answer {
+        use Outcome::{NotRun, Unknown};
+        match self {
+            Kind::Malformed => answer(400, NotRun, None, "the request is malformed"),
+            Kind::TooLarge => answer(413, NotRun, None, "the request is too large"),
+            Kind::NoRoute => answer(404, NotRun, None, "no such path or method"),
+            Kind::UnknownTrainer => answer(404, NotRun, None, "the table has no such trainer"),
+            Kind::UnknownPool => answer(404, NotRun, None, "no such pool of targets"),
+            Kind::KeyMismatch => answer(422, Unknown, None, "the key belongs to another request"),
+            Kind::Conflict => answer(409, NotRun, None, "the row was changed meanwhile"),
+            Kind::Overloaded => answer(429, NotRun, Some(1), "no room for more work"),
+            Kind::Draining => answer(503, NotRun, Some(1), "the instance is stopping"),
+            Kind::NoTarget => answer(503, NotRun, Some(1), "no usable target"),
+            Kind::TargetRefused => answer(503, NotRun, Some(1), "the target refused it"),
+            Kind::DeadlinePassed => answer(504, NotRun, Some(1), "the deadline passed first"),
+            Kind::NoDeputy => answer(503, NotRun, Some(2), "the claim could not be copied"),
+            Kind::Superseded => answer(503, NotRun, Some(1), "an earlier refusal overtook it"),
+            Kind::Unverified => answer(503, Unknown, Some(1), "the key's owner cannot act now"),
+            Kind::OutcomeUnknown => answer(502, Unknown, Some(5), "no whole answer came back"),
+            Kind::LogAway => answer(503, Unknown, Some(5), "the platform's log is away"),
+            Kind::Internal => answer(500, Unknown, Some(5), "a fault of hollywell"),
+        }
+    }
+
+    /// The kind's name in metrics, logs and answers.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Kind::Malformed => "malformed",
+            Kind::TooLarge => "too_large",
+            Kind::NoRoute => "no_route",
+            Kind::UnknownTrainer => "unknown_trainer",
+            Kind::UnknownPool => "unknown_pool",
+            Kind::KeyMismatch => "key_mismatch",
+            Kind::Conflict => "conflict",
+            Kind::Overloaded => "overloaded",
+            Kind::Draining => "draining",
+            Kind::NoTarget => "no_target",
+            Kind::TargetRefused => "target_refused",
+            Kind::DeadlinePassed => "deadline_passed",
+            Kind::NoDeputy => "no_deputy",
+            Kind::Superseded => "superseded",
+            Kind::Unverified => "unverified",
+            Kind::OutcomeUnknown => "outcome_unknown",
+            Kind::LogAway => "log_away",
+            Kind::Internal => "internal",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.answer().text)
+    }
+}
+
+impl std::error::Error for Kind {}
--- /dev/null
+++ b/crates/hollywell/src/main.rs
@@ -0,0 +1,7 @@
+//! The `hollywell` command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hollywell::cli::run()
+}
--- /dev/null
+++ b/crates/hollywell/src/peer/server.rs
@@ -0,0 +1,112 @@
+//! The receiving side of the instances' talk.
+
+use std::{future::Future, net::SocketAddr};
+
+use http::Method;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, transport::Server};
+
+use super::{
+    from_wire,
+    generated::{
+        Ack, ForwardReply, ForwardRequest, Packet,
+        peer_server::{Peer, PeerServer},
+    },
+    to_wire,
+};
+use crate::{
+    control::Handle,
+    core::{
+        event::{Event, Forward, ForwardResult},
+        id::Instance,
+    },
+    error::Kind,
+    traffic::registry::{Registry, Replied, Sent},
+};
+
+struct Service {
+    control: Handle,
+    registry: Registry,
+}
+
+/// Serves peers until `stop` completes and the calls in flight are answered.
+///
+/// # Errors
+///
+/// If the listener fails.
+pub async fn serve(
+    listener: TcpListener,
+    control: Handle,
+    registry: Registry,
+    stop: impl Future<Output = ()>,
+) -> Result<(), tonic::transport::Error> {
+    let service = PeerServer::new(Service { control, registry })
+        .max_decoding_message_size(usize::MAX)
+        .max_encoding_message_size(usize::MAX);
+    let incoming = TcpListenerStream::new(listener);
+    Server::builder().add_service(service).serve_with_incoming_shutdown(incoming, stop).await
+}
+
+/// Binds the listener for peers.
+///
+/// # Errors
+///
+/// If the address cannot be bound.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn exchange(&self, request: Request<Packet>) -> Result<Response<Ack>, Status> {
+        let packet = request.into_inner();
+        let message = serde_json::from_slice(&packet.message)
+            .map_err(|error| Status::invalid_argument(format!("not a message: {error}")))?;
+        let from = Instance::new(&packet.name, packet.incarnation);
+        let event = Event::Peer { from, message };
+        self.control.offer(event).map_err(|_| Status::resource_exhausted("queue is full"))?;
+        Ok(Response::new(Ack {}))
+    }
+
+    async fn forward(
+        &self,
+        request: Request<ForwardRequest>,
+    ) -> Result<Response<ForwardReply>, Status> {
+        let request = request.into_inner();
+        let forward: Forward = serde_json::from_slice(&request.forward)
+            .map_err(|error| Status::invalid_argument(format!("not a forward: {error}")))?;
+        let method = Method::from_bytes(request.method.as_bytes())
+            .map_err(|error| Status::invalid_argument(format!("not a method: {error}")))?;
+        let sent = Sent {
+            method,
+            path: request.path,
+            headers: from_wire(&request.headers),
+            body: request.body.into(),
+        };
+        let (number, reply) = self.registry.open(sent);
+        let event = Event::Forwarded { request: number, forward };
+        if self.control.offer(event).is_err() {
+            self.registry.close(number);
+            return Err(Status::resource_exhausted("queue is full"));
+        }
+        let replied = reply.await.map_err(|_| Status::aborted("the instance stops"))?;
+        Ok(Response::new(to_reply(replied)))
+    }
+}
+
+fn to_reply(replied: Replied) -> ForwardReply {
+    let (refused, reading, answer) = match replied {
+        Replied::Answer { answer, reading } => (None, reading, Some(answer)),
+        Replied::Refused { kind, reading } => (Some(kind), reading, None),
+        Replied::Edited(_) => (Some(Kind::Internal), None, None),
+    };
+    let result = serde_json::to_vec(&ForwardResult { refused, reading }).unwrap_or_default();
+    let answer = answer.unwrap_or_default();
+    ForwardReply {
+        result,
+        status: u32::from(answer.status),
+        headers: to_wire(&answer.headers),
+        body: answer.body.to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/serve.rs
@@ -0,0 +1,109 @@
+//! One entry instance, from its settings to its end.
+
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+use crate::{
+    control::{self, Clock, Handle, Options, TICK},
+    core::event::Event,
+    metrics::Metrics,
+    peer, platform,
+    settings::Settings,
+    traffic::{executor::Executor, server::Server},
+};
+
+/// Runs an instance until it is asked to stop and has handed everything
+/// over.
+///
+/// SIGTERM and SIGINT ask it to stop. Requests in flight are answered first,
+/// whatever that takes within their own deadlines.
+///
+/// # Errors
+///
+/// If a listener cannot be bound, or the trace file cannot be created.
+pub fn run(settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let clock = Clock::start();
+    let metrics = Metrics::new()?;
+    let listener = TcpListener::bind(settings.listen).await?;
+    let peer_listener = peer::server::bind(settings.peer_listen).await?;
+    let (control, effects) = control::start(Options {
+        config: settings.config.clone(),
+        queue: settings.limits.queue,
+        trace: settings.trace.as_deref(),
+        metrics: metrics.clone(),
+        clock,
+    })?;
+    let platform = settings.platform.clone();
+    let most_bytes = settings.limits.body_bytes;
+    let executor =
+        Executor::new(control.clone(), clock, platform.clone(), most_bytes, metrics.clone());
+    let registry = executor.registry.clone();
+    let (stop, stopping) = watch::channel(false);
+    log::info!(
+        "{} listens on {} and for peers on {}",
+        settings.config.me,
+        listener.local_addr()?,
+        peer_listener.local_addr()?
+    );
+
+    tokio::spawn(executor.clone().run(effects));
+    tokio::spawn(tick(control.clone()));
+    tokio::spawn(platform::follow_log(platform.clone(), control.clone(), clock));
+    tokio::spawn(platform::follow_list(platform.clone(), control.clone()));
+    tokio::spawn(platform::follow_versions(platform.clone(), control.clone()));
+    tokio::spawn(platform::follow_load(platform, control.clone()));
+    let mut peer_stop = stopping.clone();
+    let peers = tokio::spawn(peer::server::serve(
+        peer_listener,
+        control.clone(),
+        registry.clone(),
+        async move {
+            let _ended = peer_stop.wait_for(|stop| *stop).await;
+        },
+    ));
+    let server =
+        Server { control: control.clone(), clock, registry, limits: settings.limits, metrics };
+    let callers = tokio::spawn(server.serve(listener, stopping));
+
+    asked_to_stop().await?;
+    log::info!("stopping");
+    control.tell(Event::Drain).await;
+    executor.exited().await;
+    stop.send_replace(true);
+    callers.await?;
+    peers.await??;
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn tick(control: Handle) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        // A tick that finds the queue full is made up for by the next one.
+        let _full = control.offer(Event::Tick);
+    }
+}
+
+async fn asked_to_stop() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hollywell/src/traffic/admin.rs
@@ -0,0 +1,78 @@
+//! The operators' side: status, the table, and edits of it.
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use super::{
+    registry::{Replied, Sent},
+    server::{Body, Server, json},
+};
+use crate::{
+    core::{
+        event::Event,
+        table::{Edit, Outcome},
+    },
+    error::Kind,
+};
+
+/// Largest value of a row's numbers.
+const MOST_WEIGHT: u32 = 1_000_000;
+
+/// Answers an operator.
+pub(super) async fn answer(
+    server: &Server,
+    request: Request<Incoming>,
+    parts: &[&str],
+) -> Response<Body> {
+    let arrived = server.clock.now();
+    let method = request.method().clone();
+    match (&method, parts) {
+        (&Method::GET, ["admin", "status"]) => json(StatusCode::OK, server.control.view().as_ref()),
+        (&Method::GET, ["admin", "edits", id]) => outcome(server, id),
+        (&Method::POST, ["admin", "edits"]) => edit(server, request).await,
+        _ => server.refusal(Kind::NoRoute, arrived),
+    }
+}
+
+fn outcome(server: &Server, id: &str) -> Response<Body> {
+    match server.control.view().outcomes.get(id) {
+        Some(outcome) => json(StatusCode::OK, outcome),
+        None => json(StatusCode::NOT_FOUND, &"no such edit is known here; ask again later"),
+    }
+}
+
+async fn edit(server: &Server, request: Request<Incoming>) -> Response<Body> {
+    let arrived = server.clock.now();
+    let body = match server.read_body(request.into_body()).await {
+        Ok(body) => body,
+        Err(kind) => return server.refusal(kind, arrived),
+    };
+    let Some(edit) = serde_json::from_slice::<Edit>(&body).ok().filter(is_sound) else {
+        return server.refusal(Kind::Malformed, arrived);
+    };
+    let nothing = Sent {
+        method: Method::POST,
+        path: String::new(),
+        headers: http::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+    };
+    let (number, replied) = server.registry.open(nothing);
+    if server.control.offer(Event::Edit { request: number, edit }).is_err() {
+        server.registry.close(number);
+        return server.refusal(Kind::Overloaded, arrived);
+    }
+    match replied.await {
+        Ok(Replied::Edited(outcome @ Outcome::Accepted { .. })) => json(StatusCode::OK, &outcome),
+        Ok(Replied::Edited(outcome)) => json(StatusCode::CONFLICT, &outcome),
+        Ok(Replied::Refused { kind, .. }) => server.refusal(kind, arrived),
+        Ok(Replied::Answer { .. }) | Err(_) => server.refusal(Kind::Internal, arrived),
+    }
+}
+
+fn is_sound(edit: &Edit) -> bool {
+    let named = !edit.id.is_empty() && !edit.trainer.is_empty() && !edit.by.is_empty();
+    let row_fits = edit.row.as_ref().is_none_or(|row| {
+        row.trainer == edit.trainer && (1..=MOST_WEIGHT).contains(&row.weight) && row.in_flight >= 1
+    });
+    named && row_fits
+}
--- /dev/null
+++ b/crates/hollywell/src/traffic/executor.rs
@@ -0,0 +1,242 @@
+//! Carries out the reducer's effects.
+//!
+//! Effects that only move bytes already here are carried out in order, at
+//! once; everything that talks to somebody else runs as a task of its own
+//! and reports its end as an event.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::{Notify, Semaphore, mpsc};
+
+use super::registry::{Registry, Replied};
+use crate::{
+    control::{Clock, Handle},
+    core::{
+        effect::{Effect, Order, Reply},
+        event::{End, Event, Forward},
+        id::{Dispatch, Request},
+        member::Reading,
+        rollout,
+        stream::Record,
+        time::Time,
+    },
+    engine,
+    error::Kind,
+    http::Client,
+    metrics::Metrics,
+    peer, platform, service,
+    settings::Platform,
+};
+
+/// Appends under way at once; the log serves all instances.
+const MOST_APPENDS: usize = 8;
+
+/// What carrying out effects takes. Clones share everything.
+#[derive(Clone, Debug)]
+pub struct Executor {
+    /// Where ends are reported.
+    pub control: Handle,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The bytes held.
+    pub registry: Registry,
+    /// Talks to peers.
+    pub peers: peer::Client,
+    /// Talks to targets and the platform.
+    pub http: Client,
+    /// Where the platform is.
+    pub platform: Platform,
+    /// Largest answer of a target, in bytes.
+    pub most_bytes: usize,
+    /// Counts.
+    pub metrics: Metrics,
+    appends: Arc<Semaphore>,
+    exit: Arc<Notify>,
+}
+
+impl Executor {
+    /// An executor that reports to `control`.
+    #[must_use]
+    pub fn new(
+        control: Handle,
+        clock: Clock,
+        platform: Platform,
+        most_bytes: usize,
+        metrics: Metrics,
+    ) -> Executor {
+        Executor {
+            control,
+            clock,
+            registry: Registry::default(),
+            peers: peer::Client::new(),
+            http: Client::new(),
+            platform,
+            most_bytes,
+            metrics,
+            appends: Arc::new(Semaphore::new(MOST_APPENDS)),
+            exit: Arc::new(Notify::new()),
+        }
+    }
+
+    /// Completes when the reducer has said that the process may end.
+    pub async fn exited(&self) {
+        self.exit.notified().await;
+    }
+
+    /// Carries out effects until there are no more.
+    pub async fn run(self, mut effects: mpsc::Receiver<Effect>) {
+        while let Some(effect) = effects.recv().await {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Dispatch { request, dispatch, address, before, deadline } => {
+                let this = self.clone();
+                tokio::spawn(async move {
+                    this.dispatch(request, dispatch, &address, before, deadline).await;
+                });
+            }
+            Effect::Forward { request, address, forward } => {
+                let this = self.clone();
+                tokio::spawn(async move { this.forward(request, &address, &forward).await });
+            }
+            Effect::Reply { request, reply, reading } => self.reply(request, reply, reading),
+            Effect::Forget { dispatch } => self.registry.forget(dispatch),
+            Effect::Send { from, address, message } => {
+                let peers = self.peers.clone();
+                tokio::spawn(async move { peers.send(&from, &address, &message).await });
+            }
+            Effect::Append { record } => self.append(record),
+            Effect::Generate { request, dispatch, slot, address, priority, deadline } => {
+                let this = self.clone();
+                let ask = engine::Ask { dispatch, address, priority, deadline };
+                tokio::spawn(async move { this.generate(request, slot, &ask).await });
+            }
+            Effect::Cancel { dispatch } => self.registry.cancel(dispatch),
+            Effect::Deliver { request, dispatch, slot, versions } => {
+                super::steps::deliver(&self.registry, request, dispatch, slot, &versions);
+            }
+            Effect::EndStep { request, missing, reason } => {
+                self.metrics.step_ended(missing, reason);
+                super::steps::end(&self.registry, request, missing, reason);
+            }
+            Effect::Order { target, address, order, before } => {
+                let this = self.clone();
+                tokio::spawn(async move { this.order(target, &address, &order, before).await });
+            }
+            Effect::Count(counted) => self.metrics.count(counted),
+            Effect::Exit => self.exit.notify_one(),
+        }
+    }
+
+    async fn dispatch(
+        &self,
+        request: Request,
+        dispatch: Dispatch,
+        address: &str,
+        before: Time,
+        deadline: Time,
+    ) {
+        let timeout = self.clock.left(deadline);
+        let sent = self.registry.sent(request);
+        let (end, leaving) = match sent {
+            Some(sent) if self.clock.now() < before => {
+                let ended =
+                    service::send(&self.http, address, &sent, self.most_bytes, timeout).await;
+                if let Some(answer) = ended.answer {
+                    self.registry.keep_answer(dispatch, answer);
+                }
+                (ended.end, ended.leaving)
+            }
+            _ => (End::NotSent, false),
+        };
+        self.control.tell(Event::TargetEnded { dispatch, end, leaving }).await;
+    }
+
+    async fn forward(&self, request: Request, address: &str, forward: &Forward) {
+        let timeout = Duration::from_millis(forward.call.timeout_ms);
+        let replied = match self.registry.sent(request) {
+            Some(sent) => self.peers.forward(address, forward, &sent, timeout).await,
+            None => None,
+        };
+        let result = replied.map(|(result, answer)| {
+            if let Some(answer) = answer {
+                self.registry.keep_relayed(request, answer);
+            }
+            result
+        });
+        self.control.tell(Event::ForwardEnded { request, result }).await;
+    }
+
+    fn reply(&self, request: Request, reply: Reply, reading: Option<Reading>) {
+        let answer = match reply {
+            Reply::Stored(dispatch) => self.registry.answer(dispatch),
+            Reply::Relayed => self.registry.take_relayed(request),
+            Reply::Refused(kind) => {
+                self.registry.reply(request, Replied::Refused { kind, reading });
+                return;
+            }
+            Reply::Edited(outcome) => {
+                self.registry.reply(request, Replied::Edited(outcome));
+                return;
+            }
+        };
+        let replied = match answer {
+            Some(answer) => Replied::Answer { answer, reading },
+            None => Replied::Refused { kind: Kind::OutcomeUnknown, reading },
+        };
+        self.registry.reply(request, replied);
+    }
+
+    fn append(&self, record: Record) {
+        let Ok(permit) = Arc::clone(&self.appends).try_acquire_owned() else {
+            // The reducer repeats whatever is not read back.
+            log::debug!("append dropped: {MOST_APPENDS} are under way");
+            return;
+        };
+        let (http, platform) = (self.http.clone(), self.platform.clone());
+        tokio::spawn(async move {
+            platform::append(&http, &platform, &record).await;
+            drop(permit);
+        });
+    }
+
+    async fn generate(&self, request: Request, slot: rollout::Slot, ask: &engine::Ask) {
+        let stop = self.registry.start(ask.dispatch);
+        let end = match self.registry.prompt(request, slot) {
+            Some((trainer, prompt)) => {
+                let timeout = self.clock.left(ask.deadline);
+                let generated = engine::generate(&self.http, ask, &trainer, &prompt, timeout);
+                tokio::select! {
+                    sample = generated => self.keep_sample(ask.dispatch, sample),
+                    () = stop.notified() => rollout::End::Broken,
+                }
+            }
+            None => rollout::End::Broken,
+        };
+        self.registry.end(ask.dispatch);
+        self.control.tell(Event::SampleEnded { dispatch: ask.dispatch, end }).await;
+    }
+
+    fn keep_sample(
+        &self,
+        dispatch: Dispatch,
+        sample: Result<engine::Sample, rollout::End>,
+    ) -> rollout::End {
+        match sample {
+            Ok(sample) => {
+                self.registry.keep_sample(dispatch, sample.text);
+                rollout::End::Whole(sample.versions)
+            }
+            Err(end) => end,
+        }
+    }
+
+    async fn order(&self, target: String, address: &str, order: &Order, before: Time) {
+        let in_time = self.clock.now() < before;
+        let taken = in_time && engine::order(&self.http, address, order).await;
+        self.control.tell(Event::OrderEnded { target, taken }).await;
+    }
+}
