Generated interleavings over several reducers; faults they found, mended

Cause: nothing was proved under failure.

Change: each mended at its cause. Ruled out for the second: numbering the superseded send as a new refusal, which refuses the newer send too.

--- a/crates/hollywell/src/core/owner.rs
+++ b/crates/hollywell/src/core/owner.rs
@@ -17,8 +17,9 @@
 //!
 //! A member of a newer map becomes active once it has heard a [`Handoff`]
 //! from every member that stays, and, if a member that did not hand over was
-//! removed, once that one's lease must have run out. Where no member stays,
-//! it waits `log_away_ms` instead. Keys of which nobody left knows anything
+//! removed, once that one's lease must have run out. For an earlier map of
+//! which no member stays it waits until `log_away_ms` after it read that the
+//! map was replaced. Keys of which nobody left knows anything
 //! are answered "unknown" for the callers' retry horizon ([`Blind`]).
 //!
 //! What it leaves out: the claims themselves ([`crate::core::claim`]), and
@@ -145,13 +146,30 @@
     /// The last epoch in which it was active, if any.
     pub last_active: Option<u64>,
     /// Replaced maps that it remembers, oldest first.
-    pub history: Vec<Map>,
+    pub history: Vec<ReplacedCopy>,
     /// Keys that may have run.
     pub copies: Vec<Copy>,
     /// Keys of which it knows that nobody knows.
     pub blind: Vec<BlindCopy>,
 }
 
+/// A map that was replaced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Replaced {
+    map: Map,
+    /// When it was read here, or heard, that it was replaced.
+    at: Time,
+}
+
+/// A replaced map, as handed from one instance to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacedCopy {
+    /// The map.
+    pub map: Map,
+    /// Milliseconds since the sender read that it was replaced.
+    pub ago_ms: u64,
+}
+
 /// Keys whose claims were lost with their owner and deputy.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Blind {
@@ -163,6 +181,12 @@
     pub until: Time,
 }
 
+impl Replaced {
+    fn copy(&self, now: Time) -> ReplacedCopy {
+        ReplacedCopy { map: self.map.clone(), ago_ms: now.since(self.at) }
+    }
+}
+
 impl Blind {
     fn copy(&self, now: Time) -> BlindCopy {
         BlindCopy {
@@ -192,7 +216,8 @@
     map: Map,
     read_at: Time,
     given: Option<Handoff>,
-    history: Vec<Map>,
+    first_read_at: Time,
+    history: Vec<Replaced>,
     active: bool,
     last_active: Option<u64>,
     heard: BTreeMap<Instance, (Handoff, Time)>,
@@ -211,6 +236,7 @@
             map: Map::default(),
             read_at: Time(0),
             given: None,
+            first_read_at: Time(0),
             history: vec![],
             active: false,
             last_active: None,
@@ -258,8 +284,10 @@
             return false;
         }
         let replaced = std::mem::replace(&mut self.map, map.clone());
-        if !first {
-            self.history.push(replaced);
+        if first {
+            self.first_read_at = now;
+        } else {
+            self.history.push(Replaced { map: replaced, at: now });
         }
         if self.history.len() > HISTORY_LIMIT {
             self.history.remove(0);
@@ -275,7 +303,7 @@
     /// Moves to a higher incarnation after a removal. Returns true if it did.
     pub fn rejoin(&mut self) -> bool {
         let removed =
-            !self.is_member() && self.history.iter().any(|map| map.members.contains(&self.me));
+            !self.is_member() && self.history.iter().any(|old| old.map.members.contains(&self.me));
         if removed {
             self.me.incarnation += 1;
             self.last_active = None;
@@ -296,7 +324,7 @@
         self.given.get_or_insert_with(|| Handoff {
             epoch,
             last_active,
-            history: history.clone(),
+            history: history.iter().map(|old| old.copy(now)).collect(),
             copies: copies(),
             blind: blind.iter().map(|blind| blind.copy(now)).collect(),
         })
@@ -351,22 +379,37 @@
         heirs
     }
 
+    /// Hand-overs for the current epoch. One for a later epoch may have come
+    /// already; nothing may be concluded from it before its map is read,
+    /// because its claims are taken only then.
+    fn handoffs(&self) -> impl Iterator<Item = &(Handoff, Time)> {
+        self.heard.values().filter(|(handoff, _)| handoff.epoch == self.map.epoch)
+    }
+
     /// The last epoch known to have been acted in, by anyone heard.
     fn last_active_known(&self) -> Option<u64> {
-        let heard = self.heard.values().filter_map(|(handoff, _)| handoff.last_active);
+        let heard = self.handoffs().filter_map(|(handoff, _)| handoff.last_active);
         heard.chain(self.last_active).max()
     }
 
     /// Replaced maps in which claims may have been made that were not
-    /// inherited yet: from the last one known to be active onwards.
-    fn open_maps(&self) -> Vec<Map> {
+    /// inherited yet: from the last one known to be active onwards. Of one
+    /// map the earliest reading of its replacement counts.
+    fn open_maps(&self) -> Vec<Replaced> {
         let last_active = self.last_active_known();
-        let mut maps: BTreeMap<u64, Map> = BTreeMap::new();
-        let told = self.heard.values().flat_map(|(handoff, _)| &handoff.history);
-        for map in self.history.iter().chain(told) {
-            let open = last_active.is_none_or(|epoch| map.epoch >= epoch);
-            if open && map.epoch < self.map.epoch {
-                maps.insert(map.epoch, map.clone());
+        let told = self.handoffs().flat_map(|(handoff, heard_at)| {
+            handoff.history.iter().map(|old| Replaced {
+                map: old.map.clone(),
+                at: Time(heard_at.0.saturating_sub(old.ago_ms)),
+            })
+        });
+        let mut maps: BTreeMap<u64, Replaced> = BTreeMap::new();
+        for old in self.history.iter().cloned().chain(told) {
+            let epoch = old.map.epoch;
+            let open = last_active.is_none_or(|active| epoch >= active);
+            let earlier = maps.get(&epoch).is_none_or(|known| old.at < known.at);
+            if open && earlier && epoch < self.map.epoch {
+                maps.insert(epoch, old);
             }
         }
         maps.into_values().collect()
@@ -374,8 +417,8 @@
 
     fn lost_maps(&self) -> Vec<Map> {
         let heirs = self.heirs();
-        let mut maps = self.open_maps();
-        maps.retain(|map| !map.members.is_subset(&heirs));
+        let open = self.open_maps().into_iter().map(|old| old.map);
+        let mut maps: Vec<Map> = open.filter(|map| !map.members.is_subset(&heirs)).collect();
         if !self.reaches_back() {
             // Nothing is known of who acted before: a map without members
             // covers no key, so every key is unknown.
@@ -391,36 +434,57 @@
         let Some(oldest) = maps.first() else {
             return self.map.base.is_none();
         };
-        let links = maps.iter().skip(1).map(|map| map.base).chain([self.map.base]);
-        let unbroken = maps.iter().zip(links).all(|(map, base)| base == Some(map.epoch));
-        let rooted = oldest.base.is_none() || self.last_active_known() == Some(oldest.epoch);
+        let links = maps.iter().skip(1).map(|old| old.map.base).chain([self.map.base]);
+        let unbroken = maps.iter().zip(links).all(|(old, base)| base == Some(old.map.epoch));
+        let rooted =
+            oldest.map.base.is_none() || self.last_active_known() == Some(oldest.map.epoch);
         unbroken && rooted
     }
 
     /// When this instance may become active; `None` while a hand-over from
     /// a member that stays is missing.
-    fn ready_at(&self) -> Option<Time> {
+    #[must_use]
+    pub fn ready_at(&self) -> Option<Time> {
         let heirs = self.heirs();
-        let maps = self.open_maps();
-        let staying = |map: &Map| -> BTreeSet<Instance> {
-            map.members.intersection(&self.map.members).cloned().collect()
-        };
-        let missing = maps.iter().any(|map| !staying(map).is_subset(&heirs));
-        if missing {
+        let last_heard = self.handoffs().map(|(_, at)| *at).max().unwrap_or(self.read_at);
+        let heard = last_heard.max(self.read_at);
+        let mut ready_at = heard;
+        for old in self.open_maps() {
+            // Every map's wait starts at the same time: they do not add up.
+            ready_at = ready_at.max(self.fenced_at(&old, &heirs, heard)?);
+        }
+        if !self.reaches_back() {
+            // Maps that nobody told of were replaced before the first map
+            // that was read here.
+            ready_at = ready_at.max(self.without_promises(self.first_read_at));
+        }
+        Some(ready_at)
+    }
+
+    /// When no member of a replaced map acts any longer, given that all
+    /// hand-overs had come by `heard`; `None` while one is missing.
+    fn fenced_at(&self, old: &Replaced, heirs: &BTreeSet<Instance>, heard: Time) -> Option<Time> {
+        let members = &old.map.members;
+        let mut staying = members.intersection(&self.map.members).peekable();
+        let some_stay = staying.peek().is_some();
+        if !staying.all(|member| heirs.contains(member)) {
             return None;
         }
-        let heard = self.heard.iter().filter(|(from, _)| heirs.contains(from));
-        let last_heard = heard.map(|(_, (_, at))| *at).max().unwrap_or(self.read_at);
-        let from = last_heard.max(self.read_at);
-        let all_handed_over = maps.iter().all(|map| map.members.is_subset(&heirs));
-        let some_stay = maps.iter().all(|map| !staying(map).is_empty());
-        if !self.reaches_back() || !some_stay && !all_handed_over {
-            return Some(self.read_at.after(self.config.log_away_ms + self.config.guard_ms));
+        if members.is_subset(heirs) {
+            return Some(heard);
         }
-        if all_handed_over {
-            return Some(from);
+        match some_stay {
+            // A member that stays has stopped promising before it handed
+            // over.
+            true => Some(heard.after(self.config.lease_ms + self.config.guard_ms)),
+            false => Some(self.without_promises(old.at)),
         }
-        Some(from.after(self.config.lease_ms + self.config.guard_ms))
+    }
+
+    /// When members that may all still promise to each other have been
+    /// without the log for too long, if a newer map was there at `read_at`.
+    fn without_promises(&self, read_at: Time) -> Time {
+        read_at.after(self.config.log_away_ms + self.config.guard_ms)
     }
 
     /// Notes that a read of the log, sent at `sent`, reached its end and
--- a/crates/hollywell/src/core/reducer/agreed.rs
+++ b/crates/hollywell/src/core/reducer/agreed.rs
@@ -19,6 +19,9 @@
 /// milliseconds. Shorter, and every instance that polls the log a little
 /// later than another would ask.
 const BEHIND_MS: u64 = 1_000;
+/// Time between tries to append a snapshot, in milliseconds. An instance
+/// that is cut off from the log must not fill it when it comes back.
+const SNAPSHOT_RETRY_MS: u64 = 1_000;
 /// Time between appends of the same edit, in milliseconds.
 const EDIT_RETRY_MS: u64 = 1_000;
 
@@ -110,11 +113,11 @@
         let late = self.now.since(self.snapshot_at) >= self.config.snapshot_ms;
         let empty = self.fold.state().next == 0;
         let known = self.log_read && !self.fold.has_gap();
-        if empty || !known || !(many || late) || !self.is_first_live() {
+        let tried = self.now.since(self.snapshot_tried_at) < SNAPSHOT_RETRY_MS;
+        if empty || !known || tried || !(many || late) || !self.is_first_live() {
             return;
         }
-        // Counting from now also spaces repeated tries.
-        self.snapshot_at = self.now;
+        self.snapshot_tried_at = self.now;
         let snapshot = Box::new(self.fold.state().clone());
         self.append(Record::Snapshot(snapshot));
     }
@@ -127,6 +130,10 @@
     }
 
     pub(super) fn on_edit(&mut self, request: Request, edit: &table::Edit) {
+        if self.draining.is_some() {
+            self.refuse(request, Kind::Draining);
+            return;
+        }
         if self.edits.len() >= self.config.calls {
             self.refuse(request, Kind::Overloaded);
             return;
--- a/crates/hollywell/src/core/reducer/keyed.rs
+++ b/crates/hollywell/src/core/reducer/keyed.rs
@@ -126,7 +126,8 @@
         let call = forward.call.clone();
         let pending = Pending { call, deadline: forward.until, path: Path::Owned };
         self.pending.insert(request, pending);
-        if forward.owner == *self.owner.me() && forward.call.key.is_some() {
+        let to_me = forward.owner == *self.owner.me() && forward.call.key.is_some();
+        if to_me && !self.exited {
             self.own(request, forward.epoch, forward.seen);
         } else {
             self.refuse(request, Kind::Unverified);
--- a/crates/hollywell/src/core/reducer/mod.rs
+++ b/crates/hollywell/src/core/reducer/mod.rs
@@ -195,6 +195,7 @@
     behind_since: Option<Time>,
     log_read: bool,
     snapshot_at: Time,
+    snapshot_tried_at: Time,
     owner: owner::State,
     desired: (BTreeSet<Instance>, Time),
     proposed_at: Option<Time>,
@@ -213,6 +214,7 @@
     lease_from: Time,
     ordered: BTreeMap<String, Time>,
     draining: Option<Time>,
+    idle_ticks: u32,
     exited: bool,
     rng: SmallRng,
     out: Vec<Effect>,
@@ -229,6 +231,7 @@
             behind_since: None,
             log_read: false,
             snapshot_at: Time(0),
+            snapshot_tried_at: Time(0),
             owner: owner::State::new(config.me.clone(), config.ownership),
             desired: (BTreeSet::new(), Time(0)),
             proposed_at: None,
@@ -247,6 +250,7 @@
             lease_from: Time(0),
             ordered: BTreeMap::new(),
             draining: None,
+            idle_ticks: 0,
             exited: false,
             rng: SmallRng::seed_from_u64(config.seed),
             out: vec![],
@@ -260,6 +264,9 @@
     /// instant. Effects are to be carried out in order.
     pub fn step(&mut self, now: Time, event: &Event) -> Vec<Effect> {
         self.now = now.max(self.now);
+        if is_request(event) {
+            self.idle_ticks = 0;
+        }
         match event {
             Event::Tick => self.on_tick(),
             Event::Listed(list) => self.members.take_list(list.clone(), &self.config.me.name),
@@ -420,3 +427,14 @@
         self.owner.is_active().then(reading)
     }
 }
+
+/// True for an event that somebody awaits an answer to.
+const fn is_request(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::Call { .. }
+            | Event::Forwarded { .. }
+            | Event::StepOpened { .. }
+            | Event::Edit { .. }
+    )
+}
--- a/crates/hollywell/src/error.rs
+++ b/crates/hollywell/src/error.rs
@@ -149,7 +149,9 @@
             Kind::TargetRefused => answer(503, NotRun, Some(1), "the target refused it"),
             Kind::DeadlinePassed => answer(504, NotRun, Some(1), "the deadline passed first"),
             Kind::NoDeputy => answer(503, NotRun, Some(2), "the claim could not be copied"),
-            Kind::Superseded => answer(503, NotRun, Some(1), "an earlier refusal overtook it"),
+            // Not "not run": another send of the key that came after the
+            // refusal may be running.
+            Kind::Superseded => answer(503, Unknown, Some(1), "an earlier refusal overtook it"),
             Kind::Unverified => answer(503, Unknown, Some(1), "the key's owner cannot act now"),
             Kind::OutcomeUnknown => answer(502, Unknown, Some(5), "no whole answer came back"),
             Kind::LogAway => answer(503, Unknown, Some(5), "the platform's log is away"),
--- a/crates/hollywell/src/traffic/server.rs
+++ b/crates/hollywell/src/traffic/server.rs
@@ -1,6 +1,11 @@
 //! The HTTP side towards callers, trainers and operators.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -11,6 +16,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
+    time::timeout,
 };
 
 use super::{admin, calls, registry::Registry, steps};
@@ -27,6 +33,11 @@
 /// Header that says whether a refused request ran.
 pub const OUTCOME: &str = "hollywell-outcome";
 
+/// How long a stopping instance waits for another connection.
+const LINGER: Duration = Duration::from_millis(300);
+/// How long a stopping instance accepts connections at most.
+const LONGEST_LINGER: Duration = Duration::from_secs(5);
+
 /// What answering requests takes.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -43,28 +54,48 @@
 }
 
 impl Server {
-    /// Serves until `stop` turns true and every request in flight is
-    /// answered.
+    /// Serves until `stop` turns true, no connection has come for
+    /// [`LINGER`] after that, and every request in flight is answered.
     pub async fn serve(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let server = Arc::new(self);
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => {
-                        let (server, stop) = (Arc::clone(&server), stop.clone());
-                        connections.spawn(server.connection(stream, stop));
-                    }
-                    Err(error) => log::warn!("cannot accept a connection: {error}"),
-                },
+                accepted = listener.accept() => {
+                    server.accept(accepted, &mut connections, &stop);
+                }
                 Some(_) = connections.join_next(), if !connections.is_empty() => {}
                 () = stopped(&mut stop) => break,
             }
         }
+        // Callers that the balancer sent before it learnt of the stop are
+        // answered. The wait starts anew with each, so that a process that
+        // was paused finds those that came meanwhile.
+        let last = Instant::now() + LONGEST_LINGER;
+        while let Ok(accepted) = timeout(LINGER, listener.accept()).await {
+            server.accept(accepted, &mut connections, &stop);
+            if Instant::now() > last {
+                break;
+            }
+        }
         drop(listener);
         while connections.join_next().await.is_some() {}
     }
 
+    fn accept(
+        self: &Arc<Server>,
+        accepted: std::io::Result<(TcpStream, SocketAddr)>,
+        connections: &mut JoinSet<()>,
+        stop: &watch::Receiver<bool>,
+    ) {
+        match accepted {
+            Ok((stream, _)) => {
+                connections.spawn(Arc::clone(self).connection(stream, stop.clone()));
+            }
+            Err(error) => log::warn!("cannot accept a connection: {error}"),
+        }
+    }
+
     async fn connection(self: Arc<Server>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
         let _no_delay = stream.set_nodelay(true);
         let receive = Duration::from_millis(self.limits.receive_ms);
