--- a/crates/hollywell/src/core/reducer/agreed.rs
+++ b/crates/hollywell/src/core/reducer/agreed.rs
@@ -8,6 +8,7 @@
         event::Message,
         id::Request,
         lease,
+        member::Peer,
         stream::{Change, Record, Snapshot},
         table,
         time::Time,
@@ -108,13 +109,19 @@
         }
     }
 
+    /// Appends a snapshot when one is due. The live instance with the
+    /// smallest name is the first to; if none was read by then, because it
+    /// cannot reach the log, the others follow one by one.
     fn write_snapshot(&mut self) {
-        let many = self.fold.since_snapshot() >= self.config.snapshot_records;
-        let late = self.now.since(self.snapshot_at) >= self.config.snapshot_ms;
+        let patience = 2 + self.rank();
+        let records = self.config.snapshot_records * patience / 2;
+        let ms = self.config.snapshot_ms * patience / 2;
+        let many = self.fold.since_snapshot() >= records;
+        let late = self.now.since(self.snapshot_at) >= ms;
         let empty = self.fold.state().next == 0;
         let known = self.log_read && !self.fold.has_gap();
         let tried = self.now.since(self.snapshot_tried_at) < SNAPSHOT_RETRY_MS;
-        if empty || !known || tried || !(many || late) || !self.is_first_live() {
+        if empty || !known || tried || !(many || late) {
             return;
         }
         self.snapshot_tried_at = self.now;
@@ -122,11 +129,10 @@
         self.append(Record::Snapshot(snapshot));
     }
 
-    /// True if no live instance has a smaller name. Two instances may both
-    /// think so for a while; a second snapshot does no harm.
-    fn is_first_live(&self) -> bool {
-        let live = self.members.peers.values().filter(|peer| self.is_live(peer));
-        live.map(|peer| &peer.listed.name).all(|name| *name > self.config.me.name)
+    /// How many live instances have a smaller name.
+    fn rank(&self) -> u64 {
+        let smaller = |peer: &&Peer| peer.listed.name < self.config.me.name && self.is_live(peer);
+        self.members.peers.values().filter(smaller).count() as u64
     }
 
     pub(super) fn on_edit(&mut self, request: Request, edit: &table::Edit) {
