--- a/crates/hollywell/tests/interleavings/checks.rs
+++ b/crates/hollywell/tests/interleavings/checks.rs
@@ -44,6 +44,7 @@
     pub(crate) violations: Vec<(Fault, u64, String)>,
     pub(crate) told: BTreeMap<&'static str, u64>,
     revisions: Vec<u64>,
+    bases: Vec<(String, Option<u64>)>,
     fences: BTreeMap<usize, u64>,
     pub(crate) samples: u64,
     pub(crate) orders: u64,
@@ -95,8 +96,16 @@
         }
     }
 
-    pub(crate) fn accepted(&mut self, revision: u64) {
+    /// An operator was told that an edit is accepted. No two may be that
+    /// were based on one revision.
+    pub(crate) fn accepted(&mut self, now: u64, trainer: String, base: Option<u64>, revision: u64) {
         self.revisions.push(revision);
+        let place = (trainer, base);
+        if base.is_some() && self.bases.contains(&place) {
+            let text = format!("two edits of {place:?} accepted");
+            self.violate(Fault::Reverted, now, text);
+        }
+        self.bases.push(place);
         *self.told.entry("accepted").or_default() += 1;
     }
 
--- a/crates/hollywell/tests/interleavings/log.rs
+++ b/crates/hollywell/tests/interleavings/log.rs
@@ -13,6 +13,7 @@
     whole: Fold,
     /// Hash of the agreed state by the offset before which all is folded.
     hashes: Vec<u64>,
+    appended_at: Vec<u64>,
     /// When it is up again.
     pub(crate) down_until: u64,
 }
@@ -21,10 +22,11 @@
     pub(crate) fn new(retain: usize) -> Log {
         let whole = Fold::default();
         let hashes = vec![hash(whole.state())];
-        Log { records: vec![], first: 0, retain, whole, hashes, down_until: 0 }
+        Log { records: vec![], first: 0, retain, whole, hashes, appended_at: vec![], down_until: 0 }
     }
 
-    pub(crate) fn append(&mut self, record: &Record) {
+    pub(crate) fn append(&mut self, now: u64, record: &Record) {
+        self.appended_at.push(now);
         let offset = self.records.len() as u64;
         self.records.push(record.clone());
         self.whole.read(offset, record);
@@ -40,8 +42,9 @@
         (self.first as u64, records.collect())
     }
 
-    pub(crate) fn next(&self) -> u64 {
-        self.records.len() as u64
+    /// Number of records that were appended by `time`.
+    pub(crate) fn next_at(&self, time: u64) -> u64 {
+        self.appended_at.iter().filter(|at| **at <= time).count() as u64
     }
 
     /// True if a reader's state is what all records before its offset make.
--- a/crates/hollywell/tests/interleavings/node.rs
+++ b/crates/hollywell/tests/interleavings/node.rs
@@ -14,8 +14,11 @@
     Send(usize),
     /// Another instance, which forwarded its request.
     Forward { node: usize, run: u64, request: Request, key: String },
-    /// An operator, with the row that was edited.
-    Operator,
+    /// A trainer, whose answer is a stream.
+    Trainer,
+    /// An operator, with the row and the revision that the edit was based
+    /// on.
+    Operator { trainer: String, base: Option<u64> },
 }
 
 /// A modelled instance.
--- a/crates/hollywell/tests/interleavings/world.rs
+++ b/crates/hollywell/tests/interleavings/world.rs
@@ -32,6 +32,8 @@
 const LINGER_MS: u64 = 300;
 const MOST_LINGERS: u32 = 10;
 const POLL_MS: u64 = 150;
+/// Time in which every change must be in force everywhere.
+const IN_FORCE_MS: u64 = 4_000;
 /// Pause after which a caller sends a key again. Longer than any way from a
 /// caller to a process, so that an earlier send has arrived.
 const RESEND_MS: u64 = 250;
@@ -303,6 +305,11 @@
         for node in &mut self.nodes {
             node.log_cut_until = 0;
         }
+        if self.shape == Shape::Table {
+            // One instance stays cut off from the platform: its peers have
+            // to bring the table to it.
+            self.nodes[2].log_cut_until = u64::MAX;
+        }
         let until = self.now.max(ends) + CALM_MS;
         let mut nothing = Unstructured::new(&[]);
         while self.now < until {
@@ -436,7 +443,7 @@
                     let event = Event::ForwardEnded { request, result: None };
                     self.after(1, Happening::Event { node, run, event });
                 }
-                Waiter::Operator => {}
+                Waiter::Operator { .. } | Waiter::Trainer => {}
             }
         }
         if self.trainer.is_at(node) {
@@ -500,7 +507,7 @@
             }
             Happening::Append(record) => {
                 if self.log.down_until <= self.now {
-                    self.log.append(&record);
+                    self.log.append(self.now, &record);
                 }
                 Ok(())
             }
@@ -744,11 +751,12 @@
                 let event = Event::ForwardEnded { request, result };
                 self.after(delay, Happening::Event { node: origin, run, event });
             }
-            Waiter::Operator => {
+            Waiter::Operator { trainer, base } => {
                 if let Reply::Edited(Outcome::Accepted { revision }) = reply {
-                    self.checks.accepted(*revision);
+                    self.checks.accepted(self.now, trainer, base, *revision);
                 }
             }
+            Waiter::Trainer => {}
         }
     }
 
@@ -829,7 +837,7 @@
         match waiter {
             Waiter::Send(send) => Some(format!("k{}", self.sends[*send].key)),
             Waiter::Forward { key, .. } => Some(key.clone()),
-            Waiter::Operator => None,
+            Waiter::Operator { .. } | Waiter::Trainer => None,
         }
     }
 
@@ -885,7 +893,8 @@
             trainer: name,
             row: Some(row),
         };
-        let request = self.nodes[node].new_request(Waiter::Operator);
+        let waiter = Waiter::Operator { trainer: edit.trainer.clone(), base: edit.base };
+        let request = self.nodes[node].new_request(waiter);
         let run = self.nodes[node].run;
         self.trainer.row_edited();
         self.after(1, Happening::Event { node, run, event: Event::Edit { request, edit } });
@@ -923,7 +932,7 @@
             return Ok(());
         }
         let run = self.nodes[node].run;
-        let request = self.nodes[node].new_request(Waiter::Operator);
+        let request = self.nodes[node].new_request(Waiter::Trainer);
         let opening = self.trainer.open(node, run, request, 6_000);
         self.after(
             1,
@@ -1011,9 +1020,9 @@
             if state.is_draining() {
                 continue;
             }
-            if !whole || next + 3 < self.log.next() {
-                let end = self.log.next();
-                let text = format!("n{node} is at {next} of {end} after calm, whole: {whole}");
+            let due = self.log.next_at(self.now - IN_FORCE_MS);
+            if !whole || next < due {
+                let text = format!("n{node} is at {next}, due is {due}, whole: {whole}");
                 self.checks.violate(Fault::NotInForce, self.now, text);
             }
             if self.shape == Shape::OneDomain && !state.ownership().is_active() {
--- /dev/null
+++ b/crates/xtask/src/guards.rs
@@ -0,0 +1,307 @@
+//! Removes each guard once, in a scratch copy, and runs the proof that must
+//! then fail. What it prints goes into `docs/PROOFS.md`.
+
+use std::{
+    env,
+    error::Error,
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+/// One guard, and how it is removed.
+struct Guard {
+    name: &'static str,
+    file: &'static str,
+    find: &'static str,
+    replace: &'static str,
+    /// The test of `--test interleavings` that must fail without it.
+    proof: &'static str,
+}
+
+const KEYED: &str = "keyed_calls";
+const TABLE: &str = "the_table";
+const SAMPLES: &str = "samples_come";
+
+const OWNER: &str = "crates/hollywell/src/core/owner.rs";
+const CLAIM: &str = "crates/hollywell/src/core/claim.rs";
+const STREAM: &str = "crates/hollywell/src/core/stream.rs";
+const ROLLOUT: &str = "crates/hollywell/src/core/rollout.rs";
+const LEASE: &str = "crates/hollywell/src/core/lease.rs";
+const REDUCER_KEYED: &str = "crates/hollywell/src/core/reducer/keyed.rs";
+const REDUCER_CALLS: &str = "crates/hollywell/src/core/reducer/calls.rs";
+const REDUCER_AGREED: &str = "crates/hollywell/src/core/reducer/agreed.rs";
+const REDUCER_ORDERS: &str = "crates/hollywell/src/core/reducer/orders.rs";
+const REDUCER_PEERS: &str = "crates/hollywell/src/core/reducer/peers.rs";
+const REDUCER_STOP: &str = "crates/hollywell/src/core/reducer/stop.rs";
+
+const GUARDS: &[Guard] = &[
+    Guard {
+        name: "deputy's copy before dispatch",
+        file: REDUCER_KEYED,
+        find: "let Some(deputy) = map.deputy(key).cloned() else {",
+        replace: "let Some(deputy) = None::<Instance> else {",
+        proof: KEYED,
+    },
+    Guard {
+        name: "owner's lease",
+        file: REDUCER_KEYED,
+        find: "self.now < self.owner.lease_until()",
+        replace: "self.owner.is_active()",
+        proof: KEYED,
+    },
+    Guard {
+        name: "wait for a removed member's lease",
+        file: OWNER,
+        find: "true => Some(heard.after(self.config.lease_ms + self.config.guard_ms)),",
+        replace: "true => Some(heard),",
+        proof: KEYED,
+    },
+    Guard {
+        name: "wait where no member stays",
+        file: OWNER,
+        find: "false => Some(self.without_promises(old.at)),",
+        replace: "false => Some(heard),",
+        proof: KEYED,
+    },
+    Guard {
+        name: "bound on promises while the log is away",
+        file: OWNER,
+        find: "None => log_confirmed.after(self.config.log_away_ms),",
+        replace: "None => Time(u64::MAX),",
+        proof: KEYED,
+    },
+    Guard {
+        name: "unknown for keys whose claims were lost",
+        file: REDUCER_KEYED,
+        find: "if self.owner.is_blind(key, self.now) {",
+        replace: "if false {",
+        proof: KEYED,
+    },
+    Guard {
+        name: "hand-over from every member that stays",
+        file: OWNER,
+        find: "if !staying.all(|member| heirs.contains(member)) {",
+        replace: "if staying.next().is_none() && false {",
+        proof: KEYED,
+    },
+    Guard {
+        name: "hand-overs of the current epoch only",
+        file: OWNER,
+        find: "self.heard.values().filter(|(handoff, _)| handoff.epoch == self.map.epoch)",
+        replace: "self.heard.values()",
+        proof: KEYED,
+    },
+    Guard {
+        name: "a removed incarnation never returns",
+        file: OWNER,
+        find: "            self.me.incarnation += 1;\n            self.last_active = None;",
+        replace: "",
+        proof: KEYED,
+    },
+    Guard {
+        name: "inherited claims are kept",
+        file: REDUCER_PEERS,
+        find: "for copy in &copies {\n            self.book.keep(copy, self.now);\n        }",
+        replace: "drop(copies);",
+        proof: KEYED,
+    },
+    Guard {
+        name: "refusals are numbered",
+        file: CLAIM,
+        find: "Phase::Refused(order) if seen >= order => Verdict::Fresh,",
+        replace: "Phase::Refused(order) if seen < u64::MAX || order > 0 => Verdict::Fresh,",
+        proof: KEYED,
+    },
+    Guard {
+        name: "sends from before activation do not run",
+        file: REDUCER_KEYED,
+        find: " || seen < self.activated_order",
+        replace: "",
+        proof: KEYED,
+    },
+    Guard {
+        name: "arrival counts, not processing",
+        file: REDUCER_KEYED,
+        find: "let seen = self.refusals_before(arrived);",
+        replace: "let _ = self.refusals_before(arrived);\n                let seen = self.refusals;",
+        proof: KEYED,
+    },
+    Guard {
+        name: "an entry that does not know says unknown",
+        file: REDUCER_CALLS,
+        find: "let known = if call.key.is_some() { Kind::Unverified } else { kind };",
+        replace: "let known = kind;",
+        proof: KEYED,
+    },
+    Guard {
+        name: "a superseded send is unknown",
+        file: "crates/hollywell/src/error.rs",
+        find: "Kind::Superseded => answer(503, Unknown,",
+        replace: "Kind::Superseded => answer(503, NotRun,",
+        proof: KEYED,
+    },
+    Guard {
+        name: "an ending instance owns nothing new",
+        file: REDUCER_KEYED,
+        find: "if to_me && !self.exited {",
+        replace: "if to_me {",
+        proof: KEYED,
+    },
+    Guard {
+        name: "a stop waits for what is in flight",
+        file: REDUCER_STOP,
+        find: "let quiet = self.idle_ticks > QUIET_TICKS;",
+        replace: "let quiet = self.idle_ticks <= QUIET_TICKS || idle;",
+        proof: KEYED,
+    },
+    Guard {
+        name: "a snapshot must join",
+        file: STREAM,
+        find: "let joins = self.gap_to.is_none_or(|first| snapshot.next >= first);",
+        replace: "let joins = true;",
+        proof: TABLE,
+    },
+    Guard {
+        name: "a snapshot must be later",
+        file: STREAM,
+        find: "let later = snapshot.next > self.state.next;",
+        replace: "let later = true;",
+        proof: TABLE,
+    },
+    Guard {
+        name: "compare-and-set of rows",
+        file: "crates/hollywell/src/core/table.rs",
+        find: "Some(entry) if self.base_of(&edit.trainer) != edit.base => {",
+        replace: "Some(entry) if edit.id.is_empty() => {",
+        proof: TABLE,
+    },
+    Guard {
+        name: "peers bring the state across a cut",
+        file: REDUCER_AGREED,
+        find: "if self.now.since(since) >= BEHIND_MS {",
+        replace: "if self.now.since(since) >= u64::MAX {",
+        proof: TABLE,
+    },
+    Guard {
+        name: "the next in rank writes snapshots",
+        file: REDUCER_AGREED,
+        find: "let patience = 2 + self.rank();",
+        replace: "let patience = 2 + 1_000 * self.rank();",
+        proof: TABLE,
+    },
+    Guard {
+        name: "edits are appended again",
+        file: REDUCER_AGREED,
+        find: "if now.since(pending.appended_at) >= EDIT_RETRY_MS {",
+        replace: "if now.since(pending.appended_at) >= u64::MAX {",
+        proof: TABLE,
+    },
+    Guard {
+        name: "staleness at delivery",
+        file: ROLLOUT,
+        find: "Some(version) if *version < oldest => Verdict::Stale,",
+        replace: "Some(version) if *version < oldest && slot.group > 99 => Verdict::Stale,",
+        proof: SAMPLES,
+    },
+    Guard {
+        name: "no version, no delivery",
+        file: ROLLOUT,
+        find: "None => Verdict::Unversioned,",
+        replace: "None => Verdict::Deliver(slot),",
+        proof: SAMPLES,
+    },
+    Guard {
+        name: "a dispatch ends once",
+        file: "crates/hollywell/src/core/reducer/samples.rs",
+        find: "let Some(flight) = self.flights.remove(&dispatch) else {",
+        replace: "let Some(flight) = self.flights.get(&dispatch).cloned() else {",
+        proof: SAMPLES,
+    },
+    Guard {
+        name: "time left of the lease when an order is sent",
+        file: REDUCER_ORDERS,
+        find: "let before = Time(self.lease.held_until().0.saturating_sub(self.order_limit_ms()));",
+        replace: "let before = Time(u64::MAX);",
+        proof: SAMPLES,
+    },
+    Guard {
+        name: "the challenger's wait",
+        file: LEASE,
+        find: "(Some(_), false) => self.seen_at.after(lease_ms + guard_ms),",
+        replace: "(Some(_), false) => self.seen_at.after(guard_ms),",
+        proof: SAMPLES,
+    },
+    Guard {
+        name: "the holder counts from its first claim",
+        file: LEASE,
+        find: "self.first_sent.get_or_insert(now);",
+        replace: "self.first_sent = Some(now);",
+        proof: SAMPLES,
+    },
+];
+
+/// Removes the guards whose names contain `only`, one by one.
+pub(crate) fn run(only: &str) -> Result<bool, Box<dyn Error>> {
+    let scratch = env::temp_dir().join(format!("hollywell-guards-{}", std::process::id()));
+    copy_tree(&scratch)?;
+    let mut all_failed = true;
+    println!("| guard | file | proof | without it |\n|---|---|---|---|");
+    for guard in GUARDS.iter().filter(|guard| guard.name.contains(only)) {
+        let path = scratch.join(guard.file);
+        let text = fs::read_to_string(&path)?;
+        if text.matches(guard.find).count() != 1 {
+            return Err(
+                format!("guard {:?} is not found once in {}", guard.name, guard.file).into()
+            );
+        }
+        fs::write(&path, text.replace(guard.find, guard.replace))?;
+        let found = prove(&scratch, guard.proof)?;
+        fs::write(&path, text)?;
+        all_failed &= found.is_some();
+        let said = found.unwrap_or_else(|| String::from("NOT SEEN TO FAIL"));
+        println!("| {} | `{}` | `{}` | {said} |", guard.name, short(guard.file), guard.proof);
+    }
+    fs::remove_dir_all(&scratch)?;
+    Ok(all_failed)
+}
+
+fn short(file: &str) -> &str {
+    file.strip_prefix("crates/hollywell/src/").unwrap_or(file)
+}
+
+fn copy_tree(to: &Path) -> Result<(), Box<dyn Error>> {
+    let listed = Command::new("git").args(["ls-files", "-co", "--exclude-standard"]).output()?;
+    for file in String::from_utf8(listed.stdout)?.lines() {
+        let target: PathBuf = to.join(file);
+        if let Some(parent) = target.parent() {
+            fs::create_dir_all(parent)?;
+        }
+        fs::copy(file, target)?;
+    }
+    Ok(())
+}
+
+/// Runs a proof and returns its first violation, `None` if it passes.
+fn prove(scratch: &Path, proof: &str) -> Result<Option<String>, Box<dyn Error>> {
+    let target = env::current_dir()?.join("target/guards");
+    let output = Command::new("cargo")
+        .current_dir(scratch)
+        .env("CARGO_TARGET_DIR", target)
+        .env("RUST_BACKTRACE", "0")
+        .args(["test", "--quiet", "--locked", "-p", "hollywell", "--test", "interleavings", proof])
+        .output()?;
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
+    if text.contains("error[E") || text.contains("could not compile") {
+        return Err(format!("the removed guard does not compile:\n{text}").into());
+    }
+    if output.status.success() {
+        return Ok(None);
+    }
+    let mut lines = text.lines().skip_while(|line| !line.contains("panicked at"));
+    let violation = lines.find(|line| line.trim().starts_with('"') || line.contains("too few"));
+    let replays = text.matches("replay: ").count();
+    let said = violation.map_or("failed", str::trim).trim_matches([',', '"']).to_owned();
+    Ok(Some(format!("{said} ({replays} of 4 workers failed)")))
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,16 +1,27 @@
-//! Regenerates `crates/hollywell/src/peer/generated.rs` from
-//! `crates/hollywell/proto/peer.proto`. Run as `cargo run -p xtask`; with
-//! `--check` it writes nothing and fails when the committed file is stale.
+//! Tasks of the developers, run as `cargo run -p xtask`.
+//!
+//! Without arguments it regenerates `crates/hollywell/src/peer/generated.rs`
+//! from `crates/hollywell/proto/peer.proto`; with `--check` it writes nothing
+//! and fails when the committed file is stale. `guards [NAME]` removes each
+//! guard once and runs the proof that must then fail.
 
 use std::{env, error::Error, fs, path::Path, process::ExitCode};
 
+mod guards;
+
 const PROTO: &str = "crates/hollywell/proto/peer.proto";
 const GENERATED: &str = "crates/hollywell/src/peer/generated.rs";
 const OUTPUT_NAME: &str = "hollywell.peer.rs";
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
+    let args: Vec<String> = env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == "guards") {
+        let only = args.get(1).map_or("", String::as_str);
+        let all_failed = guards::run(only)?;
+        return Ok(if all_failed { ExitCode::SUCCESS } else { ExitCode::FAILURE });
+    }
     let fresh = generate()?;
-    if env::args().any(|arg| arg == "--check") {
+    if args.iter().any(|arg| arg == "--check") {
         let committed = fs::read_to_string(GENERATED)?;
         if committed == fresh {
             println!("{GENERATED} is current");
