Directed cases for what the schedules found, and for guards that they reach too rarely

Change: owner, stream and reducer tests that cause it directly; a member that stays in a map but cannot be heard is given up on after a wait (its keys are unknown), where before the others stayed inactive until it was removed.

--- a/crates/hollywell/src/core/owner.rs
+++ b/crates/hollywell/src/core/owner.rs
@@ -16,8 +16,9 @@
 //!   less than [`Config::log_away_ms`] ago.
 //!
 //! A member of a newer map becomes active once it has heard a [`Handoff`]
-//! from every member that stays, and, if a member that did not hand over was
-//! removed, once that one's lease must have run out. For an earlier map of
+//! from every member that stays, or has waited for it in vain for a while,
+//! and, if a member that did not hand over was removed, once that one's lease
+//! must have run out. For an earlier map of
 //! which no member stays it waits until `log_away_ms` after it read that the
 //! map was replaced. Keys of which nobody left knows anything
 //! are answered "unknown" for the callers' retry horizon ([`Blind`]).
@@ -344,7 +345,7 @@
     ///
     /// Returns the copies of claims to keep, or `None` if it is not time.
     pub fn activate(&mut self, now: Time) -> Option<Vec<Copy>> {
-        if self.active || !self.is_member() || now < self.ready_at()? {
+        if self.active || !self.is_member() || now < self.ready_at() {
             return None;
         }
         let unknown = self.lost_maps();
@@ -441,43 +442,45 @@
         unbroken && rooted
     }
 
-    /// When this instance may become active; `None` while a hand-over from
-    /// a member that stays is missing.
+    /// When this instance may become active, if no other hand-over comes.
     #[must_use]
-    pub fn ready_at(&self) -> Option<Time> {
+    pub fn ready_at(&self) -> Time {
         let heirs = self.heirs();
         let last_heard = self.handoffs().map(|(_, at)| *at).max().unwrap_or(self.read_at);
         let heard = last_heard.max(self.read_at);
         let mut ready_at = heard;
         for old in self.open_maps() {
             // Every map's wait starts at the same time: they do not add up.
-            ready_at = ready_at.max(self.fenced_at(&old, &heirs, heard)?);
+            ready_at = ready_at.max(self.fenced_at(&old, &heirs, heard));
         }
         if !self.reaches_back() {
             // Maps that nobody told of were replaced before the first map
             // that was read here.
             ready_at = ready_at.max(self.without_promises(self.first_read_at));
         }
-        Some(ready_at)
+        ready_at
     }
 
-    /// When no member of a replaced map acts any longer, given that all
-    /// hand-overs had come by `heard`; `None` while one is missing.
-    fn fenced_at(&self, old: &Replaced, heirs: &BTreeSet<Instance>, heard: Time) -> Option<Time> {
+    /// When no member of a replaced map acts any longer, given that the last
+    /// hand-over came at `heard`.
+    fn fenced_at(&self, old: &Replaced, heirs: &BTreeSet<Instance>, heard: Time) -> Time {
         let members = &old.map.members;
         let mut staying = members.intersection(&self.map.members).peekable();
         let some_stay = staying.peek().is_some();
+        let fence_ms = self.config.lease_ms + self.config.guard_ms;
         if !staying.all(|member| heirs.contains(member)) {
-            return None;
+            // It may be cut off from here alone, and then no newer map will
+            // come that leaves it out. Keys that only it knows are lost.
+            return heard.after(fence_ms + self.config.lease_ms);
         }
         if members.is_subset(heirs) {
-            return Some(heard);
+            return heard;
         }
         match some_stay {
             // A member that stays has stopped promising before it handed
             // over.
-            true => Some(heard.after(self.config.lease_ms + self.config.guard_ms)),
-            false => Some(self.without_promises(old.at)),
+            true => heard.after(fence_ms),
+            false => self.without_promises(old.at),
         }
     }
 
--- /dev/null
+++ b/crates/hollywell/tests/settings.rs
@@ -0,0 +1,78 @@
+//! Settings and the CSV form of the table: what is accepted, and that every
+//! fault says where it is and what is allowed.
+
+use hollywell::{cli::table::parse_csv, settings::Settings};
+
+const GOOD: &str = "\
+[instance]
+name = h1
+domain = ruwi-hall
+domains = ruwi-hall, seeb-hall
+listen = 127.0.0.1:8080
+peer_listen = 127.0.0.1:8081
+[platform]
+log = 127.0.0.1:1
+list = 127.0.0.1:2
+weights = 127.0.0.1:3
+";
+
+fn faults(text: &str) -> Vec<String> {
+    let path = std::path::Path::new("h1.ini");
+    let faults = Settings::parse(path, text).expect_err("the settings have a fault");
+    faults.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn good_settings_are_typed() {
+    let settings = Settings::parse("h1.ini".as_ref(), GOOD).expect("these are good");
+    assert_eq!(settings.config.domains, ["ruwi-hall", "seeb-hall"]);
+    assert_eq!(settings.listen.port(), 8080);
+    assert_eq!(settings.limits.queue, 4_096, "the default");
+}
+
+#[test]
+fn every_fault_is_reported_with_its_place() {
+    let text = GOOD.replace("name = h1", "nmae = h1").replace("127.0.0.1:2", "somewhere:2");
+    let found = faults(&format!("{text}[limits]\nqueue = 3\n"));
+    let expected = [
+        r#"h1.ini:1: [instance] name = "": allowed is a name; it must be set"#,
+        r#"h1.ini:9: [platform] list = "somewhere:2": allowed is an IP number and a port, as 127.0.0.1:8080"#,
+        r#"h1.ini:12: [limits] queue = "3": allowed is a whole number from 16 to 1000000"#,
+    ];
+    for line in expected {
+        assert!(found.contains(&line.to_owned()), "{line}\nnot in\n{}", found.join("\n"));
+    }
+    let unknown = found.iter().find(|line| line.starts_with("h1.ini:2: [instance] nmae"));
+    assert!(unknown.is_some(), "{}", found.join("\n"));
+}
+
+#[test]
+fn an_own_domain_that_is_not_listed_is_a_fault() {
+    let found = faults(&GOOD.replace("ruwi-hall, seeb-hall", "seeb-hall"));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].contains(r#""ruwi-hall" among them"#), "{}", found[0]);
+}
+
+#[test]
+fn an_unknown_section_is_a_fault() {
+    let found = faults(&format!("{GOOD}[limit]\nqueue = 30\n"));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].contains("no such section"), "{}", found[0]);
+}
+
+#[test]
+fn csv_rows_keep_the_revision_that_they_were_based_on() {
+    let csv = "trainer,weight,staleness,priority,in_flight,revision\nfraud,2,0,5,16,41\n";
+    let rows = parse_csv(csv.as_bytes()).expect("a good table");
+    assert_eq!((rows[0].0.weight, rows[0].1), (2, Some(41)));
+    let csv = "trainer,weight,staleness,priority,in_flight\nfraud,2,0,5,16\n";
+    let rows = parse_csv(csv.as_bytes()).expect("a table of new rows");
+    assert_eq!(rows[0].1, None);
+}
+
+#[test]
+fn a_bad_cell_names_row_and_column() {
+    let csv = "trainer,weight,staleness,priority,in_flight\na,1,1,1,1\nb,1,1,256,1\n";
+    let fault = parse_csv(csv.as_bytes()).expect_err("256 is too much");
+    assert_eq!(fault, r#"row 3, column priority: "256": allowed is 0 to 255"#);
+}
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -15,13 +15,14 @@
     file: &'static str,
     find: &'static str,
     replace: &'static str,
-    /// The test of `--test interleavings` that must fail without it.
+    /// The test target that must fail without it, with a filter.
     proof: &'static str,
 }
 
-const KEYED: &str = "keyed_calls";
-const TABLE: &str = "the_table";
-const SAMPLES: &str = "samples_come";
+const KEYED: &str = "interleavings keyed_calls";
+const TABLE: &str = "interleavings the_table";
+const SAMPLES: &str = "interleavings samples_come";
+const CASES: &str = "reducer";
 
 const OWNER: &str = "crates/hollywell/src/core/owner.rs";
 const CLAIM: &str = "crates/hollywell/src/core/claim.rs";
@@ -53,23 +54,23 @@
     Guard {
         name: "wait for a removed member's lease",
         file: OWNER,
-        find: "true => Some(heard.after(self.config.lease_ms + self.config.guard_ms)),",
-        replace: "true => Some(heard),",
+        find: "true => heard.after(fence_ms),",
+        replace: "true => heard,",
         proof: KEYED,
     },
     Guard {
         name: "wait where no member stays",
         file: OWNER,
-        find: "false => Some(self.without_promises(old.at)),",
-        replace: "false => Some(heard),",
-        proof: KEYED,
+        find: "false => self.without_promises(old.at),",
+        replace: "false => heard,",
+        proof: "owner",
     },
     Guard {
         name: "bound on promises while the log is away",
         file: OWNER,
         find: "None => log_confirmed.after(self.config.log_away_ms),",
         replace: "None => Time(u64::MAX),",
-        proof: KEYED,
+        proof: CASES,
     },
     Guard {
         name: "unknown for keys whose claims were lost",
@@ -79,25 +80,25 @@
         proof: KEYED,
     },
     Guard {
-        name: "hand-over from every member that stays",
+        name: "wait for a hand-over from members that stay",
         file: OWNER,
-        find: "if !staying.all(|member| heirs.contains(member)) {",
-        replace: "if staying.next().is_none() && false {",
-        proof: KEYED,
+        find: "return heard.after(fence_ms + self.config.lease_ms);",
+        replace: "return heard;",
+        proof: "owner",
     },
     Guard {
         name: "hand-overs of the current epoch only",
         file: OWNER,
         find: "self.heard.values().filter(|(handoff, _)| handoff.epoch == self.map.epoch)",
         replace: "self.heard.values()",
-        proof: KEYED,
+        proof: "owner",
     },
     Guard {
         name: "a removed incarnation never returns",
         file: OWNER,
         find: "            self.me.incarnation += 1;\n            self.last_active = None;",
         replace: "",
-        proof: KEYED,
+        proof: "owner",
     },
     Guard {
         name: "inherited claims are kept",
@@ -118,14 +119,14 @@
         file: REDUCER_KEYED,
         find: " || seen < self.activated_order",
         replace: "",
-        proof: KEYED,
+        proof: CASES,
     },
     Guard {
         name: "arrival counts, not processing",
         file: REDUCER_KEYED,
         find: "let seen = self.refusals_before(arrived);",
         replace: "let _ = self.refusals_before(arrived);\n                let seen = self.refusals;",
-        proof: KEYED,
+        proof: CASES,
     },
     Guard {
         name: "an entry that does not know says unknown",
@@ -146,7 +147,7 @@
         file: REDUCER_KEYED,
         find: "if to_me && !self.exited {",
         replace: "if to_me {",
-        proof: KEYED,
+        proof: CASES,
     },
     Guard {
         name: "a stop waits for what is in flight",
@@ -155,12 +156,40 @@
         replace: "let quiet = self.idle_ticks <= QUIET_TICKS || idle;",
         proof: KEYED,
     },
+    Guard {
+        name: "evidence that a target leaves is sticky",
+        file: "crates/hollywell/src/core/member.rs",
+        find: "target.leaving |= listed.leaving;",
+        replace: "target.leaving = listed.leaving;",
+        proof: CASES,
+    },
+    Guard {
+        name: "peers tell each other who leaves",
+        file: REDUCER_PEERS,
+        find: "for name in leaving {",
+        replace: "for name in leaving.iter().take(0) {",
+        proof: CASES,
+    },
+    Guard {
+        name: "what may have run is not sent again",
+        file: REDUCER_CALLS,
+        find: "let may_retry = certainly_not_run || idempotent;",
+        replace: "let may_retry = certainly_not_run || idempotent || end == End::Broken;",
+        proof: CASES,
+    },
+    Guard {
+        name: "retry budget",
+        file: "crates/hollywell/src/core/retry.rs",
+        find: "self.saved -= COST_OF_RETRY;",
+        replace: "self.saved -= 0;",
+        proof: CASES,
+    },
     Guard {
         name: "a snapshot must join",
         file: STREAM,
         find: "let joins = self.gap_to.is_none_or(|first| snapshot.next >= first);",
         replace: "let joins = true;",
-        proof: TABLE,
+        proof: "stream",
     },
     Guard {
         name: "a snapshot must be later",
@@ -195,7 +224,7 @@
         file: REDUCER_AGREED,
         find: "if now.since(pending.appended_at) >= EDIT_RETRY_MS {",
         replace: "if now.since(pending.appended_at) >= u64::MAX {",
-        proof: TABLE,
+        proof: CASES,
     },
     Guard {
         name: "staleness at delivery",
@@ -289,7 +318,8 @@
         .current_dir(scratch)
         .env("CARGO_TARGET_DIR", target)
         .env("RUST_BACKTRACE", "0")
-        .args(["test", "--quiet", "--locked", "-p", "hollywell", "--test", "interleavings", proof])
+        .args(["test", "--quiet", "--locked", "-p", "hollywell", "--test"])
+        .args(proof.split(' '))
         .output()?;
     let text = String::from_utf8_lossy(&output.stdout).into_owned()
         + &String::from_utf8_lossy(&output.stderr);
@@ -300,8 +330,15 @@
         return Ok(None);
     }
     let mut lines = text.lines().skip_while(|line| !line.contains("panicked at"));
-    let violation = lines.find(|line| line.trim().starts_with('"') || line.contains("too few"));
-    let replays = text.matches("replay: ").count();
-    let said = violation.map_or("failed", str::trim).trim_matches([',', '"']).to_owned();
-    Ok(Some(format!("{said} ({replays} of 4 workers failed)")))
+    let tells = |line: &&str| {
+        let line = line.trim();
+        line.starts_with('"') || line.contains("too few") || line.starts_with("assertion")
+    };
+    let violation = lines.find(tells).map_or("failed", str::trim);
+    let mut failed: Vec<&str> = text.lines().filter(|line| line.starts_with("    ")).collect();
+    failed.retain(|line| line.chars().skip(4).all(|c| c.is_alphanumeric() || c == '_'));
+    failed.dedup();
+    let names: Vec<&str> = failed.iter().map(|line| line.trim()).collect();
+    let said = violation.trim_matches([',', '"']).replace('|', "/");
+    Ok(Some(format!("{said}; failed: {}", names.join(", "))))
 }
