A step keeps its waiting slots in order instead of searching for them

Change: the waiting slots are a set of their own, the missing ones a count. Ruled out: a cursor into the slots, which a failed sample would move back.

--- a/crates/hollywell/src/core/rollout.rs
+++ b/crates/hollywell/src/core/rollout.rs
@@ -12,7 +12,7 @@
 //! What it leaves out: prompts and text, which stay with the traffic side,
 //! and which engine takes a sample (the reducer asks [`crate::core::route`]).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -97,6 +97,10 @@
     opening: Opening,
     deadline: Time,
     slots: BTreeMap<Slot, Progress>,
+    /// The slots that wait, in the order in which they run: a step of 2,048
+    /// samples must not be searched for each of them.
+    waiting: BTreeSet<Slot>,
+    missing: usize,
     running: u32,
 }
 
@@ -110,9 +114,10 @@
             let to_slot = move |index: &u32| Slot { group: group_number, index: *index };
             group.missing.iter().map(to_slot).collect::<Vec<Slot>>()
         };
-        let slots = opening.groups.iter().flat_map(slot_of);
-        let slots = slots.map(|slot| (slot, Progress::Waiting)).collect();
-        Step { opening, deadline, slots, running: 0 }
+        let waiting: BTreeSet<Slot> = opening.groups.iter().flat_map(slot_of).collect();
+        let slots = waiting.iter().map(|slot| (*slot, Progress::Waiting)).collect();
+        let missing = waiting.len();
+        Step { opening, deadline, slots, waiting, missing, running: 0 }
     }
 
     /// What the trainer asked for.
@@ -136,8 +141,7 @@
     /// The next slot to run, in the order of the groups.
     #[must_use]
     pub fn next_waiting(&self) -> Option<Slot> {
-        let waiting = |(_, progress): &(&Slot, &Progress)| **progress == Progress::Waiting;
-        self.slots.iter().find(waiting).map(|(slot, _)| *slot)
+        self.waiting.first().copied()
     }
 
     /// Notes that a slot runs as `dispatch`.
@@ -150,6 +154,7 @@
             Progress::Waiting => *progress = Progress::Running(vec![dispatch]),
             Progress::Delivered => return,
         }
+        self.waiting.remove(&slot);
         self.running += 1;
     }
 
@@ -167,18 +172,23 @@
         let others_run = !dispatches.is_empty();
         let verdict = judge(slot, end, oldest);
         match verdict {
-            Verdict::Deliver(_) => *progress = Progress::Delivered,
+            Verdict::Deliver(_) => {
+                *progress = Progress::Delivered;
+                self.missing -= 1;
+            }
             _ if others_run => {}
-            _ => *progress = Progress::Waiting,
+            _ => {
+                *progress = Progress::Waiting;
+                self.waiting.insert(slot);
+            }
         }
         verdict
     }
 
     /// Slots that were not delivered.
     #[must_use]
-    pub fn missing(&self) -> usize {
-        let open = |progress: &&Progress| **progress != Progress::Delivered;
-        self.slots.values().filter(open).count()
+    pub const fn missing(&self) -> usize {
+        self.missing
     }
 }
 
