--- a/crates/hollywell/src/cli/replay.rs
+++ b/crates/hollywell/src/cli/replay.rs
@@ -9,62 +9,32 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use super::Failure;
-use crate::{
-    control::Recorded,
-    core::{
-        effect::Effect,
-        id::Instance,
-        reducer::{Config, State},
-    },
-};
+use crate::{core::effect::Effect, trace};
 
 pub(super) fn command() -> Command {
-    let text = |name: &'static str, help: &'static str| {
-        Arg::new(name).long(name).value_name("NAME").help(help).required(true)
-    };
     Command::new("replay")
         .about("Feed a recorded trace to the reducer and print its effects, or compare them")
         .arg(
             Arg::new("trace")
                 .value_name("TRACE")
-                .help("Events as JSON lines, as recorded by serve")
+                .help("Trace as recorded by serve (settings: [trace] file)")
                 .required(true)
                 .value_parser(value_parser!(PathBuf)),
         )
-        .arg(text("name", "Name of the instance that recorded it"))
-        .arg(
-            Arg::new("incarnation")
-                .long("incarnation")
-                .value_name("N")
-                .help("Its incarnation")
-                .required(true)
-                .value_parser(value_parser!(u64)),
-        )
-        .arg(text("domain", "Its failure domain"))
-        .arg(
-            Arg::new("domains")
-                .long("domains")
-                .value_name("LIST")
-                .help("All failure domains, with commas between them; its own if left out"),
-        )
         .arg(
             Arg::new("expect")
                 .long("expect")
                 .value_name("FILE")
-                .help("Effects as JSON lines to compare with; the first difference is printed")
+                .help("Effects as printed before; the first difference is an error")
                 .value_parser(value_parser!(PathBuf)),
         )
 }
 
 pub(super) fn run(args: &ArgMatches) -> Result<(), Failure> {
-    let text = |name: &str| args.get_one::<String>(name).cloned().unwrap_or_default();
-    let incarnation = args.get_one::<u64>("incarnation").copied().unwrap_or_default();
-    let domain = text("domain");
-    let listed = args.get_one::<String>("domains").cloned().unwrap_or_else(|| domain.clone());
-    let domains: Vec<&str> = listed.split(',').map(str::trim).collect();
-    let config = Config::new(Instance::new(&text("name"), incarnation), &domain, &domains);
-    let trace = args.get_one::<PathBuf>("trace").cloned().unwrap_or_default();
-    let effects = replay(config, &trace)?;
+    let path = args.get_one::<PathBuf>("trace").cloned().unwrap_or_default();
+    let at = |error| Failure::Input(format!("{}: {error}", path.display()));
+    let trace = BufReader::new(File::open(&path).map_err(at)?);
+    let effects: Vec<Effect> = trace::replay(trace).map_err(at)?.into_iter().flatten().collect();
     match args.get_one::<PathBuf>("expect") {
         Some(expected) => compare(&effects, expected),
         None => {
@@ -76,18 +46,6 @@
     }
 }
 
-fn replay(config: Config, trace: &Path) -> Result<Vec<Effect>, Failure> {
-    let mut state = State::new(config);
-    let mut effects = vec![];
-    for (index, line) in lines(trace)?.into_iter().enumerate() {
-        let recorded: Recorded = serde_json::from_str(&line).map_err(|error| {
-            Failure::Input(format!("{}:{}: {error}", trace.display(), index + 1))
-        })?;
-        effects.extend(state.step(recorded.now, &recorded.event));
-    }
-    Ok(effects)
-}
-
 fn compare(effects: &[Effect], expected: &Path) -> Result<(), Failure> {
     let wanted = lines(expected)?;
     for (index, line) in wanted.iter().enumerate() {
--- a/crates/hollywell/src/cli/report.rs
+++ b/crates/hollywell/src/cli/report.rs
@@ -1,13 +1,107 @@
-//! `hollywell report`: draft, filled in with the report module.
+//! `hollywell report`: collects scrapes and shows the service-level burn.
 
-use clap::{ArgMatches, Command};
+use std::{
+    fs,
+    path::PathBuf,
+    thread::sleep,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
-use super::Failure;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::{
+    Failure,
+    ask::{Asker, at_arg},
+};
+use crate::report::{burns, page, scrape::Scrape};
 
 pub(super) fn command() -> Command {
-    Command::new("report").about("Service-level burn")
+    let directory = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("DIR")
+            .help(help)
+            .required(true)
+            .value_parser(value_parser!(PathBuf))
+    };
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .help(help)
+            .value_parser(value_parser!(u64).range(1..))
+    };
+    Command::new("report")
+        .about("Collect metrics and show how fast error budgets burn")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("collect")
+                .about("Scrape one instance now and then into a directory")
+                .arg(at_arg())
+                .arg(directory("into", "Directory of scrapes"))
+                .arg(number("every-s", "15", "Seconds between scrapes"))
+                .arg(number("times", "1", "Scrapes to make")),
+        )
+        .subcommand(
+            Command::new("show")
+                .about("Work the burn out of a directory of scrapes")
+                .arg(directory("from", "Directory of scrapes, named SECONDS-INSTANCE.prom"))
+                .arg(
+                    Arg::new("json")
+                        .long("json")
+                        .help("Print JSON instead of a table")
+                        .action(ArgAction::SetTrue),
+                )
+                .arg(
+                    Arg::new("html")
+                        .long("html")
+                        .value_name("FILE")
+                        .help("Write a page with plots as well")
+                        .value_parser(value_parser!(PathBuf)),
+                ),
+        )
+}
+
+pub(super) fn run(args: &ArgMatches) -> Result<(), Failure> {
+    match args.subcommand() {
+        Some(("collect", args)) => collect(args),
+        Some(("show", args)) => show(args),
+        _ => Err(Failure::Input(String::from("no subcommand; see --help"))),
+    }
+}
+
+fn collect(args: &ArgMatches) -> Result<(), Failure> {
+    let into = args.get_one::<PathBuf>("into").cloned().unwrap_or_default();
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or(1);
+    fs::create_dir_all(&into).map_err(Failure::run)?;
+    let asker = Asker::new(args)?;
+    let instance = asker.view()?.instance.name;
+    for scrape in 0..number("times") {
+        if scrape > 0 {
+            sleep(Duration::from_secs(number("every-s")));
+        }
+        let metrics = asker.get("/metrics")?;
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let path = Scrape::path(&into, since.as_secs(), &instance);
+        fs::write(&path, metrics.body()).map_err(Failure::run)?;
+        println!("{}", path.display());
+    }
+    Ok(())
 }
 
-pub(super) fn run(_args: &ArgMatches) -> Result<(), Failure> {
-    Err(Failure::Run(String::from("not there yet")))
+fn show(args: &ArgMatches) -> Result<(), Failure> {
+    let from = args.get_one::<PathBuf>("from").cloned().unwrap_or_default();
+    let at = |error| Failure::Input(format!("{}: {error}", from.display()));
+    let scrapes = Scrape::load_all(&from).map_err(at)?;
+    if let Some(file) = args.get_one::<PathBuf>("html") {
+        let page = page::html(&scrapes).map_err(Failure::run)?;
+        fs::write(file, page).map_err(Failure::run)?;
+    }
+    match args.get_flag("json") {
+        true => println!("{}", serde_json::to_string(&burns(&scrapes)).map_err(Failure::run)?),
+        false => print!("{}", page::text(&scrapes)),
+    }
+    Ok(())
 }
--- a/crates/hollywell/src/control.rs
+++ b/crates/hollywell/src/control.rs
@@ -8,14 +8,13 @@
 
 use std::{
     fs::File,
-    io::{BufWriter, Write as _},
+    io::BufWriter,
     path::Path,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
 use crate::{
@@ -26,6 +25,7 @@
         time::Time,
     },
     metrics::Metrics,
+    trace::Line,
     view::View,
 };
 
@@ -62,15 +62,6 @@
     }
 }
 
-/// One line of a recorded trace.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Recorded {
-    /// When the event was taken.
-    pub now: Time,
-    /// The event.
-    pub event: Event,
-}
-
 /// The queue was full, or the control thread has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Busy;
@@ -129,14 +120,17 @@
 pub fn start(options: Options<'_>) -> std::io::Result<(Handle, mpsc::Receiver<Effect>)> {
     let (events, events_in) = mpsc::channel(options.queue);
     let (effects_out, effects) = mpsc::channel(options.queue);
+    let mut trace = options.trace.map(File::create).transpose()?.map(BufWriter::new);
+    if let Some(trace) = &mut trace {
+        Line::Config(options.config.clone()).write(trace)?;
+    }
     let state = State::new(options.config);
     let (view_out, view) = watch::channel(Arc::new(View::new(&state)));
-    let trace = options.trace.map(File::create).transpose()?;
     let mut thread = Control {
         state,
         clock: options.clock,
         metrics: options.metrics,
-        trace: trace.map(BufWriter::new),
+        trace,
         view_out,
         viewed_at: Time(0),
     };
@@ -176,11 +170,8 @@
         let Some(trace) = &mut self.trace else {
             return;
         };
-        let line = Recorded { now, event: event.clone() };
-        let written = serde_json::to_writer(&mut *trace, &line)
-            .map_err(std::io::Error::from)
-            .and_then(|()| trace.write_all(b"\n"))
-            .and_then(|()| trace.flush());
+        let line = Line::Event { now, event: Box::new(event.clone()) };
+        let written = line.write(trace);
         if let Err(error) = written {
             log::warn!("trace recording stops: {error}");
             self.trace = None;
--- a/crates/hollywell/src/lib.rs
+++ b/crates/hollywell/src/lib.rs
@@ -15,7 +15,8 @@
 //! - [`control`]: the one thread that owns the reducer's state.
 //! - [`traffic`]: HTTP towards callers, trainers and operators.
 //! - [`peer`], [`platform`], [`service`], [`engine`]: the other sides.
-//! - [`settings`], [`logs`], [`metrics`], [`view`]: running it.
+//! - [`settings`], [`logs`], [`metrics`], [`view`], [`trace`]: running it.
+//! - [`report`]: service-level burn from scraped metrics.
 //! - [`prelude`]: the types that most programs need.
 //!
 //! # Driving the reducer
@@ -68,8 +69,10 @@
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod report;
 pub mod serve;
 pub mod service;
 pub mod settings;
+pub mod trace;
 pub mod traffic;
 pub mod view;
--- /dev/null
+++ b/crates/hollywell/src/report/scrape.rs
@@ -0,0 +1,90 @@
+//! One scrape of one instance's metrics.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
+
+use prometheus_parse::{Sample, Value};
+
+/// The metrics of one instance at one time.
+#[derive(Clone, Debug)]
+pub struct Scrape {
+    /// Seconds since the epoch.
+    pub at_s: u64,
+    /// The instance's name.
+    pub instance: String,
+    samples: Vec<Sample>,
+}
+
+impl Scrape {
+    /// Reads the Prometheus exposition format.
+    ///
+    /// # Errors
+    ///
+    /// If a line cannot be read.
+    pub fn parse(at_s: u64, instance: &str, text: &str) -> io::Result<Scrape> {
+        let lines = text.lines().map(|line| Ok(line.to_owned()));
+        let scraped = prometheus_parse::Scrape::parse(lines)?;
+        Ok(Scrape { at_s, instance: instance.to_owned(), samples: scraped.samples })
+    }
+
+    /// Where a scrape is kept in a directory: `{at_s}-{instance}.prom`.
+    #[must_use]
+    pub fn path(directory: &Path, at_s: u64, instance: &str) -> PathBuf {
+        directory.join(format!("{at_s}-{instance}.prom"))
+    }
+
+    /// Reads all scrapes of a directory.
+    ///
+    /// # Errors
+    ///
+    /// If a file cannot be read, or its name says neither time nor instance.
+    pub fn load_all(directory: &Path) -> io::Result<Vec<Scrape>> {
+        let mut scrapes = vec![];
+        for entry in fs::read_dir(directory)? {
+            let path = entry?.path();
+            if path.extension().is_none_or(|extension| extension != "prom") {
+                continue;
+            }
+            let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+            let parts = name
+                .split_once('-')
+                .and_then(|(at, instance)| at.parse::<u64>().ok().map(|at_s| (at_s, instance)));
+            let Some((at_s, instance)) = parts else {
+                let text = format!("{}: not named SECONDS-INSTANCE.prom", path.display());
+                return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+            };
+            scrapes.push(Scrape::parse(at_s, instance, &fs::read_to_string(&path)?)?);
+        }
+        Ok(scrapes)
+    }
+
+    /// The value of a counter with one label, zero if it is not there.
+    #[must_use]
+    pub fn counter(&self, name: &str, label: &str, value: &str) -> f64 {
+        let matches =
+            |sample: &&Sample| sample.metric == name && sample.labels.get(label) == Some(value);
+        let number = |sample: &Sample| match sample.value {
+            Value::Counter(number) | Value::Gauge(number) | Value::Untyped(number) => number,
+            Value::Histogram(_) | Value::Summary(_) => 0.0,
+        };
+        self.samples.iter().find(matches).map_or(0.0, number)
+    }
+
+    /// Observations of a histogram with one label that are at most `bound`,
+    /// and all of them.
+    #[must_use]
+    pub fn histogram(&self, name: &str, label: &str, value: &str, bound: f64) -> (f64, f64) {
+        let matches =
+            |sample: &&Sample| sample.metric == name && sample.labels.get(label) == Some(value);
+        let Some(Value::Histogram(counts)) =
+            self.samples.iter().find(matches).map(|sample| &sample.value)
+        else {
+            return (0.0, 0.0);
+        };
+        let below = counts.iter().rfind(|count| count.less_than <= bound);
+        let all = counts.iter().map(|count| count.count).fold(0.0, f64::max);
+        (below.map_or(0.0, |count| count.count), all)
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/trace.rs
@@ -0,0 +1,84 @@
+//! Recorded traces: the events that one instance took, as lines of JSON.
+//!
+//! The first line holds the instance's configuration, so that a trace can be
+//! replayed by itself: the reducer has no other input.
+
+use std::{
+    io::{self, BufRead, Write},
+    mem,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{
+    effect::Effect,
+    event::Event,
+    reducer::{Config, State},
+    time::Time,
+};
+
+/// One line of a trace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Line {
+    /// What the instance was told at its start; the first line.
+    Config(Config),
+    /// An event that it took.
+    Event {
+        /// When.
+        now: Time,
+        /// The event.
+        event: Box<Event>,
+    },
+}
+
+impl Line {
+    /// Writes the line and its end, and flushes.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be written.
+    pub fn write(&self, to: &mut impl Write) -> io::Result<()> {
+        serde_json::to_writer(&mut *to, self)?;
+        to.write_all(b"\n")?;
+        to.flush()
+    }
+}
+
+/// Feeds a trace to a reducer and returns the effects of each event.
+///
+/// # Errors
+///
+/// If a line cannot be read, naming its number, or if the first line is not
+/// the configuration.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::{prelude::*, trace::{Line, replay}};
+///
+/// let config = Config::new(Instance::new("a", 1), "ruwi-hall", &["ruwi-hall"]);
+/// let mut trace = vec![];
+/// Line::Config(config).write(&mut trace)?;
+/// Line::Event { now: Time(5), event: Box::new(Event::Drain) }.write(&mut trace)?;
+/// // Nothing is done about a stop before the next tick.
+/// assert_eq!(replay(trace.as_slice())?, [vec![]]);
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub fn replay(trace: impl BufRead) -> io::Result<Vec<Vec<Effect>>> {
+    let mut state = None;
+    let mut effects = vec![];
+    for (index, line) in trace.lines().enumerate() {
+        let fault = |text: &str| {
+            let text = format!("line {}: {text}", index + 1);
+            io::Error::new(io::ErrorKind::InvalidData, text)
+        };
+        let line: Line = serde_json::from_str(&line?).map_err(|error| fault(&error.to_string()))?;
+        match (line, &mut state) {
+            (Line::Config(config), state) => drop(mem::replace(state, Some(State::new(config)))),
+            (Line::Event { now, event }, Some(state)) => effects.push(state.step(now, &event)),
+            (Line::Event { .. }, None) => return Err(fault("no configuration before it")),
+        }
+    }
+    Ok(effects)
+}
--- a/crates/hollywell/tests/reducer.rs
+++ b/crates/hollywell/tests/reducer.rs
@@ -247,6 +247,8 @@
     let event = Event::Call { request: Request(2), arrived: Time(1_035), call: keyed(1) };
     let effects = state.step(Time(1_050), &event);
     assert_eq!((dispatched(&effects).len(), refused(&effects)), (0, vec![Kind::Superseded]));
+    // A send that came after the refusal may be running at this moment.
+    assert_eq!(Kind::Superseded.answer().outcome, Outcome::Unknown);
     assert_eq!(dispatched(&arrive(&mut state, Time(1_051), 3, keyed(1))).len(), 1);
 }
 
@@ -291,6 +293,31 @@
     assert_eq!(Kind::LogAway.answer().outcome, Outcome::Unknown, "a record may still come");
 }
 
+#[test]
+fn snapshots_are_written_by_the_next_in_rank_when_the_first_does_not() {
+    let mut config = Config::new(Instance::new("b", 1), "d", &["d"]);
+    config.snapshot_records = 10;
+    let mut state = State::new(config);
+    state.step(Time(1_000), &Event::Listed(vec![listed("a", MemberKind::Instance, "")]));
+    let mut written_at = vec![];
+    for offset in 0..20 {
+        let now = Time(1_100 + offset * 100);
+        // The first in rank answers heartbeats but cannot reach the log.
+        let (epoch, reading, next) = (0, None, 0);
+        let message = Message::Echo { sent: now, epoch, reading, next, draining: false };
+        state.step(now, &Event::Peer { from: Instance::new("a", 1), message });
+        let base = offset.checked_sub(1);
+        state.step(now, &edit(offset, base, 1));
+        let effects = state.step(now, &Event::Tick);
+        let snapshot =
+            |effect: &Effect| matches!(effect, Effect::Append { record: Record::Snapshot(_) });
+        if effects.iter().any(snapshot) {
+            written_at.push(offset + 1);
+        }
+    }
+    assert_eq!(written_at, [15], "half again as many records as the first one waits for");
+}
+
 // Rollouts.
 
 fn row(staleness: u64) -> Row {
--- /dev/null
+++ b/crates/hollywell/tests/server.rs
@@ -0,0 +1,207 @@
+//! Bad input over HTTP: every answer comes from the closed table, is
+//! counted, and leaves the instance serving.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hollywell::{
+    control::{self, Clock, Options},
+    core::{
+        event::Event,
+        id::Instance,
+        member::{Kind, Listed},
+        reducer::Config,
+    },
+    metrics::Metrics,
+    settings::{Limits, Platform},
+    traffic::{executor::Executor, server::Server},
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+struct Running {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+async fn start() -> Running {
+    let clock = Clock::start();
+    let metrics = Metrics::new().expect("the metrics' names differ");
+    let config = Config::new(Instance::new("a", 1), "d", &["d"]);
+    let options = Options { config, queue: 64, trace: None, metrics: metrics.clone(), clock };
+    let (control, effects) = control::start(options).expect("a thread can be started");
+    let platform = Platform {
+        log: NOWHERE,
+        list: NOWHERE,
+        weights: NOWHERE,
+        list_ms: 1_000,
+        load_ms: 1_000,
+        poll_ms: 1_000,
+    };
+    let limits = Limits {
+        queue: 64,
+        body_bytes: 2_000,
+        header_bytes: 8_192,
+        receive_ms: 300,
+        timeout_ms: 2_000,
+        most_timeout_ms: 5_000,
+    };
+    let executor = Executor::new(control.clone(), clock, platform, 2_000, metrics.clone());
+    let registry = executor.registry.clone();
+    tokio::spawn(executor.run(effects));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let (stop, stopping) = watch::channel(false);
+    let server = Server { control: control.clone(), clock, registry, limits, metrics };
+    tokio::spawn(server.serve(listener, stopping));
+    control.tell(Event::Listed(targets().await)).await;
+    Running { address, stop }
+}
+
+/// One pool that answers garbage, one that stops in mid-answer, one that is
+/// not there, and one that answers more than is allowed.
+async fn targets() -> Vec<Listed> {
+    let long = format!("HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n{}", "x".repeat(9_000));
+    let answers = [
+        ("garbage", String::from("this is not HTTP\r\n\r\n")),
+        ("partial", String::from("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf of")),
+        ("long", long),
+        ("good", String::from("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood")),
+    ];
+    let mut listed = vec![line("absent", NOWHERE)];
+    for (name, answer) in answers {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        listed.push(line(name, listener.local_addr().expect("it is bound")));
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut head = [0; 4_096];
+                let _read = stream.read(&mut head).await;
+                let _written = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+    }
+    listed
+}
+
+fn line(pool: &str, address: SocketAddr) -> Listed {
+    Listed {
+        name: format!("{pool}-1"),
+        kind: Kind::Service,
+        pool: pool.into(),
+        domain: "d".into(),
+        address: address.to_string(),
+        leaving: false,
+    }
+}
+
+/// Sends raw bytes and reads all that comes back until the end.
+async fn exchange(address: SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("the server listens");
+    stream.write_all(bytes.as_bytes()).await.expect("the server reads");
+    let mut answer = vec![];
+    // A reset after the answer is as good an end as any.
+    let _ended = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+}
+
+async fn assert_answer(running: &Running, request: &str, status: &str, kind: &str) {
+    let answer = exchange(running.address, request).await;
+    let first = request.lines().next().unwrap_or_default();
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{first}: {answer}");
+    assert!(answer.contains(&format!("\"kind\":\"{kind}\"")), "{first}: {answer}");
+}
+
+#[tokio::test]
+async fn bad_requests_get_the_closed_tables_answers_and_are_counted() {
+    let running = start().await;
+    let step = |trainer: &str, samples: u32| {
+        format!(
+            "{{\"trainer\":\"{trainer}\",\"step\":1,\"timeout_ms\":10,\
+             \"groups\":[{{\"group\":0,\"prompt\":\"p\",\"samples\":{samples}}}]}}"
+        )
+    };
+    let long = "x".repeat(3_000);
+    let cases = [
+        (post("/v1/steps", "{not json"), "400", "malformed"),
+        (post("/v1/steps", &step("nobody", 1)), "404", "unknown_trainer"),
+        (post("/v1/steps", &step("nobody", 0)), "400", "malformed"),
+        (post("/v1/steps", &step("nobody", 1_000_000)), "400", "malformed"),
+        (post("/v1/steps", &long), "413", "too_large"),
+        (post("/svc/good/x", &long), "413", "too_large"),
+        (post("/svc/nowhere/x", "b"), "404", "unknown_pool"),
+        (get("/elsewhere"), "404", "no_route"),
+        (post("/admin/edits", "{}"), "400", "malformed"),
+        (post("/svc/absent/x", "b"), "503", "target_refused"),
+        (post("/svc/garbage/x", "b"), "502", "outcome_unknown"),
+        (post("/svc/partial/x", "b"), "502", "outcome_unknown"),
+        (post("/svc/long/x", "b"), "502", "outcome_unknown"),
+    ];
+    for (request, status, kind) in &cases {
+        assert_answer(&running, request, status, kind).await;
+    }
+    let bad_timeout = post("/svc/good/x", "b").replace("host: a", "hollywell-timeout-ms: soon");
+    assert_answer(&running, &bad_timeout, "400", "malformed").await;
+    let long_key = post("/svc/good/x", "b").replace("host: a", &format!("idempotency-key: {long}"));
+    assert_answer(&running, &long_key, "400", "malformed").await;
+
+    let good = exchange(running.address, &post("/svc/good/x", "b")).await;
+    assert!(good.starts_with("HTTP/1.1 200") && good.ends_with("good"), "{good}");
+    let metrics = exchange(running.address, &get("/metrics")).await;
+    for line in [
+        "hollywell_refusals_total{kind=\"malformed\"} 6",
+        "hollywell_refusals_total{kind=\"too_large\"} 2",
+        "hollywell_refusals_total{kind=\"outcome_unknown\"} 3",
+        "hollywell_answers_total{class=\"target\"} 1",
+    ] {
+        assert!(metrics.contains(line), "{line} not in\n{metrics}");
+    }
+}
+
+#[tokio::test]
+async fn oversized_heads_and_slow_callers_are_turned_away_and_others_served() {
+    let running = start().await;
+    let long_head = get("/healthz").replace("host: a", &format!("x: {}", "y".repeat(20_000)));
+    let answer = exchange(running.address, &long_head).await;
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431"), "{answer}");
+    // A head that never ends is given up on without an answer; a body that
+    // never ends is refused.
+    let answer = exchange(running.address, "GET /healthz HTTP/1.1\r\n").await;
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 408"), "{answer}");
+    let half = post("/svc/good/x", "whole").replace("whole", "w");
+    assert_answer(&running, &half, "400", "malformed").await;
+    // A caller that vanishes takes nothing with it.
+    let mut vanishing = TcpStream::connect(running.address).await.expect("the server listens");
+    vanishing.write_all(post("/svc/good/x", "b").as_bytes()).await.expect("the server reads");
+    drop(vanishing);
+    let answer = exchange(running.address, &get("/healthz")).await;
+    assert!(answer.ends_with("ok\n"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_stopping_server_answers_connections_that_were_made_before() {
+    let running = start().await;
+    let mut early = TcpStream::connect(running.address).await.expect("the server listens");
+    // Accepted, but its first request is not there yet when the stop comes.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    running.stop.send_replace(true);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    early.write_all(get("/healthz").as_bytes()).await.expect("it is still open");
+    let mut answer = String::new();
+    early.read_to_string(&mut answer).await.expect("it is answered");
+    assert!(answer.ends_with("ok\n"), "{answer}");
+}
