--- a/crates/hollywell/src/control.rs
+++ b/crates/hollywell/src/control.rs
@@ -122,7 +122,7 @@
     let (effects_out, effects) = mpsc::channel(options.queue);
     let mut trace = options.trace.map(File::create).transpose()?.map(BufWriter::new);
     if let Some(trace) = &mut trace {
-        Line::Config(options.config.clone()).write(trace)?;
+        Line::Config(Box::new(options.config.clone())).write(trace)?;
     }
     let state = State::new(options.config);
     let (view_out, view) = watch::channel(Arc::new(View::new(&state)));
--- a/crates/hollywell/src/trace.rs
+++ b/crates/hollywell/src/trace.rs
@@ -3,10 +3,7 @@
 //! The first line holds the instance's configuration, so that a trace can be
 //! replayed by itself: the reducer has no other input.
 
-use std::{
-    io::{self, BufRead, Write},
-    mem,
-};
+use std::io::{self, BufRead, Write};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,7 +19,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Line {
     /// What the instance was told at its start; the first line.
-    Config(Config),
+    Config(Box<Config>),
     /// An event that it took.
     Event {
         /// When.
@@ -59,7 +56,7 @@
 ///
 /// let config = Config::new(Instance::new("a", 1), "ruwi-hall", &["ruwi-hall"]);
 /// let mut trace = vec![];
-/// Line::Config(config).write(&mut trace)?;
+/// Line::Config(Box::new(config)).write(&mut trace)?;
 /// Line::Event { now: Time(5), event: Box::new(Event::Drain) }.write(&mut trace)?;
 /// // Nothing is done about a stop before the next tick.
 /// assert_eq!(replay(trace.as_slice())?, [vec![]]);
@@ -75,7 +72,7 @@
         };
         let line: Line = serde_json::from_str(&line?).map_err(|error| fault(&error.to_string()))?;
         match (line, &mut state) {
-            (Line::Config(config), state) => drop(mem::replace(state, Some(State::new(config)))),
+            (Line::Config(config), state) => *state = Some(State::new(*config)),
             (Line::Event { now, event }, Some(state)) => effects.push(state.step(now, &event)),
             (Line::Event { .. }, None) => return Err(fault("no configuration before it")),
         }
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -140,7 +140,7 @@
         file: "crates/hollywell/src/error.rs",
         find: "Kind::Superseded => answer(503, Unknown,",
         replace: "Kind::Superseded => answer(503, NotRun,",
-        proof: KEYED,
+        proof: CASES,
     },
     Guard {
         name: "an ending instance owns nothing new",
@@ -217,7 +217,7 @@
         file: REDUCER_AGREED,
         find: "let patience = 2 + self.rank();",
         replace: "let patience = 2 + 1_000 * self.rank();",
-        proof: TABLE,
+        proof: CASES,
     },
     Guard {
         name: "edits are appended again",
@@ -245,7 +245,7 @@
         file: "crates/hollywell/src/core/reducer/samples.rs",
         find: "let Some(flight) = self.flights.remove(&dispatch) else {",
         replace: "let Some(flight) = self.flights.get(&dispatch).cloned() else {",
-        proof: SAMPLES,
+        proof: CASES,
     },
     Guard {
         name: "time left of the lease when an order is sent",
@@ -259,14 +259,14 @@
         file: LEASE,
         find: "(Some(_), false) => self.seen_at.after(lease_ms + guard_ms),",
         replace: "(Some(_), false) => self.seen_at.after(guard_ms),",
-        proof: SAMPLES,
+        proof: "lease",
     },
     Guard {
         name: "the holder counts from its first claim",
         file: LEASE,
         find: "self.first_sent.get_or_insert(now);",
         replace: "self.first_sent = Some(now);",
-        proof: SAMPLES,
+        proof: "lease",
     },
 ];
 
