The checker asks whether a refused call was sent again, not what its last word was

The history shows the caller told not-run at ...5022, sending again at ...5249 and ended at the end of the run before it was told anything; the run at ...5251 belongs to the second send. The checker was wrong: it took the last thing told for the last thing sent.

Change: a run after 'not run' needs a send of the key between the two. That is stricter where a caller did send again, but only after the run; a case for each.

--- a/crates/standin/src/judge.rs
+++ b/crates/standin/src/judge.rs
@@ -174,6 +174,7 @@
 
 #[derive(Debug, Default)]
 struct Call {
+    sent: Vec<u64>,
     runs: Vec<u64>,
     told: Vec<(u64, Told)>,
 }
@@ -183,7 +184,7 @@
     for line in lines {
         match &line.saw {
             Saw::Sent { key, .. } => {
-                calls.entry(key).or_default();
+                calls.entry(key).or_default().sent.push(line.at);
             }
             Saw::Ran { key, .. } if !key.is_empty() => {
                 calls.entry(key).or_default().runs.push(line.at);
@@ -213,14 +214,16 @@
 }
 
 /// When a call was told "not run" although it had run before, or ran after
-/// that was its last word.
+/// that without having been sent again.
 fn refused_but_ran(call: &Call) -> Option<u64> {
     let refused = call.told.iter().filter(|(_, told)| *told == Told::NotRun);
-    let ran_before = |at: u64| call.runs.iter().any(|run| *run < at);
-    let last = call.told.last().copied();
-    refused
-        .map(|(at, _)| *at)
-        .find(|at| ran_before(*at) || (last == Some((*at, Told::NotRun)) && !call.runs.is_empty()))
+    let untrue = |at: u64| {
+        call.runs.iter().any(|run| {
+            let sent_again = call.sent.iter().any(|sent| *sent >= at && sent <= run);
+            *run < at || !sent_again
+        })
+    };
+    refused.map(|(at, _)| *at).find(|at| untrue(*at))
 }
 
 fn judge_leaving(lines: &[Line], verdict: &mut Verdict) {
--- a/crates/standin/tests/judge.rs
+++ b/crates/standin/tests/judge.rs
@@ -135,6 +135,11 @@
     ];
     let verdict = judge(&lines);
     assert!(verdict.holds(), "{verdict:?}");
+    // The caller was ended before it was told anything about the second.
+    let verdict = judge(&lines[..4]);
+    assert!(verdict.holds(), "{verdict:?}");
+    let lost = [sent(1, "k"), told(2, "k", Told::NotRun, true), ran(4, "k"), sent(5, "k")];
+    rejected("sent again only after the run", &lost, |verdict| verdict.refused_but_ran);
 }
 
 #[test]
