--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,8 @@
 //! Reducers of given sizes, and the events that their steps are measured
 //! with.
 
+pub mod measure;
+
 use hollywell::{
     core::{
         event::{End, Message},
--- a/crates/hollywell/src/core/reducer/calls.rs
+++ b/crates/hollywell/src/core/reducer/calls.rs
@@ -11,7 +11,7 @@
         event::{Call, End},
         id::{Dispatch, Request},
         member::Target,
-        route::{self, Candidate},
+        route::Candidate,
         time::Time,
     },
     error::Kind,
@@ -109,7 +109,9 @@
                 is_local: target.listed.domain == self.config.domain,
             })
             .collect();
-        route::choose(&candidates, &mut self.rng).map(str::to_owned)
+        self.turn += 1;
+        let chosen = self.config.policy.choose(&candidates, self.turn, &mut self.rng);
+        chosen.map(str::to_owned)
     }
 
     /// Notes the end of an attempt and hands it to whoever it was for.
--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -7,7 +7,7 @@
         id::{Dispatch, Request},
         member::{self, Target},
         rollout::{End, Opening, Slot, Step, Verdict},
-        route::{self, Candidate, Choice},
+        route::Candidate,
         table,
     },
     error::Kind,
@@ -128,12 +128,8 @@
                 is_local: true,
             })
             .collect();
-        let chosen = match policy.choice {
-            Choice::RoundRobin => route::choose_by_turn(&candidates, self.turn),
-            Choice::TwoChoices => route::choose(&candidates, &mut self.rng),
-        };
         self.turn += 1;
-        chosen.map(str::to_owned)
+        policy.choose(&candidates, self.turn, &mut self.rng).map(str::to_owned)
     }
 
     pub(super) fn on_sample_ended(&mut self, dispatch: Dispatch, end: &End) {
--- a/crates/hollywell/src/core/route.rs
+++ b/crates/hollywell/src/core/route.rs
@@ -38,6 +38,20 @@
     pub const fn baseline() -> Policy {
         Policy { choice: Choice::RoundRobin, fixed_samples: Some(4) }
     }
+
+    /// Chooses among candidates; `turn` counts the choices made so far.
+    #[must_use]
+    pub fn choose<'a>(
+        self,
+        candidates: &[Candidate<'a>],
+        turn: u64,
+        rng: &mut SmallRng,
+    ) -> Option<&'a str> {
+        match self.choice {
+            Choice::RoundRobin => choose_by_turn(candidates, turn),
+            Choice::TwoChoices => choose(candidates, rng),
+        }
+    }
 }
 
 impl Default for Policy {
@@ -91,8 +105,7 @@
 
 /// Chooses the candidate whose turn it is: the `turn`-th, counted round and
 /// round.
-#[must_use]
-pub fn choose_by_turn<'a>(candidates: &[Candidate<'a>], turn: u64) -> Option<&'a str> {
+fn choose_by_turn<'a>(candidates: &[Candidate<'a>], turn: u64) -> Option<&'a str> {
     let count = u64::try_from(candidates.len()).ok().filter(|count| *count > 0)?;
     let index = usize::try_from(turn % count).ok()?;
     candidates.get(index).map(|candidate| candidate.name)
