Shares of the engines by the weights of trainers that have a step open

Change: heartbeats carry the weights of the trainers with a step open at the sender; an instance takes its part of the sum, bounded at each engine and in all. No coordinator; a share is wrong for one heartbeat at most. Ruled out: counting instances with steps, which ignores the weights.

--- a/crates/bench/src/bin/capacity.rs
+++ b/crates/bench/src/bin/capacity.rs
@@ -251,7 +251,8 @@
         next: 1_234_567,
         draining: false,
     };
-    let beat = Message::Beat { sent: Time(123_456_789), next: 1_234_567, leaving: vec![] };
+    let beat =
+        Message::Beat { sent: Time(123_456_789), next: 1_234_567, leaving: vec![], demand: 0 };
     let key = "c7a1f0de-8a4c-4c59-9a39-0d9c11111111";
     let claim = Message::Claim { epoch: 123_456, key: key.into(), digest: u64::MAX };
     let claimed = Message::Claimed { epoch: 123_456, key: key.into() };
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -123,7 +123,7 @@
 /// A heartbeat of a peer.
 #[must_use]
 pub fn beat(peer: usize) -> Event {
-    let message = Message::Beat { sent: START, next: 3, leaving: vec![] };
+    let message = Message::Beat { sent: START, next: 3, leaving: vec![], demand: 0 };
     Event::Peer { from: Instance::new(&format!("peer-{peer}"), 1), message }
 }
 
--- a/crates/hollywell/src/core/event.rs
+++ b/crates/hollywell/src/core/event.rs
@@ -86,6 +86,9 @@
         next: u64,
         /// Targets that the sender knows to be leaving.
         leaving: Vec<String>,
+        /// Weights of the trainers that have a step open at the sender.
+        #[serde(default)]
+        demand: u32,
     },
     /// The answer to a heartbeat.
     Echo {
--- a/crates/hollywell/src/core/member.rs
+++ b/crates/hollywell/src/core/member.rs
@@ -128,6 +128,8 @@
     pub draining: bool,
     /// Its folded offset, as it last said.
     pub next: u64,
+    /// Weights of the trainers with a step open there, as it last said.
+    pub demand: u32,
     /// Its readings as an active owner that told something new, each with
     /// the time it first came; the newest last.
     readings: VecDeque<(Reading, Time)>,
@@ -145,6 +147,7 @@
             heard_at: None,
             draining: false,
             next: 0,
+            demand: 0,
             readings: VecDeque::new(),
             clock: None,
             beaten_at: None,
--- a/crates/hollywell/src/core/reducer/peers.rs
+++ b/crates/hollywell/src/core/reducer/peers.rs
@@ -20,6 +20,7 @@
             sent: self.now,
             next: self.fold.state().next,
             leaving: self.members.leaving(),
+            demand: self.demand(),
         };
         let mut due = vec![];
         for peer in self.members.peers.values_mut() {
@@ -40,7 +41,12 @@
 
     pub(super) fn on_message(&mut self, from: &Instance, message: &Message) {
         match message {
-            Message::Beat { sent, next, leaving } => self.on_beat(from, *sent, *next, leaving),
+            Message::Beat { sent, next, leaving, demand } => {
+                if let Some(peer) = self.members.peers.get_mut(&from.name) {
+                    peer.demand = *demand;
+                }
+                self.on_beat(from, *sent, *next, leaving);
+            }
             Message::Echo { sent, epoch, reading, next, draining } => {
                 self.on_echo(from, *sent, *epoch, reading.as_ref(), *draining);
                 self.note_offset(from, *next);
@@ -201,10 +207,4 @@
         }
         desired
     }
-
-    /// Live instances of all failure domains, this one included.
-    pub(super) fn live_instances(&self) -> usize {
-        let peers = self.members.peers.values();
-        1 + peers.filter(|peer| self.is_live(peer)).count()
-    }
 }
--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -1,5 +1,7 @@
 //! Steps and samples: starting them on engines, judging and delivering them.
 
+use std::collections::BTreeSet;
+
 use super::{Flight, Purpose, State, calls::load_of};
 use crate::{
     core::{
@@ -96,25 +98,48 @@
         true
     }
 
+    /// Weights of the trainers that have a step open here.
+    pub(super) fn demand(&self) -> u32 {
+        let table = &self.fold.state().table;
+        let open = self.steps.open.values().map(|step| step.opening().trainer.as_str());
+        let trainers: BTreeSet<&str> = open.collect();
+        trainers.iter().filter_map(|trainer| table.row(trainer)).map(|row| row.weight).sum()
+    }
+
+    /// This instance's share of the engines' slots: its trainers' weights
+    /// among those of all instances that have a step open. Instances without
+    /// one take no part, so that nothing is left idle for them.
+    fn share(&self) -> f64 {
+        let own = f64::from(self.demand().max(1));
+        let live = self.members.peers.values().filter(|peer| self.is_live(peer));
+        let others: f64 = live.map(|peer| f64::from(peer.demand)).sum();
+        own / (own + others)
+    }
+
     /// An engine with room that serves an acceptable version.
     fn choose_engine(&mut self, row: &table::Row) -> Option<String> {
         let oldest = self.steps.oldest(row);
-        let sharers = self.live_instances();
-        let reserve = self.config.reserve_percent;
         let policy = self.config.policy;
+        let room = Room { reserve_percent: self.config.reserve_percent, share: self.share() };
         let serves = |target: &&Target| {
             let load = target.load.as_ref();
             let version = load.and_then(|load| load.versions.get(&row.trainer));
-            let room = load.map_or(0, |load| room_for_samples(load.slots, reserve, sharers));
+            let slots = load.map_or(0, |load| load.slots);
             let queued = load.is_some_and(|load| load.running + load.waiting >= load.slots);
             let has_room = match policy.fixed_samples {
                 Some(fixed) => target.samples < fixed,
-                None => target.samples < room && !(queued && target.samples > 0),
+                None => target.samples < room.at(slots) && !(queued && target.samples > 0),
             };
             version.is_some_and(|version| *version >= oldest)
                 && has_room
                 && target.is_usable(self.now)
         };
+        let slots: u32 =
+            self.members.targets.values().filter_map(|t| Some(t.load.as_ref()?.slots)).sum();
+        let samples: u32 = self.members.targets.values().map(|target| target.samples).sum();
+        if policy.fixed_samples.is_none() && samples >= room.in_all(slots) {
+            return None;
+        }
         let candidates: Vec<Candidate<'_>> = self
             .members
             .targets
@@ -266,11 +291,26 @@
     }
 }
 
-/// Samples that one of `sharers` instances may have in flight at an engine
-/// of `slots` slots. At least one: with more instances than slots the
-/// engine's queue sorts it out.
-fn room_for_samples(slots: u32, reserve_percent: u32, sharers: usize) -> u32 {
-    let open = slots * (100 - reserve_percent.min(100)) / 100;
-    let sharers = u32::try_from(sharers).unwrap_or(u32::MAX).max(1);
-    (open / sharers).max(1)
+/// How much of the engines one instance may use for samples.
+struct Room {
+    reserve_percent: u32,
+    share: f64,
+}
+
+impl Room {
+    fn open(&self, slots: u32) -> f64 {
+        f64::from(slots * (100 - self.reserve_percent.min(100))) / 100.0
+    }
+
+    /// Samples in flight at one engine of `slots` slots. Rounded up: what is
+    /// too much there is too little elsewhere, and the sum is bounded.
+    fn at(&self, slots: u32) -> u32 {
+        (self.open(slots) * self.share).ceil() as u32
+    }
+
+    /// Samples in flight at all engines of `slots` slots together; at least
+    /// one, so that every step goes on.
+    fn in_all(&self, slots: u32) -> u32 {
+        ((self.open(slots) * self.share) as u32).max(1)
+    }
 }
