Stragglers at a step's end are run a second time, within a budget

Cause: with shares in place a step's time was its stragglers' (6 times the usual length, one in 60): median 7.7 s where the slots alone allow some 4 s.

Change: once nothing waits, a sample that runs for twice the step's average is run again at another engine, for at most a tenth of the step's samples; the first whole one wins, the other is cancelled. Ruled out: a fixed time, which fits one model's length only.

--- a/crates/hollywell/src/core/effect.rs
+++ b/crates/hollywell/src/core/effect.rs
@@ -169,6 +169,8 @@
     SampleFailed,
     /// A sample delivered.
     SampleDelivered,
+    /// A straggler run a second time.
+    Hedge,
     /// A request tried at another target.
     Retry,
     /// A keyed request answered from memory.
--- a/crates/hollywell/src/core/reducer/mod.rs
+++ b/crates/hollywell/src/core/reducer/mod.rs
@@ -308,6 +308,7 @@
         self.keep_claims();
         self.keep_agreed();
         self.keep_orders();
+        self.hedge_samples();
         self.end_late_steps();
         self.keep_stopping();
     }
--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -63,23 +63,52 @@
         }
         loop {
             let order = self.steps.in_order(&self.fold.state().table);
-            let started = order.into_iter().any(|request| self.start_sample(request));
+            let started = order.into_iter().any(|request| self.start_waiting(request));
             if !started {
                 return;
             }
         }
     }
 
-    fn start_sample(&mut self, request: Request) -> bool {
+    /// Runs stragglers of steps near their end a second time.
+    pub(super) fn hedge_samples(&mut self) {
+        let budget_percent = self.config.policy.hedge_percent;
+        if self.draining.is_some() || budget_percent == 0 {
+            return;
+        }
+        let steps = self.steps.open.iter();
+        let late: Vec<(Request, Slot)> = steps
+            .filter_map(|(request, step)| {
+                step.straggler(self.now, budget_percent).map(|slot| (*request, slot))
+            })
+            .collect();
+        for (request, slot) in late {
+            if self.start_sample(request, slot) {
+                self.count(Counted::Hedge);
+            }
+        }
+    }
+
+    fn start_waiting(&mut self, request: Request) -> bool {
+        let step = self.steps.open.get(&request);
+        let slot = step.and_then(Step::next_waiting);
+        slot.is_some_and(|slot| self.start_sample(request, slot))
+    }
+
+    fn start_sample(&mut self, request: Request, slot: Slot) -> bool {
         let Some(step) = self.steps.open.get(&request) else {
             return false;
         };
         let (deadline, trainer) = (step.deadline(), step.opening().trainer.clone());
         let row = self.fold.state().table.row(&trainer).cloned();
-        let (Some(slot), Some(row)) = (step.next_waiting(), row) else {
+        let Some(row) = row else {
             return false;
         };
-        let Some(target) = self.choose_engine(&row) else {
+        let tried = self.engines_of(&step.others(slot, Dispatch(0)));
+        if self.steps.running(&trainer) >= row.in_flight {
+            return false;
+        }
+        let Some(target) = self.choose_engine(&row, &tried) else {
             return false;
         };
         let dispatch = self.new_dispatch();
@@ -89,7 +118,7 @@
         engine.samples += 1;
         let address = engine.listed.address.clone();
         if let Some(step) = self.steps.open.get_mut(&request) {
-            step.start(slot, dispatch);
+            step.start(slot, dispatch, self.now);
         }
         let purpose = Purpose::Sample { request, slot };
         self.flights.insert(dispatch, Flight { target, purpose });
@@ -116,8 +145,14 @@
         own / (own + others)
     }
 
-    /// An engine with room that serves an acceptable version.
-    fn choose_engine(&mut self, row: &table::Row) -> Option<String> {
+    fn engines_of(&self, dispatches: &[Dispatch]) -> Vec<String> {
+        let flights = dispatches.iter().filter_map(|dispatch| self.flights.get(dispatch));
+        flights.map(|flight| flight.target.clone()).collect()
+    }
+
+    /// An engine with room that serves an acceptable version, other than
+    /// those that were `tried`.
+    fn choose_engine(&mut self, row: &table::Row, tried: &[String]) -> Option<String> {
         let oldest = self.steps.oldest(row);
         let policy = self.config.policy;
         let room = Room { reserve_percent: self.config.reserve_percent, share: self.share() };
@@ -131,6 +166,7 @@
                 None => target.samples < room.at(slots) && !(queued && target.samples > 0),
             };
             version.is_some_and(|version| *version >= oldest)
+                && !tried.contains(&target.listed.name)
                 && has_room
                 && target.is_usable(self.now)
         };
@@ -192,10 +228,17 @@
         let Some(step) = self.steps.open.get_mut(&request) else {
             return;
         };
-        let verdict = step.end(slot, dispatch, end, oldest);
+        let others = step.others(slot, dispatch);
+        let verdict = step.end(slot, dispatch, end, oldest, self.now);
         let counted = match verdict {
             Verdict::Deliver(slot) => {
                 self.deliver(request, dispatch, slot, end);
+                for other in others {
+                    self.cancel_sample(other);
+                    if let Some(step) = self.steps.open.get_mut(&request) {
+                        step.cancelled();
+                    }
+                }
                 Counted::SampleDelivered
             }
             Verdict::Duplicate => Counted::SampleDuplicate,
--- a/crates/hollywell/src/core/rollout.rs
+++ b/crates/hollywell/src/core/rollout.rs
@@ -22,6 +22,10 @@
     time::Time,
 };
 
+/// How many times as long as the average a sample runs before it is run a
+/// second time.
+const STRAGGLER_FACTOR: u64 = 2;
+
 /// One group of samples of the same prompt, as a trainer asks for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Group {
@@ -87,10 +91,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Progress {
     Waiting,
-    Running(Vec<Dispatch>),
+    Running(Vec<Attempt>),
     Delivered,
 }
 
+/// One attempt at a sample.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Attempt {
+    dispatch: Dispatch,
+    since: Time,
+}
+
 /// An open step.
 #[derive(Clone, Debug)]
 pub struct Step {
@@ -102,6 +113,9 @@
     waiting: BTreeSet<Slot>,
     missing: usize,
     running: u32,
+    hedges: u32,
+    /// Whole samples and the time that they took in all, in milliseconds.
+    took: (u64, u64),
 }
 
 impl Step {
@@ -117,7 +131,7 @@
         let waiting: BTreeSet<Slot> = opening.groups.iter().flat_map(slot_of).collect();
         let slots = waiting.iter().map(|slot| (*slot, Progress::Waiting)).collect();
         let missing = waiting.len();
-        Step { opening, deadline, slots, waiting, missing, running: 0 }
+        Step { opening, deadline, slots, waiting, missing, running: 0, hedges: 0, took: (0, 0) }
     }
 
     /// What the trainer asked for.
@@ -144,37 +158,91 @@
         self.waiting.first().copied()
     }
 
-    /// Notes that a slot runs as `dispatch`.
-    pub fn start(&mut self, slot: Slot, dispatch: Dispatch) {
+    /// The slot to run a second time, if the step is near its end: of those
+    /// that run once and for much longer than a sample takes on average, the
+    /// one that runs longest. `budget_percent` bounds the second runs to a
+    /// share of the step's samples.
+    #[must_use]
+    pub fn straggler(&self, now: Time, budget_percent: u32) -> Option<Slot> {
+        let budget = (self.slots.len() * budget_percent as usize).div_ceil(100);
+        let (count, took_ms) = self.took;
+        if !self.waiting.is_empty() || self.hedges as usize >= budget || count == 0 {
+            return None;
+        }
+        let long_ms = took_ms / count * STRAGGLER_FACTOR;
+        let running_once = |(slot, progress): (&Slot, &Progress)| match progress {
+            Progress::Running(attempts) => match attempts.as_slice() {
+                [only] => Some((now.since(only.since), *slot)),
+                _ => None,
+            },
+            Progress::Waiting | Progress::Delivered => None,
+        };
+        let running = self.slots.iter().filter_map(running_once);
+        let (ms, slot) = running.max_by_key(|(ms, _)| *ms)?;
+        (ms >= long_ms).then_some(slot)
+    }
+
+    /// Attempts at a slot that are not wanted once it is delivered.
+    #[must_use]
+    pub fn others(&self, slot: Slot, winner: Dispatch) -> Vec<Dispatch> {
+        match self.slots.get(&slot) {
+            Some(Progress::Running(attempts)) => {
+                let dispatches = attempts.iter().map(|attempt| attempt.dispatch);
+                dispatches.filter(|dispatch| *dispatch != winner).collect()
+            }
+            _ => vec![],
+        }
+    }
+
+    /// Notes that an attempt was cancelled.
+    pub fn cancelled(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Notes that a slot runs as `dispatch` since `now`.
+    pub fn start(&mut self, slot: Slot, dispatch: Dispatch, now: Time) {
         let Some(progress) = self.slots.get_mut(&slot) else {
             return;
         };
+        let attempt = Attempt { dispatch, since: now };
         match progress {
-            Progress::Running(dispatches) => dispatches.push(dispatch),
-            Progress::Waiting => *progress = Progress::Running(vec![dispatch]),
+            Progress::Running(attempts) => {
+                attempts.push(attempt);
+                self.hedges += 1;
+            }
+            Progress::Waiting => *progress = Progress::Running(vec![attempt]),
             Progress::Delivered => return,
         }
         self.waiting.remove(&slot);
         self.running += 1;
     }
 
-    /// Judges an ended sample, given the oldest version that is acceptable
-    /// now.
-    pub fn end(&mut self, slot: Slot, dispatch: Dispatch, end: &End, oldest: u64) -> Verdict {
+    /// Judges a sample that ended at `now`, given the oldest version that is
+    /// acceptable then.
+    pub fn end(
+        &mut self,
+        slot: Slot,
+        dispatch: Dispatch,
+        end: &End,
+        oldest: u64,
+        now: Time,
+    ) -> Verdict {
         self.running = self.running.saturating_sub(1);
         let Some(progress) = self.slots.get_mut(&slot) else {
             return Verdict::Duplicate;
         };
-        let Progress::Running(dispatches) = progress else {
+        let Progress::Running(attempts) = progress else {
             return Verdict::Duplicate;
         };
-        dispatches.retain(|known| *known != dispatch);
-        let others_run = !dispatches.is_empty();
+        let ended = attempts.extract_if(.., |attempt| attempt.dispatch == dispatch).next();
+        let others_run = !attempts.is_empty();
         let verdict = judge(slot, end, oldest);
         match verdict {
             Verdict::Deliver(_) => {
                 *progress = Progress::Delivered;
                 self.missing -= 1;
+                let took_ms = ended.map_or(0, |attempt| now.since(attempt.since));
+                self.took = (self.took.0 + 1, self.took.1 + took_ms);
             }
             _ if others_run => {}
             _ => {
--- a/crates/hollywell/src/core/route.rs
+++ b/crates/hollywell/src/core/route.rs
@@ -29,14 +29,17 @@
     /// Samples in flight at one engine from one instance, whatever the
     /// engine's slots and the reserve; `None` to go by those.
     pub fixed_samples: Option<u32>,
+    /// Share of a step's samples that may be run a second time when they
+    /// straggle at its end, in percent.
+    pub hedge_percent: u32,
 }
 
 impl Policy {
-    /// The baseline that measurements compare with: round robin and a fixed
-    /// number of samples at each engine.
+    /// The baseline that measurements compare with: round robin, a fixed
+    /// number of samples at each engine, nothing run twice.
     #[must_use]
     pub const fn baseline() -> Policy {
-        Policy { choice: Choice::RoundRobin, fixed_samples: Some(4) }
+        Policy { choice: Choice::RoundRobin, fixed_samples: Some(4), hedge_percent: 0 }
     }
 
     /// Chooses among candidates; `turn` counts the choices made so far.
@@ -56,7 +59,7 @@
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy { choice: Choice::TwoChoices, fixed_samples: None }
+        Policy { choice: Choice::TwoChoices, fixed_samples: None, hedge_percent: 10 }
     }
 }
 
--- a/crates/hollywell/src/metrics.rs
+++ b/crates/hollywell/src/metrics.rs
@@ -170,6 +170,7 @@
         Counted::SampleUnversioned => "sample_unversioned",
         Counted::SampleFailed => "sample_failed",
         Counted::SampleDelivered => "sample_delivered",
+        Counted::Hedge => "hedge",
         Counted::Retry => "retry",
         Counted::Replay => "replay",
         Counted::Activation => "activation",
--- a/crates/hollywell/tests/reducer.rs
+++ b/crates/hollywell/tests/reducer.rs
@@ -441,3 +441,63 @@
     }
     assert_eq!(generated(&state.step(Time(1_006), &open_step(4))).len(), 2, "it takes new work");
 }
+
+/// Two engines, and a step of three samples of which two ended after 100 ms.
+fn straggling_state() -> (State, Dispatch) {
+    let engine = |name: &str| listed(name, MemberKind::Engine, "gen");
+    let mut state = state_with(vec![engine("e1"), engine("e2")]);
+    state.step(Time(1_001), &edit(0, None, 1));
+    for name in ["e1", "e2"] {
+        let Event::Loaded { load, .. } = loaded(4) else { unreachable!("it is a report") };
+        state.step(Time(1_002), &Event::Loaded { target: name.into(), load });
+    }
+    let mut running = generated(&state.step(Time(1_003), &open_step(4)));
+    let last = running.pop().expect("two samples were started");
+    let whole = |dispatch| Event::SampleEnded { dispatch, end: SampleEnd::Whole(vec![4]) };
+    let next = generated(&state.step(Time(1_103), &whole(running[0])));
+    let early = state.step(Time(1_150), &Event::Tick);
+    assert_eq!(generated(&early), [], "147 ms are less than twice the average of 100 ms");
+    state.step(Time(1_203), &whole(next[0]));
+    (state, last)
+}
+
+fn engine_of(effects: &[Effect]) -> Vec<String> {
+    let one = |effect: &Effect| match effect {
+        Effect::Generate { address, .. } => Some(address.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(one).collect()
+}
+
+#[test]
+fn a_straggler_is_run_a_second_time_elsewhere_and_the_loser_is_cancelled() {
+    let (mut state, straggler) = straggling_state();
+    let hedge = state.step(Time(1_204), &Event::Tick);
+    assert_eq!(engine_of(&hedge).len(), 1);
+    let second = generated(&hedge)[0];
+    let effects = state.step(
+        Time(1_300),
+        &Event::SampleEnded { dispatch: second, end: SampleEnd::Whole(vec![4]) },
+    );
+    assert_eq!(delivered(&effects), 1);
+    assert!(effects.contains(&Effect::Cancel { dispatch: straggler }));
+    // The loser's stream was whole after all, a moment too late.
+    let late = Event::SampleEnded { dispatch: straggler, end: SampleEnd::Whole(vec![4]) };
+    assert_eq!(delivered(&state.step(Time(1_301), &late)), 0);
+}
+
+#[test]
+fn a_hedge_goes_to_another_engine_and_only_within_the_budget() {
+    let (mut state, _) = straggling_state();
+    let Event::Loaded { load, .. } = loaded(4) else { unreachable!("it is a report") };
+    let hedge = state.step(Time(1_204), &Event::Tick);
+    let first = engine_of(&hedge)[0].clone();
+    // The engine that has the straggler is the only one left: no hedge.
+    let (mut other, _) = straggling_state();
+    let gone = first.split(':').next().unwrap_or_default().to_owned();
+    other.step(Time(1_203), &Event::Loaded { target: gone, load: None });
+    assert_eq!(generated(&other.step(Time(1_204), &Event::Tick)), []);
+    // A tenth of three samples is one.
+    state.step(Time(1_205), &Event::Loaded { target: "e1".into(), load });
+    assert_eq!(generated(&state.step(Time(9_000), &Event::Tick)), []);
+}
