Samples of a group go to the engine that has their prompt, within a load bound

Change: a step remembers the engine of each group's last sample and prefers it while its load is within twice the candidates' average. Cache events are not read: own placement is known at once, events come late and with gaps.

--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -9,7 +9,7 @@
         id::{Dispatch, Request},
         member::{self, Target},
         rollout::{End, Opening, Slot, Step, Verdict},
-        route::Candidate,
+        route::{self, Candidate},
         table,
     },
     error::Kind,
@@ -108,7 +108,8 @@
         if self.steps.running(&trainer) >= row.in_flight {
             return false;
         }
-        let Some(target) = self.choose_engine(&row, &tried) else {
+        let near = step.engine_of(slot.group).map(str::to_owned);
+        let Some(target) = self.choose_engine(&row, &tried, near.as_deref()) else {
             return false;
         };
         let dispatch = self.new_dispatch();
@@ -119,6 +120,7 @@
         let address = engine.listed.address.clone();
         if let Some(step) = self.steps.open.get_mut(&request) {
             step.start(slot, dispatch, self.now);
+            step.placed(slot.group, &target);
         }
         let purpose = Purpose::Sample { request, slot };
         self.flights.insert(dispatch, Flight { target, purpose });
@@ -151,8 +153,14 @@
     }
 
     /// An engine with room that serves an acceptable version, other than
-    /// those that were `tried`.
-    fn choose_engine(&mut self, row: &table::Row, tried: &[String]) -> Option<String> {
+    /// those that were `tried`; `near` if it is hardly more loaded than the
+    /// others, because it has the prompt in its cache.
+    fn choose_engine(
+        &mut self,
+        row: &table::Row,
+        tried: &[String],
+        near: Option<&str>,
+    ) -> Option<String> {
         let oldest = self.steps.oldest(row);
         let policy = self.config.policy;
         let room = Room { reserve_percent: self.config.reserve_percent, share: self.share() };
@@ -189,6 +197,10 @@
                 is_local: true,
             })
             .collect();
+        let near = near.filter(|_| policy.affinity);
+        if let Some(near) = near.and_then(|near| route::within_bound(&candidates, near)) {
+            return Some(near.to_owned());
+        }
         self.turn += 1;
         policy.choose(&candidates, self.turn, &mut self.rng).map(str::to_owned)
     }
--- a/crates/hollywell/src/core/rollout.rs
+++ b/crates/hollywell/src/core/rollout.rs
@@ -114,6 +114,8 @@
     missing: usize,
     running: u32,
     hedges: u32,
+    /// The engine that each group's last sample was given to.
+    engines: BTreeMap<u32, String>,
     /// Whole samples and the time that they took in all, in milliseconds.
     took: (u64, u64),
 }
@@ -131,7 +133,17 @@
         let waiting: BTreeSet<Slot> = opening.groups.iter().flat_map(slot_of).collect();
         let slots = waiting.iter().map(|slot| (*slot, Progress::Waiting)).collect();
         let missing = waiting.len();
-        Step { opening, deadline, slots, waiting, missing, running: 0, hedges: 0, took: (0, 0) }
+        Step {
+            opening,
+            deadline,
+            slots,
+            waiting,
+            missing,
+            running: 0,
+            hedges: 0,
+            engines: BTreeMap::new(),
+            took: (0, 0),
+        }
     }
 
     /// What the trainer asked for.
@@ -194,6 +206,18 @@
         }
     }
 
+    /// The engine that a group's last sample was given to, which has its
+    /// prompt in its cache.
+    #[must_use]
+    pub fn engine_of(&self, group: u32) -> Option<&str> {
+        self.engines.get(&group).map(String::as_str)
+    }
+
+    /// Notes which engine a sample of a group was given to.
+    pub fn placed(&mut self, group: u32, engine: &str) {
+        self.engines.insert(group, engine.to_owned());
+    }
+
     /// Notes that an attempt was cancelled.
     pub fn cancelled(&mut self) {
         self.running = self.running.saturating_sub(1);
--- a/crates/hollywell/src/core/route.rs
+++ b/crates/hollywell/src/core/route.rs
@@ -32,6 +32,9 @@
     /// Share of a step's samples that may be run a second time when they
     /// straggle at its end, in percent.
     pub hedge_percent: u32,
+    /// True if samples of one group go to one engine as long as it is hardly
+    /// more loaded than the others.
+    pub affinity: bool,
 }
 
 impl Policy {
@@ -39,7 +42,12 @@
     /// number of samples at each engine, nothing run twice.
     #[must_use]
     pub const fn baseline() -> Policy {
-        Policy { choice: Choice::RoundRobin, fixed_samples: Some(4), hedge_percent: 0 }
+        Policy {
+            choice: Choice::RoundRobin,
+            fixed_samples: Some(4),
+            hedge_percent: 0,
+            affinity: false,
+        }
     }
 
     /// Chooses among candidates; `turn` counts the choices made so far.
@@ -59,7 +67,12 @@
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy { choice: Choice::TwoChoices, fixed_samples: None, hedge_percent: 10 }
+        Policy {
+            choice: Choice::TwoChoices,
+            fixed_samples: None,
+            hedge_percent: 10,
+            affinity: true,
+        }
     }
 }
 
@@ -106,6 +119,32 @@
     }
 }
 
+/// How much more loaded than the candidates' average a preferred one may be.
+const LOAD_BOUND: f64 = 2.0;
+
+/// The preferred candidate, if there is such a one and its load is within a
+/// bound of the average (Mirrokni, Thorup and Zadimoghaddam, "Consistent
+/// Hashing with Bounded Loads", 2018).
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::route::{Candidate, within_bound};
+///
+/// let loaded = |name, load| Candidate { name, load, is_local: true };
+/// let engines = [loaded("a", 0.5), loaded("b", 0.5), loaded("c", 5.0)];
+/// assert_eq!(within_bound(&engines, "a"), Some("a"));
+/// // Its cache is not worth waiting for.
+/// assert_eq!(within_bound(&engines, "c"), None);
+/// ```
+#[must_use]
+pub fn within_bound<'a>(candidates: &[Candidate<'a>], preferred: &str) -> Option<&'a str> {
+    let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
+    let average = sum / candidates.len().max(1) as f64;
+    let chosen = candidates.iter().find(|candidate| candidate.name == preferred)?;
+    (chosen.load <= average * LOAD_BOUND).then_some(chosen.name)
+}
+
 /// Chooses the candidate whose turn it is: the `turn`-th, counted round and
 /// round.
 fn choose_by_turn<'a>(candidates: &[Candidate<'a>], turn: u64) -> Option<&'a str> {
