An engine that took an order makes room for the next one

Cause: an order held its place among those under way for order_ms, also after the engine had taken it: two engines a failure domain every 5 s, so samples without staleness waited for weights.

Change: only orders whose end is not known take up room; an engine that took one gets no other until its report shows it or 2 s have passed.

--- a/crates/bench/src/measure/world.rs
+++ b/crates/bench/src/measure/world.rs
@@ -132,8 +132,6 @@
             let mut config = Config::new(me, domains[n % domains.len()], &domains);
             config.policy = policy;
             config.seed = seed * 100 + n as u64;
-            config.orders = 2;
-            config.order_ms = 1_500;
             world.instances.push(State::new(config));
             world.at(1, Happening::Event(n, Event::Listed(world.list())));
             world.at(2 + n as u64, Happening::Tick(n));
--- a/crates/hollywell/src/core/reducer/mod.rs
+++ b/crates/hollywell/src/core/reducer/mod.rs
@@ -217,7 +217,7 @@
     edits: Vec<PendingEdit>,
     lease: lease::State,
     lease_from: Time,
-    ordered: BTreeMap<String, Time>,
+    ordered: BTreeMap<String, orders::Ordered>,
     draining: Option<Time>,
     idle_ticks: u32,
     exited: bool,
--- a/crates/hollywell/src/core/reducer/orders.rs
+++ b/crates/hollywell/src/core/reducer/orders.rs
@@ -14,6 +14,19 @@
     time::Time,
 };
 
+/// How far an engine's load report may lag behind an order that it took, in
+/// milliseconds.
+const REPORT_LAG_MS: u64 = 2_000;
+
+/// An order that was given to an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ordered {
+    /// Until when the engine gets no other one.
+    until: Time,
+    /// True until its end is known.
+    under_way: bool,
+}
+
 impl State {
     pub(super) fn keep_orders(&mut self) {
         self.keep_lease();
@@ -22,10 +35,10 @@
         if too_short || self.now < self.lease_from || self.draining.is_some() {
             return;
         }
-        self.ordered.retain(|_, until| *until > self.now);
+        self.ordered.retain(|_, ordered| ordered.until > self.now);
         for (target, address, order) in self.due_orders() {
             let until = self.now.after(self.config.order_ms);
-            self.ordered.insert(target.clone(), until);
+            self.ordered.insert(target.clone(), Ordered { until, under_way: true });
             let before = Time(self.lease.held_until().0.saturating_sub(self.order_limit_ms()));
             self.emit(Effect::Order { target, address, order, before });
         }
@@ -56,7 +69,8 @@
     /// Orders for engines of this failure domain that report an old version,
     /// as many as may change at once.
     fn due_orders(&self) -> Vec<(String, String, Order)> {
-        let room = self.config.orders.saturating_sub(self.ordered.len());
+        let under_way = self.ordered.values().filter(|ordered| ordered.under_way).count();
+        let room = self.config.orders.saturating_sub(under_way);
         let grant = self.fold.state().leases.0.get(&self.config.domain);
         let Some(fence) = grant.map(|grant| grant.fence) else {
             return vec![];
@@ -88,12 +102,20 @@
         load.versions.iter().find_map(old)
     }
 
+    /// Notes the end of an order. A taken one keeps its engine from getting
+    /// another until the lagging report shows it, but makes room for the
+    /// next engine; a failed one is repeated soon.
     pub(super) fn on_order_ended(&mut self, target: &str, taken: bool) {
-        // A taken order stays noted until its time is up, so that the lagging
-        // report does not cause a second one at once.
-        if !taken {
-            let retry_at = self.now.after(self.config.beat_ms);
-            self.ordered.insert(target.to_owned(), retry_at);
+        let pause_ms = if taken { REPORT_LAG_MS } else { self.config.beat_ms };
+        let until = self.now.after(pause_ms);
+        self.ordered.insert(target.to_owned(), Ordered { until, under_way: false });
+    }
+
+    /// Forgets an order whose engine reports that it serves what it should.
+    pub(super) fn forget_order(&mut self, target: &str) {
+        let engine = self.members.targets.get(target);
+        if engine.is_some_and(|engine| self.next_version(engine).is_none()) {
+            self.ordered.remove(target);
         }
     }
 }
--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -17,7 +17,6 @@
 
 impl State {
     pub(super) fn on_load(&mut self, target: &str, load: Option<&member::Load>) {
-        let now = self.now;
         let Some(known) = self.members.targets.get_mut(target) else {
             return;
         };
@@ -30,8 +29,7 @@
         if load.leaving {
             known.leaving = true;
         }
-        // An engine that serves what was ordered needs no order any longer.
-        self.ordered.retain(|_, until| *until > now);
+        self.forget_order(target);
     }
 
     pub(super) fn on_step_opened(&mut self, request: Request, opening: &Opening) {
