--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -36,7 +36,7 @@
   local name=$1
   shift
   spawn "$name" "$BIN/standin" "$@"
-  for _ in $(seq 100); do
+  for _ in $(seq 600); do
     [ -s "$WORK/$name.out" ] && break
     sleep 0.05
   done
@@ -81,11 +81,11 @@
   listed "$name" instance "" "$domain" "${PEER[$name]}"
 }
 
-# wait_until DESCRIPTION COMMAND...: tries a command for 20 seconds.
+# wait_until DESCRIPTION COMMAND...: tries a command for a minute.
 wait_until() {
   local what=$1
   shift
-  for _ in $(seq 200); do
+  for _ in $(seq 600); do
     "$@" > /dev/null 2>&1 && return 0
     sleep 0.1
   done
