Read as a newcomer: ownership, schedules and reducer cases in files of one subject

Change: ownership maps, hand-overs and state in files of their own; calls and rollouts of the modelled world beside its queue; the reducer's cases by subject.

--- /dev/null
+++ b/crates/hollywell/src/core/owner/map.rs
@@ -0,0 +1,92 @@
+//! Ownership maps: who shares a failure domain's keys, and which member owns
+//! which key.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::core::id::Instance;
+
+/// The members that share a failure domain's keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Map {
+    /// Offset of the record that installed it.
+    pub epoch: u64,
+    /// Epoch of the map that it replaced, if any.
+    pub base: Option<u64>,
+    /// The members.
+    pub members: BTreeSet<Instance>,
+}
+
+impl Map {
+    /// The member that owns `key`.
+    #[must_use]
+    pub fn owner(&self, key: &str) -> Option<&Instance> {
+        self.ranked(key).map(|(owner, _)| owner)
+    }
+
+    /// The member that keeps a copy of the owner's claim on `key`; `None`
+    /// where the map has fewer than two members.
+    #[must_use]
+    pub fn deputy(&self, key: &str) -> Option<&Instance> {
+        self.ranked(key).and_then(|(_, deputy)| deputy)
+    }
+
+    fn ranked(&self, key: &str) -> Option<(&Instance, Option<&Instance>)> {
+        let key_hash = xxh3_64_with_seed(key.as_bytes(), 0);
+        let mut best: Option<(u64, &Instance)> = None;
+        let mut second: Option<(u64, &Instance)> = None;
+        for member in &self.members {
+            let seed = key_hash ^ member.incarnation;
+            let score = xxh3_64_with_seed(member.name.as_bytes(), seed);
+            if best.is_none_or(|(top, _)| score > top) {
+                second = best;
+                best = Some((score, member));
+            } else if second.is_none_or(|(top, _)| score > top) {
+                second = Some((score, member));
+            }
+        }
+        best.map(|(_, owner)| (owner, second.map(|(_, deputy)| deputy)))
+    }
+
+    /// True if one of `heirs` knows every claim on `key` made in this map.
+    pub(super) fn covers(&self, key: &str, heirs: &BTreeSet<Instance>) -> bool {
+        self.ranked(key).is_some_and(|(owner, deputy)| {
+            heirs.contains(owner) || deputy.is_some_and(|deputy| heirs.contains(deputy))
+        })
+    }
+}
+
+/// A proposed map, as a record on the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// The failure domain whose keys the map shares out.
+    pub domain: String,
+    /// Epoch of the map that it replaces; `None` for the first.
+    pub base: Option<u64>,
+    /// The proposed members.
+    pub members: BTreeSet<Instance>,
+}
+
+/// The maps of all failure domains, folded from the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Maps(pub BTreeMap<String, Map>);
+
+impl Maps {
+    /// Folds the proposal at `offset` and returns true if it was accepted.
+    ///
+    /// The first proposal on a base wins; the others are rejected, and so is
+    /// an empty one.
+    pub fn apply(&mut self, offset: u64, proposal: &Proposal) -> bool {
+        let current = self.0.get(&proposal.domain);
+        let current_epoch = current.map(|map| map.epoch);
+        if proposal.members.is_empty() || proposal.base != current_epoch {
+            return false;
+        }
+        let map = Map { epoch: offset, base: proposal.base, members: proposal.members.clone() };
+        self.0.insert(proposal.domain.clone(), map);
+        true
+    }
+}
--- a/crates/hollywell/src/core/owner.rs
+++ b/crates/hollywell/src/core/owner/mod.rs
@@ -21,17 +21,22 @@
 //! must have run out. For an earlier map of
 //! which no member stays it waits until `log_away_ms` after it read that the
 //! map was replaced. Keys of which nobody left knows anything
-//! are answered "unknown" for the callers' retry horizon ([`Blind`]).
+//! are answered "unknown" for the callers' retry horizon ([`BlindCopy`]).
 //!
 //! What it leaves out: the claims themselves ([`crate::core::claim`]), and
 //! when to propose a new map (the reducer does, from membership).
 
+mod handoff;
+mod map;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::core::{claim::Copy, id::Instance, time::Time};
+use handoff::{Blind, Replaced};
+pub use handoff::{BlindCopy, Handoff, ReplacedCopy};
+pub use map::{Map, Maps, Proposal};
 
 /// How many replaced maps are remembered.
 const HISTORY_LIMIT: usize = 64;
@@ -57,158 +62,6 @@
     }
 }
 
-/// The members that share a failure domain's keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Map {
-    /// Offset of the record that installed it.
-    pub epoch: u64,
-    /// Epoch of the map that it replaced, if any.
-    pub base: Option<u64>,
-    /// The members.
-    pub members: BTreeSet<Instance>,
-}
-
-impl Map {
-    /// The member that owns `key`.
-    #[must_use]
-    pub fn owner(&self, key: &str) -> Option<&Instance> {
-        self.ranked(key).map(|(owner, _)| owner)
-    }
-
-    /// The member that keeps a copy of the owner's claim on `key`; `None`
-    /// where the map has fewer than two members.
-    #[must_use]
-    pub fn deputy(&self, key: &str) -> Option<&Instance> {
-        self.ranked(key).and_then(|(_, deputy)| deputy)
-    }
-
-    fn ranked(&self, key: &str) -> Option<(&Instance, Option<&Instance>)> {
-        let key_hash = xxh3_64_with_seed(key.as_bytes(), 0);
-        let mut best: Option<(u64, &Instance)> = None;
-        let mut second: Option<(u64, &Instance)> = None;
-        for member in &self.members {
-            let seed = key_hash ^ member.incarnation;
-            let score = xxh3_64_with_seed(member.name.as_bytes(), seed);
-            if best.is_none_or(|(top, _)| score > top) {
-                second = best;
-                best = Some((score, member));
-            } else if second.is_none_or(|(top, _)| score > top) {
-                second = Some((score, member));
-            }
-        }
-        best.map(|(_, owner)| (owner, second.map(|(_, deputy)| deputy)))
-    }
-
-    fn covers(&self, key: &str, heirs: &BTreeSet<Instance>) -> bool {
-        self.ranked(key).is_some_and(|(owner, deputy)| {
-            heirs.contains(owner) || deputy.is_some_and(|deputy| heirs.contains(deputy))
-        })
-    }
-}
-
-/// A proposed map, as a record on the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Proposal {
-    /// The failure domain whose keys the map shares out.
-    pub domain: String,
-    /// Epoch of the map that it replaces; `None` for the first.
-    pub base: Option<u64>,
-    /// The proposed members.
-    pub members: BTreeSet<Instance>,
-}
-
-/// The maps of all failure domains, folded from the log.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Maps(pub BTreeMap<String, Map>);
-
-impl Maps {
-    /// Folds the proposal at `offset` and returns true if it was accepted.
-    ///
-    /// The first proposal on a base wins; the others are rejected, and so is
-    /// an empty one.
-    pub fn apply(&mut self, offset: u64, proposal: &Proposal) -> bool {
-        let current = self.0.get(&proposal.domain);
-        let current_epoch = current.map(|map| map.epoch);
-        if proposal.members.is_empty() || proposal.base != current_epoch {
-            return false;
-        }
-        let map = Map { epoch: offset, base: proposal.base, members: proposal.members.clone() };
-        self.0.insert(proposal.domain.clone(), map);
-        true
-    }
-}
-
-/// What a member tells the others when it has read a newer map.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Handoff {
-    /// The epoch that it hands over to.
-    pub epoch: u64,
-    /// The last epoch in which it was active, if any.
-    pub last_active: Option<u64>,
-    /// Replaced maps that it remembers, oldest first.
-    pub history: Vec<ReplacedCopy>,
-    /// Keys that may have run.
-    pub copies: Vec<Copy>,
-    /// Keys of which it knows that nobody knows.
-    pub blind: Vec<BlindCopy>,
-}
-
-/// A map that was replaced.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Replaced {
-    map: Map,
-    /// When it was read here, or heard, that it was replaced.
-    at: Time,
-}
-
-/// A replaced map, as handed from one instance to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplacedCopy {
-    /// The map.
-    pub map: Map,
-    /// Milliseconds since the sender read that it was replaced.
-    pub ago_ms: u64,
-}
-
-/// Keys whose claims were lost with their owner and deputy.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Blind {
-    /// The map in which the claims may have been made.
-    pub map: Map,
-    /// The members that handed over.
-    pub heirs: BTreeSet<Instance>,
-    /// When no caller sends those keys any longer.
-    pub until: Time,
-}
-
-impl Replaced {
-    fn copy(&self, now: Time) -> ReplacedCopy {
-        ReplacedCopy { map: self.map.clone(), ago_ms: now.since(self.at) }
-    }
-}
-
-impl Blind {
-    fn copy(&self, now: Time) -> BlindCopy {
-        BlindCopy {
-            map: self.map.clone(),
-            heirs: self.heirs.clone(),
-            left_ms: self.until.since(now),
-        }
-    }
-}
-
-/// [`Blind`] as handed from one instance to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BlindCopy {
-    /// The map in which the claims may have been made.
-    pub map: Map,
-    /// The members that handed over.
-    pub heirs: BTreeSet<Instance>,
-    /// Milliseconds until no caller sends those keys any longer.
-    pub left_ms: u64,
-}
-
 /// One instance's place in its own failure domain's ownership.
 #[derive(Clone, Debug)]
 pub struct State {
--- a/crates/hollywell/tests/interleavings/world.rs
+++ b/crates/hollywell/tests/interleavings/world/mod.rs
@@ -1,19 +1,22 @@
 //! The modelled world: a queue of happenings ordered by time, into which
 //! faults are drawn.
 
+mod calls;
+mod rollouts;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use arbtest::arbitrary::{Result, Unstructured};
 use hollywell::{
     core::{
-        event::{Forward, ForwardResult},
-        member::{Kind as MemberKind, Listed, Load},
-        rollout::{self, Slot},
+        effect::Order,
+        event::Forward,
+        member::{Kind as MemberKind, Listed},
+        rollout::Slot,
         stream::Record,
-        table::{Edit, Outcome, Row},
     },
-    error::{Kind, Outcome as Ran},
-    prelude::{Call, Dispatch, Effect, Event, Reply, Request, Time},
+    error::Outcome as Ran,
+    prelude::{Dispatch, Effect, Event, Reply, Request, Time},
 };
 
 use crate::{
@@ -128,14 +131,14 @@
     CheckOrder {
         node: usize,
         run: u64,
-        order: hollywell::core::effect::Order,
+        order: Order,
         engine: usize,
         before: Time,
     },
     Order {
         node: usize,
         run: u64,
-        order: hollywell::core::effect::Order,
+        order: Order,
         engine: usize,
     },
     Exited {
@@ -698,311 +701,6 @@
         Ok(())
     }
 
-    // Calls.
-
-    fn send(&mut self, key: usize, u: &mut Unstructured<'_>) -> Result<()> {
-        let count = self.sends.iter().filter(|sent| sent.key == key).count();
-        let node = u.int_in_range(0..=self.nodes.len() - 1)?;
-        if count >= MOST_SENDS || !self.nodes[node].is_open() {
-            return Ok(());
-        }
-        let send = self.sends.len();
-        self.sends.push(Sent { key, at: self.now, decided: 0, told: None });
-        let arrived = self.nodes[node].arrival(self.now);
-        let request = self.nodes[node].new_request(Waiter::Send(send));
-        let call = Call {
-            pool: String::from("app"),
-            idempotent: false,
-            key: Some(format!("k{key}")),
-            home: None,
-            digest: 1,
-            timeout_ms: 1_500,
-        };
-        self.note(|| format!("send k{key} (send {send}) to n{node}"));
-        let run = self.nodes[node].run;
-        let event = Event::Call { request, arrived, call };
-        self.after(0, Happening::Event { node, run, event });
-        if self.chance(u, 3)? {
-            self.after(RESEND_MS + 50, Happening::Send { key });
-        }
-        Ok(())
-    }
-
-    fn reply(
-        &mut self,
-        node: usize,
-        request: Request,
-        reply: &Reply,
-        reading: Option<hollywell::core::member::Reading>,
-        delay: u64,
-    ) {
-        let Some(waiter) = self.nodes[node].waiters.remove(&request) else {
-            return;
-        };
-        match waiter {
-            Waiter::Send(send) => {
-                if self.sends[send].decided == 0 {
-                    self.sends[send].decided = self.now;
-                }
-                let reply = reply.clone();
-                self.after(delay, Happening::Told { send, reply });
-            }
-            Waiter::Forward { node: origin, run, request, .. } => {
-                let refused = match reply {
-                    Reply::Refused(kind) => Some(*kind),
-                    _ => None,
-                };
-                let lost = self.is_cut(node, origin);
-                let waits = self.nodes[origin].waiters.get(&request);
-                if let (Some(Waiter::Send(send)), true) = (waits, self.runs_on(origin, run)) {
-                    self.sends[*send].decided = self.now;
-                }
-                let result = (!lost).then_some(ForwardResult { refused, reading });
-                let event = Event::ForwardEnded { request, result };
-                self.after(delay, Happening::Event { node: origin, run, event });
-            }
-            Waiter::Operator { trainer, base } => {
-                if let Reply::Edited(Outcome::Accepted { revision }) = reply {
-                    self.checks.accepted(self.now, trainer, base, *revision);
-                }
-            }
-            Waiter::Trainer => {}
-        }
-    }
-
-    fn told(&mut self, send: usize, reply: &Reply, u: &mut Unstructured<'_>) -> Result<()> {
-        let outcome = match reply {
-            Reply::Refused(kind) => Some(kind.answer().outcome),
-            _ => None,
-        };
-        let key = self.sends[send].key;
-        self.sends[send].told = Some((self.now, outcome));
-        self.note(|| format!("told k{key} (send {send}) {reply:?}"));
-        let decided = self.sends[send].decided;
-        self.checks.told(self.now, key, decided, reply);
-        let refused = matches!(reply, Reply::Refused(kind) if *kind != Kind::KeyMismatch);
-        if refused && self.chance(u, 2)? {
-            self.after(RESEND_MS, Happening::Send { key });
-        }
-        Ok(())
-    }
-
-    fn forward(
-        &mut self,
-        node: usize,
-        run: u64,
-        request: Request,
-        to: &str,
-        forward: Forward,
-        u: &mut Unstructured<'_>,
-    ) -> Result<()> {
-        let delay = self.delay(u)?;
-        let place = self.place_of(to);
-        let reached = place.filter(|to| self.nodes[*to].alive && !self.is_cut(node, *to));
-        let lost = self.chance(u, 30)?;
-        let Some(to) = reached.filter(|_| !lost) else {
-            let event = Event::ForwardEnded { request, result: None };
-            self.after(delay, Happening::Event { node, run, event });
-            return Ok(());
-        };
-        let key = forward.call.key.clone().unwrap_or_default();
-        let waiter = Waiter::Forward { node, run, request, key };
-        let number = self.nodes[to].new_request(waiter);
-        let to_run = self.nodes[to].run;
-        let event = Event::Forwarded { request: number, forward };
-        self.after(delay, Happening::Event { node: to, run: to_run, event });
-        Ok(())
-    }
-
-    fn check_and_send(
-        &mut self,
-        node: usize,
-        run: u64,
-        request: Request,
-        dispatch: Dispatch,
-        before: Time,
-        u: &mut Unstructured<'_>,
-    ) -> Result<()> {
-        let key = self.key_of(node, request);
-        if self.nodes[node].clock(self.now) >= before {
-            let event = Event::TargetEnded {
-                dispatch,
-                end: hollywell::core::event::End::NotSent,
-                leaving: false,
-            };
-            self.after(1, Happening::Event { node, run, event });
-            return Ok(());
-        }
-        // Between the check and the target anything may take long: a pause
-        // of the process, a full socket, the network.
-        let delay = self.delay(u)?;
-        if let Some(key) = key {
-            self.after(delay, Happening::Arrive { node, run, dispatch, key });
-        }
-        Ok(())
-    }
-
-    fn key_of(&self, node: usize, request: Request) -> Option<String> {
-        let waiter = self.nodes[node].waiters.get(&request)?;
-        match waiter {
-            Waiter::Send(send) => Some(format!("k{}", self.sends[*send].key)),
-            Waiter::Forward { key, .. } => Some(key.clone()),
-            Waiter::Operator { .. } | Waiter::Trainer => None,
-        }
-    }
-
-    fn arrive(
-        &mut self,
-        node: usize,
-        run: u64,
-        dispatch: Dispatch,
-        key: &str,
-        u: &mut Unstructured<'_>,
-    ) -> Result<()> {
-        use hollywell::core::event::End;
-        let end = if self.chance(u, 10)? {
-            End::NotRun
-        } else if self.chance(u, 10)? {
-            End::NotSent
-        } else {
-            let key_name = |sent: &&Sent| format!("k{}", sent.key) == key;
-            let sends: Vec<Sent> = self.sends.iter().filter(key_name).cloned().collect();
-            self.note(|| format!("RUN {key} by n{node}"));
-            self.checks.ran(self.now, key, &sends);
-            if self.chance(u, 10)? { End::Broken } else { End::Answered }
-        };
-        let delay = self.delay(u)?;
-        let event = Event::TargetEnded { dispatch, end, leaving: false };
-        self.after(delay, Happening::Event { node, run, event });
-        Ok(())
-    }
-
-    // The table.
-
-    fn edit_row(&mut self, trainer: u64, u: &mut Unstructured<'_>) -> Result<()> {
-        let node = u.int_in_range(0..=self.nodes.len() - 1)?;
-        if !self.nodes[node].is_open() {
-            if self.trainer.needs_row() {
-                self.after(100, Happening::EditRow { trainer });
-            }
-            return Ok(());
-        }
-        self.edits += 1;
-        let name = format!("t{trainer}");
-        let row = Row {
-            trainer: name.clone(),
-            weight: 1,
-            staleness: u.int_in_range(0..=2)?,
-            priority: 0,
-            in_flight: 3,
-        };
-        let edit = Edit {
-            id: format!("e{}", self.edits),
-            by: format!("o{node}"),
-            base: self.nodes[node].state.agreed().table.base_of(&name),
-            trainer: name,
-            row: Some(row),
-        };
-        let waiter = Waiter::Operator { trainer: edit.trainer.clone(), base: edit.base };
-        let request = self.nodes[node].new_request(waiter);
-        let run = self.nodes[node].run;
-        self.trainer.row_edited();
-        self.after(1, Happening::Event { node, run, event: Event::Edit { request, edit } });
-        Ok(())
-    }
-
-    // Rollouts.
-
-    fn report_load(&mut self, node: usize, u: &mut Unstructured<'_>) -> Result<()> {
-        for place in 0..self.engines.len() {
-            let engine = &self.engines[place];
-            let load = Load {
-                slots: 4,
-                versions: [(String::from("t0"), engine.version)].into(),
-                ..Load::default()
-            };
-            let run = self.nodes[node].run;
-            let delay = self.delay(u)?;
-            let version = self.trainer.newest();
-            let newest = Event::Version { trainer: String::from("t0"), version };
-            self.after(delay, Happening::Event { node, run, event: newest });
-            let event = Event::Loaded { target: format!("e{place}"), load: Some(load) };
-            self.after(delay, Happening::Event { node, run, event });
-        }
-        Ok(())
-    }
-
-    fn open_step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        let node = u.int_in_range(0..=self.nodes.len() - 1)?;
-        if self.trainer.is_open() {
-            return Ok(());
-        }
-        if !self.nodes[node].is_open() {
-            self.after(100, Happening::OpenStep);
-            return Ok(());
-        }
-        let run = self.nodes[node].run;
-        let request = self.nodes[node].new_request(Waiter::Trainer);
-        let opening = self.trainer.open(node, run, request, 6_000);
-        self.after(
-            1,
-            Happening::Event { node, run, event: Event::StepOpened { request, opening } },
-        );
-        Ok(())
-    }
-
-    fn generated(
-        &mut self,
-        node: usize,
-        run: u64,
-        dispatch: Dispatch,
-        engine: usize,
-        began: u64,
-        u: &mut Unstructured<'_>,
-    ) -> Result<()> {
-        let versions = versions_between(&self.engines[engine], began, self.now);
-        let end = if self.chance(u, 12)? {
-            rollout::End::Broken
-        } else if self.chance(u, 20)? {
-            rollout::End::Whole(vec![])
-        } else {
-            self.trainer.produced(dispatch, (node, run), versions.clone());
-            rollout::End::Whole(versions)
-        };
-        let delay = self.delay(u)?;
-        let event = Event::SampleEnded { dispatch, end };
-        if self.chance(u, 15)? {
-            let event = event.clone();
-            self.after(delay + 40, Happening::Event { node, run, event });
-        }
-        self.after(delay, Happening::Event { node, run, event });
-        Ok(())
-    }
-
-    fn order(
-        &mut self,
-        node: usize,
-        run: u64,
-        order: &hollywell::core::effect::Order,
-        place: usize,
-        u: &mut Unstructured<'_>,
-    ) -> Result<()> {
-        let fails = self.chance(u, 6)?;
-        let now = self.now;
-        let engine = &mut self.engines[place];
-        let fenced = engine.enforces && order.fence < engine.fence;
-        engine.fence = engine.fence.max(order.fence);
-        let taken = !fails && !fenced;
-        if taken && engine.version != order.version {
-            engine.version = order.version;
-            engine.served.push((now, order.version));
-        }
-        self.checks.order(now, place, order, fenced);
-        let event = Event::OrderEnded { target: format!("e{place}"), taken };
-        self.after(5, Happening::Event { node, run, event });
-        Ok(())
-    }
-
     // Checks.
 
     fn check_agreed(&mut self, node: usize) {
@@ -1067,12 +765,3 @@
         assert!(self.is_sound(), "{:#?}", self.checks.violations);
     }
 }
-
-/// The versions that an engine served from `began` to `ended`, in order.
-fn versions_between(engine: &Engine, began: u64, ended: u64) -> Vec<u64> {
-    let before = engine.served.iter().rev().find(|(at, _)| *at <= began);
-    let mut versions = vec![before.map_or(0, |(_, version)| *version)];
-    let during = engine.served.iter().filter(|(at, _)| *at > began && *at <= ended);
-    versions.extend(during.map(|(_, version)| *version));
-    versions
-}
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -24,7 +24,7 @@
 const SAMPLES: &str = "interleavings samples_come";
 const CASES: &str = "reducer";
 
-const OWNER: &str = "crates/hollywell/src/core/owner.rs";
+const OWNER: &str = "crates/hollywell/src/core/owner/mod.rs";
 const CLAIM: &str = "crates/hollywell/src/core/claim.rs";
 const STREAM: &str = "crates/hollywell/src/core/stream.rs";
 const ROLLOUT: &str = "crates/hollywell/src/core/rollout.rs";
