The bytes that an instance holds are bounded

Cause: read as a newcomer: a call whose caller went away was never replied to, so its body stayed for good; so did what came of an attempt that was cancelled at the same moment; and answers kept for keys had no bound but their age.

Change: a call goes on to its end whoever waits; what an unknown attempt brought is forgotten; kept answers are bounded in bytes, the oldest make room.

--- a/crates/hollywell/src/core/reducer/calls.rs
+++ b/crates/hollywell/src/core/reducer/calls.rs
@@ -117,6 +117,7 @@
     /// Notes the end of an attempt and hands it to whoever it was for.
     pub(super) fn on_target_ended(&mut self, dispatch: Dispatch, end: End, leaving: bool) {
         let Some(flight) = self.flights.remove(&dispatch) else {
+            self.emit(Effect::Forget { dispatch });
             return;
         };
         self.note_target(&flight, end, leaving);
@@ -172,11 +173,9 @@
         }
     }
 
-    /// Notes that a caller has gone: nobody waits for the answer any longer,
-    /// but what was dispatched goes on and is not sent again.
+    /// Notes that a caller has gone. A call goes on to its end, which drops
+    /// its bytes; a step is of no use to anyone else.
     pub(super) fn on_caller_gone(&mut self, request: Request) {
-        self.pending.remove(&request);
-        self.edits.retain(|edit| edit.request != request);
         self.abandon_step(request);
     }
 }
--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -205,6 +205,7 @@
 
     pub(super) fn on_sample_ended(&mut self, dispatch: Dispatch, end: &End) {
         let Some(flight) = self.flights.remove(&dispatch) else {
+            self.emit(Effect::Forget { dispatch });
             return;
         };
         if let Some(engine) = self.members.targets.get_mut(&flight.target) {
--- a/crates/hollywell/src/serve.rs
+++ b/crates/hollywell/src/serve.rs
@@ -46,9 +46,8 @@
         clock,
     })?;
     let platform = settings.platform.clone();
-    let most_bytes = settings.limits.body_bytes;
     let executor =
-        Executor::new(control.clone(), clock, platform.clone(), most_bytes, metrics.clone());
+        Executor::new(control.clone(), clock, platform.clone(), &settings.limits, metrics.clone());
     let registry = executor.registry.clone();
     let (stop, stopping) = watch::channel(false);
     log::info!(
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -45,6 +45,8 @@
     pub queue: usize,
     /// Largest body of a request or an answer, in bytes.
     pub body_bytes: usize,
+    /// Targets' answers kept for keys that are sent again, in bytes.
+    pub answer_bytes: usize,
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
     /// How long a caller may take to send a request's head or body, in
@@ -245,6 +247,7 @@
     Limits {
         queue: reader.size(section, "queue", 4_096, 16..=1_000_000),
         body_bytes: reader.size(section, "body_bytes", 4 << 20, 1_024..=1 << 30),
+        answer_bytes: reader.size(section, "answer_bytes", 32 << 20, 1_024..=1 << 34),
         header_bytes: reader.size(section, "header_bytes", 32 << 10, 8_192..=1 << 20),
         receive_ms: reader.number(section, "receive_ms", 10_000, 10..=600_000),
         timeout_ms: reader.number(section, "timeout_ms", 10_000, 10..=MOST_MS),
--- a/crates/hollywell/src/traffic/executor.rs
+++ b/crates/hollywell/src/traffic/executor.rs
@@ -25,7 +25,7 @@
     http::Client,
     metrics::Metrics,
     peer, platform, service,
-    settings::Platform,
+    settings::{Limits, Platform},
 };
 
 /// Appends under way at once; the log serves all instances.
@@ -61,17 +61,17 @@
         control: Handle,
         clock: Clock,
         platform: Platform,
-        most_bytes: usize,
+        limits: &Limits,
         metrics: Metrics,
     ) -> Executor {
         Executor {
             control,
             clock,
-            registry: Registry::default(),
+            registry: Registry::new(limits.answer_bytes),
             peers: peer::Client::new(),
             http: Client::new(),
             platform,
-            most_bytes,
+            most_bytes: limits.body_bytes,
             metrics,
             appends: Arc::new(Semaphore::new(MOST_APPENDS)),
             exit: Arc::new(Notify::new()),
--- a/crates/hollywell/src/traffic/registry.rs
+++ b/crates/hollywell/src/traffic/registry.rs
@@ -2,7 +2,7 @@
 //! answers and samples under the dispatch that produced them.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -93,19 +93,41 @@
     requests: HashMap<Request, (Arc<Sent>, oneshot::Sender<Replied>)>,
     relayed: HashMap<Request, Answer>,
     answers: HashMap<Dispatch, Answer>,
+    /// The answers' dispatches in the order in which they came, those that
+    /// were forgotten among them.
+    order: VecDeque<Dispatch>,
+    answer_bytes: usize,
     steps: HashMap<Request, OpenStep>,
     samples: HashMap<Dispatch, String>,
     running: HashMap<Dispatch, Arc<Notify>>,
 }
 
+impl Held {
+    fn drop_answer(&mut self, dispatch: Dispatch) {
+        if let Some(answer) = self.answers.remove(&dispatch) {
+            self.answer_bytes -= answer.body.len();
+        }
+    }
+}
+
 /// The bytes that one instance holds. Clones share them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Registry {
     held: Arc<Mutex<Held>>,
     last_request: Arc<AtomicU64>,
+    most_answer_bytes: usize,
 }
 
 impl Registry {
+    /// A registry that keeps targets' answers of at most so many bytes in
+    /// all. The oldest make room; a key whose answer is gone is answered
+    /// "unknown" when it is sent again.
+    #[must_use]
+    pub fn new(most_answer_bytes: usize) -> Registry {
+        let (held, last_request) = Default::default();
+        Registry { held, last_request, most_answer_bytes }
+    }
+
     fn held(&self) -> MutexGuard<'_, Held> {
         // Every critical section is a single map operation, so a panic in
         // another thread cannot have left the maps half changed.
@@ -160,7 +182,15 @@
 
     /// Keeps a target's answer until it is forgotten.
     pub fn keep_answer(&self, dispatch: Dispatch, answer: Answer) {
-        self.held().answers.insert(dispatch, answer);
+        let mut held = self.held();
+        held.answer_bytes += answer.body.len();
+        held.answers.insert(dispatch, answer);
+        held.order.push_back(dispatch);
+        while held.answer_bytes > self.most_answer_bytes && held.order.len() > 1 {
+            if let Some(oldest) = held.order.pop_front() {
+                held.drop_answer(oldest);
+            }
+        }
     }
 
     /// A target's answer.
@@ -172,8 +202,11 @@
     /// Drops what a dispatch produced.
     pub fn forget(&self, dispatch: Dispatch) {
         let mut held = self.held();
-        held.answers.remove(&dispatch);
+        held.drop_answer(dispatch);
         held.samples.remove(&dispatch);
+        while held.order.front().is_some_and(|oldest| !held.answers.contains_key(oldest)) {
+            held.order.pop_front();
+        }
     }
 
     /// Holds an open step.
--- a/crates/hollywell/tests/reducer/calls.rs
+++ b/crates/hollywell/tests/reducer/calls.rs
@@ -1,5 +1,6 @@
 //! Calls without a key, leaving targets, overload and stopping.
 
+use hollywell::core::rollout::End as SampleEnd;
 use hollywell::{
     core::{event::End, member::Kind as MemberKind},
     error::Outcome,
@@ -130,3 +131,24 @@
     assert!(matches!(effects[0], Effect::Reply { reply: Reply::Stored(_), .. }));
     assert!(ticks(&mut state, 5_010));
 }
+
+#[test]
+fn a_call_whose_caller_has_gone_is_still_ended_so_that_its_bytes_are_dropped() {
+    let mut state = state_with(vec![service("s1")]);
+    let first = dispatched(&arrive(&mut state, Time(1_001), 1, call(false)));
+    state.step(Time(1_002), &Event::CallerGone { request: Request(1) });
+    let effects = end(&mut state, Time(1_003), first[0].0, End::Answered, false);
+    let replied = |effect: &&Effect| matches!(effect, Effect::Reply { .. });
+    assert_eq!(effects.iter().filter(replied).count(), 1);
+}
+
+#[test]
+fn what_comes_of_an_attempt_that_is_not_known_any_longer_is_forgotten() {
+    let mut state = state_with(vec![service("s1")]);
+    let dispatch = Dispatch(77);
+    let effects = end(&mut state, Time(1_001), dispatch, End::Answered, false);
+    assert_eq!(effects, [Effect::Forget { dispatch }]);
+    let whole = SampleEnd::Whole(vec![1]);
+    let effects = state.step(Time(1_002), &Event::SampleEnded { dispatch, end: whole });
+    assert_eq!(effects, [Effect::Forget { dispatch }]);
+}
--- a/crates/hollywell/tests/server.rs
+++ b/crates/hollywell/tests/server.rs
@@ -45,12 +45,13 @@
     let limits = Limits {
         queue: 64,
         body_bytes: 2_000,
+        answer_bytes: 100_000,
         header_bytes: 8_192,
         receive_ms: 300,
         timeout_ms: 2_000,
         most_timeout_ms: 5_000,
     };
-    let executor = Executor::new(control.clone(), clock, platform, 2_000, metrics.clone());
+    let executor = Executor::new(control.clone(), clock, platform, &limits, metrics.clone());
     let registry = executor.registry.clone();
     tokio::spawn(executor.run(effects));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
