--- a/crates/hollywell/src/peer/generated.rs
+++ b/crates/hollywell/src/peer/generated.rs
@@ -54,10 +54,10 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value
+        clippy::let_unit_value,
     )]
-    use tonic::codegen::http::Uri;
     use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
     #[derive(Debug, Clone)]
     pub struct PeerClient<T> {
         inner: tonic::client::Grpc<T>,
@@ -77,18 +77,22 @@
             let inner = tonic::client::Grpc::with_origin(inner, origin);
             Self { inner }
         }
-        pub fn with_interceptor<F>(inner: T, interceptor: F) -> PeerClient<InterceptedService<T, F>>
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> PeerClient<InterceptedService<T, F>>
         where
             F: tonic::service::Interceptor,
             T::ResponseBody: Default,
             T: tonic::codegen::Service<
-                    http::Request<tonic::body::Body>,
-                    Response = http::Response<
-                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
-                    >,
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
                 >,
-            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
-                Into<StdError> + std::marker::Send + std::marker::Sync,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
         {
             PeerClient::new(InterceptedService::new(inner, interceptor))
         }
@@ -128,13 +132,21 @@
             &mut self,
             request: impl tonic::IntoRequest<super::Packet>,
         ) -> std::result::Result<tonic::Response<super::Ack>, tonic::Status> {
-            self.inner.ready().await.map_err(|e| {
-                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
-            })?;
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static("/hollywell.peer.Peer/Exchange");
+            let path = http::uri::PathAndQuery::from_static(
+                "/hollywell.peer.Peer/Exchange",
+            );
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("hollywell.peer.Peer", "Exchange"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hollywell.peer.Peer", "Exchange"));
             self.inner.unary(req, path, codec).await
         }
         /// Carries a call to the owner of its idempotency key.
@@ -142,13 +154,21 @@
             &mut self,
             request: impl tonic::IntoRequest<super::ForwardRequest>,
         ) -> std::result::Result<tonic::Response<super::ForwardReply>, tonic::Status> {
-            self.inner.ready().await.map_err(|e| {
-                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
-            })?;
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static("/hollywell.peer.Peer/Forward");
+            let path = http::uri::PathAndQuery::from_static(
+                "/hollywell.peer.Peer/Forward",
+            );
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("hollywell.peer.Peer", "Forward"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hollywell.peer.Peer", "Forward"));
             self.inner.unary(req, path, codec).await
         }
     }
@@ -160,7 +180,7 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value
+        clippy::let_unit_value,
     )]
     use tonic::codegen::*;
     /// Generated trait containing gRPC methods that should be implemented for use with PeerServer.
@@ -198,7 +218,10 @@
                 max_encoding_message_size: None,
             }
         }
-        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
         where
             F: tonic::service::Interceptor,
         {
@@ -253,12 +276,21 @@
                 "/hollywell.peer.Peer/Exchange" => {
                     #[allow(non_camel_case_types)]
                     struct ExchangeSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::Packet> for ExchangeSvc<T> {
+                    impl<T: Peer> tonic::server::UnaryService<super::Packet>
+                    for ExchangeSvc<T> {
                         type Response = super::Ack;
-                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
-                        fn call(&mut self, request: tonic::Request<super::Packet>) -> Self::Future {
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Packet>,
+                        ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move { <T as Peer>::exchange(&inner, request).await };
+                            let fut = async move {
+                                <T as Peer>::exchange(&inner, request).await
+                            };
                             Box::pin(fut)
                         }
                     }
@@ -287,15 +319,21 @@
                 "/hollywell.peer.Peer/Forward" => {
                     #[allow(non_camel_case_types)]
                     struct ForwardSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::ForwardRequest> for ForwardSvc<T> {
+                    impl<T: Peer> tonic::server::UnaryService<super::ForwardRequest>
+                    for ForwardSvc<T> {
                         type Response = super::ForwardReply;
-                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ForwardRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move { <T as Peer>::forward(&inner, request).await };
+                            let fut = async move {
+                                <T as Peer>::forward(&inner, request).await
+                            };
                             Box::pin(fut)
                         }
                     }
@@ -321,16 +359,25 @@
                     };
                     Box::pin(fut)
                 }
-                _ => Box::pin(async move {
-                    let mut response = http::Response::new(tonic::body::Body::default());
-                    let headers = response.headers_mut();
-                    headers.insert(
-                        tonic::Status::GRPC_STATUS,
-                        (tonic::Code::Unimplemented as i32).into(),
-                    );
-                    headers.insert(http::header::CONTENT_TYPE, tonic::metadata::GRPC_CONTENT_TYPE);
-                    Ok(response)
-                }),
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
             }
         }
     }
--- a/crates/hollywell/src/peer/mod.rs
+++ b/crates/hollywell/src/peer/mod.rs
@@ -22,6 +22,8 @@
     traffic::registry::{Answer, Sent},
 };
 
+// As the generator wrote it, so that CI can tell whether it is current.
+#[rustfmt::skip]
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 mod generated;
 pub mod server;
