--- a/crates/hollywell/tests/interleavings/checks.rs
+++ b/crates/hollywell/tests/interleavings/checks.rs
@@ -182,17 +182,18 @@
     }
 
     pub(crate) fn json(&self, shape: Shape, schedules: u64) -> String {
-        format!(
-            "{{\"proof\":\"{}\",\"schedules\":{schedules},\"violations\":{},\
-             \"faults\":{:?},\"told\":{:?},\"samples\":{},\"orders\":{},\"steps\":{}}}",
-            shape.test_name(),
-            self.violations,
-            self.faults,
-            self.told,
-            self.samples,
-            self.orders,
-            self.steps,
-        )
+        let faults = self.faults.iter().map(|(fault, count)| (format!("{fault:?}"), count));
+        let line = serde_json::json!({
+            "proof": shape.test_name(),
+            "schedules": schedules,
+            "violations": self.violations,
+            "faults": faults.collect::<BTreeMap<_, _>>(),
+            "told": self.told,
+            "samples": self.samples,
+            "orders": self.orders,
+            "steps": self.steps,
+        });
+        line.to_string()
     }
 
     /// A proof that reaches nothing proves nothing: the schedules must have
--- a/crates/hollywell/tests/reducer/calls.rs
+++ b/crates/hollywell/tests/reducer/calls.rs
@@ -1,8 +1,7 @@
 //! Calls without a key, leaving targets, overload and stopping.
 
-use hollywell::core::rollout::End as SampleEnd;
 use hollywell::{
-    core::{event::End, member::Kind as MemberKind},
+    core::{event::End, member::Kind as MemberKind, rollout::End as SampleEnd},
     error::Outcome,
     prelude::*,
 };
--- a/crates/hollywell/tests/reducer/help.rs
+++ b/crates/hollywell/tests/reducer/help.rs
@@ -74,13 +74,12 @@
 }
 
 pub(crate) fn edit(offset: u64, base: Option<u64>, staleness: u64) -> Event {
-    let edit = Edit {
-        id: format!("e{offset}"),
-        by: "o".into(),
-        trainer: "t".into(),
-        base,
-        row: Some(row(staleness)),
-    };
+    edit_to(offset, base, row(staleness))
+}
+
+pub(crate) fn edit_to(offset: u64, base: Option<u64>, row: Row) -> Event {
+    let (id, trainer) = (format!("e{offset}"), row.trainer.clone());
+    let edit = Edit { id, by: "o".into(), trainer, base, row: Some(row) };
     let records = vec![(offset, Record::Edit(edit))];
     Event::LogRead { sent: Time(1_000), first: 0, records, at_end: true }
 }
--- a/crates/hollywell/tests/reducer/samples.rs
+++ b/crates/hollywell/tests/reducer/samples.rs
@@ -4,6 +4,7 @@
     core::{
         member::{Kind as MemberKind, Load},
         rollout::{End as SampleEnd, Group, Opening},
+        table::Row,
     },
     prelude::*,
 };
@@ -175,3 +176,32 @@
     state.step(Time(1_205), &Event::Loaded { target: "e1".into(), load });
     assert_eq!(generated(&state.step(Time(9_000), &Event::Tick)), []);
 }
+
+#[test]
+fn no_more_than_the_budget_is_run_a_second_time() {
+    let engine = |name: &str| listed(name, MemberKind::Engine, "gen");
+    let mut state = state_with(vec![engine("e1"), engine("e2"), engine("e3")]);
+    state.step(Time(1_001), &edit_to(0, None, Row { in_flight: 100, ..row(1) }));
+    for name in ["e1", "e2", "e3"] {
+        let Event::Loaded { load, .. } = loaded(4) else { unreachable!("it is a report") };
+        state.step(Time(1_002), &Event::Loaded { target: name.into(), load });
+    }
+    let opening = Opening {
+        trainer: "t".into(),
+        step: 1,
+        attempt: 1,
+        version: 4,
+        groups: vec![Group { group: 0, missing: (0..10).collect() }],
+        timeout_ms: 60_000,
+    };
+    let opened = Event::StepOpened { request: Request(9), opening };
+    let running = generated(&state.step(Time(1_003), &opened));
+    assert_eq!(running.len(), 10);
+    for dispatch in &running[..7] {
+        let whole = SampleEnd::Whole(vec![4]);
+        state.step(Time(1_103), &Event::SampleEnded { dispatch: *dispatch, end: whole });
+    }
+    // Three samples straggle, and a tenth of ten is one.
+    let second = (0..20).flat_map(|n| generated(&state.step(Time(2_000 + n * 100), &Event::Tick)));
+    assert_eq!(second.count(), 1);
+}
