Weight fetches are paced by the generic cell rate algorithm

Change: the holder of each failure domain's lease spaces its orders to its part of the store's rate (setting rollouts.fetches_a_s), by GCRA as in A. Kumar, 'Building a Rate Limiter or RPM based Throttler for your API/worker' (2024), without its shared store.

--- a/crates/bench/src/bin/measure.rs
+++ b/crates/bench/src/bin/measure.rs
@@ -8,7 +8,7 @@
     figures::{Figures, Row},
     world,
 };
-use hollywell::core::route::Policy;
+use hollywell::core::{pace::Way, route::Policy};
 use plotters::prelude::*;
 
 /// Seeds, the same for every policy.
@@ -18,6 +18,8 @@
     vec![
         Named { name: "baseline", policy: Policy::baseline() },
         Named { name: "current", policy: Policy::default() },
+        Named { name: "bucket", policy: Policy { pace: Way::Bucket, ..Policy::default() } },
+        Named { name: "unpaced", policy: Policy { pace: Way::Unpaced, ..Policy::default() } },
     ]
 }
 
@@ -38,13 +40,13 @@
 fn print(rows: &[Row]) {
     println!(
         "| deployment | policy | idle | steps | late | step p50 | step p99 | behind | stale | \
-         live p50 | live p99 | refused | retries | cache | wasted |"
+         live p50 | live p99 | refused | retries | cache | wasted | served p99 | store refused |"
     );
-    println!("|{}", "---|".repeat(15));
+    println!("|{}", "---|".repeat(17));
     for row in rows {
         println!(
             "| {} | {} | {:.1}% | {} | {} | {} ms | {} ms | {:.2} | {:.1}% | {:.2}x | {:.2}x | \
-             {:.2}% | {:.2}% | {:.0}% | {:.1}% |",
+             {:.2}% | {:.2}% | {:.0}% | {:.1}% | {} ms | {} |",
             row.deployment,
             row.policy,
             row.idle_percent,
@@ -59,7 +61,9 @@
             row.refused_percent,
             row.retries_percent,
             row.hits_percent,
-            row.wasted_percent
+            row.wasted_percent,
+            row.served_p99_ms,
+            row.store_refused
         );
     }
 }
--- a/crates/bench/src/measure/figures.rs
+++ b/crates/bench/src/measure/figures.rs
@@ -24,6 +24,11 @@
     pub refused: u64,
     /// Live completions asked for.
     pub asked: u64,
+    /// Times from a version's publication to an engine's serving it, in
+    /// milliseconds.
+    pub served: Histogram<u64>,
+    /// Fetches that the store refused.
+    pub store_refused: u64,
     /// Tries beyond the first.
     pub retries: u64,
     /// Prompts found in caches, and looked up.
@@ -44,6 +49,8 @@
             behind: histogram(),
             stale: 0,
             live: histogram(),
+            served: histogram(),
+            store_refused: 0,
             refused: 0,
             asked: 0,
             retries: 0,
@@ -86,6 +93,11 @@
     pub hits_percent: f64,
     /// Slots' time spent for nothing, in percent.
     pub wasted_percent: f64,
+    /// 99th percentile of the time until an engine serves a new version, in
+    /// milliseconds.
+    pub served_p99_ms: u64,
+    /// Fetches that the store refused.
+    pub store_refused: u64,
 }
 
 fn percent(part: u64, whole: u64) -> f64 {
@@ -104,6 +116,7 @@
             (&mut self.steps, &other.steps),
             (&mut self.behind, &other.behind),
             (&mut self.live, &other.live),
+            (&mut self.served, &other.served),
         ] {
             own.add(others).expect("histograms without a bound grow");
         }
@@ -112,6 +125,7 @@
         self.refused += other.refused;
         self.asked += other.asked;
         self.retries += other.retries;
+        self.store_refused += other.store_refused;
         self.hits = (self.hits.0 + other.hits.0, self.hits.1 + other.hits.1);
         self.slots_ms = (self.slots_ms.0 + other.slots_ms.0, self.slots_ms.1 + other.slots_ms.1);
     }
@@ -139,6 +153,8 @@
             retries_percent: percent(self.retries, self.asked),
             hits_percent: percent(self.hits.0, self.hits.1),
             wasted_percent: percent(self.slots_ms.1, self.slots_ms.0),
+            served_p99_ms: self.served.value_at_quantile(0.99),
+            store_refused: self.store_refused,
         }
     }
 }
--- a/crates/bench/src/measure/world.rs
+++ b/crates/bench/src/measure/world.rs
@@ -131,6 +131,7 @@
             let me = Instance::new(&format!("i{n}"), 1);
             let mut config = Config::new(me, domains[n % domains.len()], &domains);
             config.policy = policy;
+            config.fetches_a_s = STORE_A_S;
             config.seed = seed * 100 + n as u64;
             world.instances.push(State::new(config));
             world.at(1, Happening::Event(n, Event::Listed(world.list())));
@@ -365,7 +366,12 @@
         let fails = known.failing_swaps > 0;
         known.failing_swaps = known.failing_swaps.saturating_sub(1);
         let taken = !over && !fails && !away;
+        self.figures.store_refused += u64::from(over && !away);
         if taken {
+            if version == self.trainers[trainer].version {
+                let took_ms = now - self.trainers[trainer].opened_at;
+                self.figures.served.record(took_ms).expect("an unbounded histogram");
+            }
             self.fetched.push(now);
             known.served[trainer].push((now, version));
         }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -15,6 +15,7 @@
 //! | [`lease`] | who may give orders to a failure domain's engines |
 //! | [`route`] | which target takes a request |
 //! | [`retry`] | whether a failed attempt may be tried again, and when |
+//! | [`pace`] | how fast weights are fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
 //!
 //! What it leaves out: bodies, sockets and threads, which are in
@@ -27,6 +28,7 @@
 pub mod lease;
 pub mod member;
 pub mod owner;
+pub mod pace;
 pub mod reducer;
 pub mod retry;
 pub mod rollout;
--- a/crates/hollywell/src/core/reducer/mod.rs
+++ b/crates/hollywell/src/core/reducer/mod.rs
@@ -19,6 +19,7 @@
         lease,
         member::{Members, Peer, Reading},
         owner,
+        pace::Pace,
         retry::Budget,
         rollout::{Slot, Steps},
         route::Policy,
@@ -78,6 +79,9 @@
     pub orders: usize,
     /// How long an operator's edit may take, in milliseconds.
     pub edit_ms: u64,
+    /// Weight fetches that the store allows in a second, from everyone.
+    #[serde(default = "usual_fetches")]
+    pub fetches_a_s: u64,
     /// How samples are placed; the usual way in traces from before it.
     #[serde(default)]
     pub policy: Policy,
@@ -109,12 +113,18 @@
             order_ms: 5_000,
             orders: 2,
             edit_ms: 5_000,
+            fetches_a_s: usual_fetches(),
             policy: Policy::default(),
             resign_ms: 4_000,
         }
     }
 }
 
+/// Weight fetches a second where the settings do not say.
+const fn usual_fetches() -> u64 {
+    20
+}
+
 /// A caller's request and how far it has come.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -218,6 +228,7 @@
     lease: lease::State,
     lease_from: Time,
     ordered: BTreeMap<String, orders::Ordered>,
+    pace: Pace,
     draining: Option<Time>,
     idle_ticks: u32,
     exited: bool,
@@ -255,6 +266,7 @@
             lease: lease::State::default(),
             lease_from: Time(0),
             ordered: BTreeMap::new(),
+            pace: Pace::new(config.policy.pace, orders::interval_ms(&config)),
             draining: None,
             idle_ticks: 0,
             exited: false,
--- a/crates/hollywell/src/core/reducer/orders.rs
+++ b/crates/hollywell/src/core/reducer/orders.rs
@@ -5,7 +5,7 @@
 //! they agree, so a lost answer, a failed swap or a second holder is put
 //! right by the next report.
 
-use super::State;
+use super::{Config, State};
 use crate::core::{
     effect::{Effect, Order},
     lease::{Claim, Step},
@@ -18,6 +18,13 @@
 /// milliseconds.
 const REPORT_LAG_MS: u64 = 2_000;
 
+/// Time between weight fetches that a holder may cause: the store's rate is
+/// shared by the holders of all failure domains, in milliseconds.
+pub(super) fn interval_ms(config: &Config) -> u64 {
+    let holders = config.domains.len().max(1) as u64;
+    1_000 * holders / config.fetches_a_s.max(1)
+}
+
 /// An order that was given to an engine.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ordered {
@@ -37,6 +44,9 @@
         }
         self.ordered.retain(|_, ordered| ordered.until > self.now);
         for (target, address, order) in self.due_orders() {
+            if !self.pace.admit(self.now) {
+                break;
+            }
             let until = self.now.after(self.config.order_ms);
             self.ordered.insert(target.clone(), Ordered { until, under_way: true });
             let before = Time(self.lease.held_until().0.saturating_sub(self.order_limit_ms()));
--- a/crates/hollywell/src/core/route.rs
+++ b/crates/hollywell/src/core/route.rs
@@ -9,6 +9,8 @@
 use rand::{Rng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
+use crate::core::pace::Way;
+
 /// How a target is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -35,6 +37,8 @@
     /// True if samples of one group go to one engine as long as it is hardly
     /// more loaded than the others.
     pub affinity: bool,
+    /// How weight fetches are held to the store's rate.
+    pub pace: Way,
 }
 
 impl Policy {
@@ -47,6 +51,7 @@
             fixed_samples: Some(4),
             hedge_percent: 0,
             affinity: false,
+            pace: Way::Unpaced,
         }
     }
 
@@ -72,6 +77,7 @@
             fixed_samples: None,
             hedge_percent: 10,
             affinity: true,
+            pace: Way::Gcra,
         }
     }
 }
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -222,6 +222,7 @@
     let reserve = reader.number(rollouts, "reserve_percent", reserve, 0..=100);
     config.reserve_percent = u32::try_from(reserve).unwrap_or(100);
     config.orders = reader.size(rollouts, "orders", config.orders, 1..=1_000);
+    config.fetches_a_s = reader.number(rollouts, "fetches_a_s", config.fetches_a_s, 1..=1_000_000);
     config.order_ms = reader.number(rollouts, "order_ms", config.order_ms, 100..=600_000);
     let snapshots = "snapshots";
     config.snapshot_records =
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -191,6 +191,13 @@
         replace: "now.0 < u64::MAX || now >= self.open_until",
         proof: "overload",
     },
+    Guard {
+        name: "weight fetches are spaced",
+        file: "crates/hollywell/src/core/pace.rs",
+        find: "const BURST: u64 = 1;",
+        replace: "const BURST: u64 = 2;",
+        proof: "pace",
+    },
     Guard {
         name: "budget of second runs",
         file: ROLLOUT,
