A step whose row is removed ends at once; choosing an engine in short steps

Change: the next tick ends such steps as unknown trainer. The choice is split into what is asked for, what suits and what has room.

--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -7,10 +7,11 @@
     core::{
         effect::{Counted, Effect},
         id::{Dispatch, Request},
-        member::{self, Target},
+        member::{self, Members, Target},
         rollout::{End, Opening, Slot, Step, Verdict},
         route::{self, Candidate},
         table,
+        time::Time,
     },
     error::Kind,
 };
@@ -159,42 +160,16 @@
         tried: &[String],
         near: Option<&str>,
     ) -> Option<String> {
-        let oldest = self.steps.oldest(row);
         let policy = self.config.policy;
-        let room = Room { reserve_percent: self.config.reserve_percent, share: self.share() };
-        let serves = |target: &&Target| {
-            let load = target.load.as_ref();
-            let version = load.and_then(|load| load.versions.get(&row.trainer));
-            let slots = load.map_or(0, |load| load.slots);
-            let queued = load.is_some_and(|load| load.running + load.waiting >= load.slots);
-            let has_room = match policy.fixed_samples {
-                Some(fixed) => target.samples < fixed,
-                None => target.samples < room.at(slots) && !(queued && target.samples > 0),
-            };
-            version.is_some_and(|version| *version >= oldest)
-                && !tried.contains(&target.listed.name)
-                && has_room
-                && target.is_usable(self.now)
+        let ask = Ask {
+            trainer: &row.trainer,
+            oldest: self.steps.oldest(row),
+            tried,
+            now: self.now,
+            room: Room { reserve_percent: self.config.reserve_percent, share: self.share() },
+            fixed: policy.fixed_samples,
         };
-        let slots: u32 =
-            self.members.targets.values().filter_map(|t| Some(t.load.as_ref()?.slots)).sum();
-        let samples: u32 = self.members.targets.values().map(|target| target.samples).sum();
-        if policy.fixed_samples.is_none() && samples >= room.in_all(slots) {
-            return None;
-        }
-        let candidates: Vec<Candidate<'_>> = self
-            .members
-            .targets
-            .values()
-            .filter(serves)
-            .map(|target| Candidate {
-                name: &target.listed.name,
-                load: load_of(target),
-                // Every engine may serve rollouts of every domain: keeping to
-                // the nearest would leave the others' share idle.
-                is_local: true,
-            })
-            .collect();
+        let candidates = ask.engines(&self.members);
         let near = near.filter(|_| policy.affinity);
         if let Some(near) = near.and_then(|near| route::within_bound(&candidates, near)) {
             return Some(near.to_owned());
@@ -227,6 +202,7 @@
         let table = &self.fold.state().table;
         let row = trainer.as_deref().and_then(|trainer| table.row(trainer));
         let Some(row) = row.cloned() else {
+            // The row was removed; the next tick ends the step.
             self.emit(Effect::Forget { dispatch });
             return;
         };
@@ -323,8 +299,8 @@
         self.emit(Effect::Forget { dispatch });
     }
 
-    /// Ends steps whose trainer has stopped waiting, and those that a
-    /// stopping instance hands over.
+    /// Ends steps whose trainer has stopped waiting or has no row any longer,
+    /// and those that a stopping instance hands over.
     pub(super) fn end_late_steps(&mut self) {
         let late: Vec<Request> = self
             .steps
@@ -336,6 +312,18 @@
         for request in late {
             self.end_step(request, Some(Kind::DeadlinePassed));
         }
+        let table = &self.fold.state().table;
+        let is_unknown = |step: &Step| table.row(&step.opening().trainer).is_none();
+        let unknown: Vec<Request> = self
+            .steps
+            .open
+            .iter()
+            .filter(|(_, step)| is_unknown(step))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in unknown {
+            self.end_step(request, Some(Kind::UnknownTrainer));
+        }
         if self.draining.is_some() {
             let open: Vec<Request> = self.steps.open.keys().copied().collect();
             for request in open {
@@ -345,6 +333,54 @@
     }
 }
 
+/// What an engine must have to be given a sample.
+struct Ask<'a> {
+    trainer: &'a str,
+    oldest: u64,
+    tried: &'a [String],
+    now: Time,
+    room: Room,
+    fixed: Option<u32>,
+}
+
+impl Ask<'_> {
+    /// The engines that may be given the sample; none if this instance has
+    /// its share of all of them in flight.
+    fn engines<'m>(&self, members: &'m Members) -> Vec<Candidate<'m>> {
+        let targets = || members.targets.values();
+        let slots: u32 = targets().filter_map(|target| Some(target.load.as_ref()?.slots)).sum();
+        let samples: u32 = targets().map(|target| target.samples).sum();
+        if self.fixed.is_none() && samples >= self.room.in_all(slots) {
+            return vec![];
+        }
+        let candidate = |target: &'m Target| Candidate {
+            name: &target.listed.name,
+            load: load_of(target),
+            // Every engine may serve rollouts of every domain: keeping to
+            // the nearest would leave the others' share idle.
+            is_local: true,
+        };
+        targets().filter(|target| self.suits(target)).map(candidate).collect()
+    }
+
+    fn suits(&self, target: &Target) -> bool {
+        let Some(load) = &target.load else {
+            return false;
+        };
+        let serves = load.versions.get(self.trainer).is_some_and(|v| *v >= self.oldest);
+        let is_new = !self.tried.contains(&target.listed.name);
+        serves && is_new && self.has_room(target, load) && target.is_usable(self.now)
+    }
+
+    fn has_room(&self, target: &Target, load: &member::Load) -> bool {
+        let is_full = load.running + load.waiting >= load.slots;
+        match self.fixed {
+            Some(fixed) => target.samples < fixed,
+            None => target.samples < self.room.at(load.slots) && !(is_full && target.samples > 0),
+        }
+    }
+}
+
 /// How much of the engines one instance may use for samples.
 struct Room {
     reserve_percent: u32,
--- a/crates/hollywell/tests/reducer/samples.rs
+++ b/crates/hollywell/tests/reducer/samples.rs
@@ -4,7 +4,8 @@
     core::{
         member::{Kind as MemberKind, Load},
         rollout::{End as SampleEnd, Group, Opening},
-        table::Row,
+        stream::Record,
+        table::{Edit, Row},
     },
     prelude::*,
 };
@@ -205,3 +206,19 @@
     let second = (0..20).flat_map(|n| generated(&state.step(Time(2_000 + n * 100), &Event::Tick)));
     assert_eq!(second.count(), 1);
 }
+
+#[test]
+fn a_step_whose_row_is_removed_ends_at_once() {
+    let mut state = rollout_state();
+    state.step(Time(1_003), &open_step(4));
+    let removal =
+        Edit { id: "x".into(), by: "o".into(), trainer: "t".into(), base: Some(0), row: None };
+    let records = vec![(1, Record::Edit(removal))];
+    state.step(Time(1_004), &Event::LogRead { sent: Time(1_004), first: 0, records, at_end: true });
+    let effects = state.step(Time(1_104), &Event::Tick);
+    let reason = Some(Kind::UnknownTrainer);
+    assert!(
+        effects.contains(&Effect::EndStep { request: Request(9), missing: 3, reason }),
+        "{effects:?}"
+    );
+}
