A request found in a socket after a pause counts as arrived when the pause began

Cause: read against the model: schedules take a request that reaches a paused process as arrived at the pause's start; the process took it as arrived when it was read. A send from before a refusal could then run after it.

Change: the process beats for itself; after half a second of silence requests read within the next second are stamped with the last beat before it. Their deadlines run from now, so that a caller who has just come is not turned away. Ruled out: the socket's own time of arrival, which TCP does not tell.

Not caused among real processes: the window is some milliseconds.

--- a/crates/hollywell/src/core/event.rs
+++ b/crates/hollywell/src/core/event.rs
@@ -157,7 +157,8 @@
     Call {
         /// The request.
         request: Request,
-        /// When its first byte arrived.
+        /// When it arrived at the earliest: for a process that was paused,
+        /// when the pause began.
         arrived: Time,
         /// What it asks for.
         call: Call,
--- a/crates/hollywell/src/core/reducer/calls.rs
+++ b/crates/hollywell/src/core/reducer/calls.rs
@@ -24,7 +24,9 @@
             self.refuse(request, known);
             return;
         }
-        let deadline = arrived.after(call.timeout_ms);
+        // Not from `arrived`, which is earlier after a pause: a caller that
+        // has just come must not be turned away for it.
+        let deadline = self.now.after(call.timeout_ms);
         let path = Path::Plain { tried: vec![] };
         self.pending.insert(request, Pending { call: call.clone(), deadline, path });
         match &call.key {
--- a/crates/hollywell/src/serve.rs
+++ b/crates/hollywell/src/serve.rs
@@ -11,6 +11,7 @@
     core::event::Event,
     metrics::Metrics,
     peer, platform,
+    pulse::Pulse,
     settings::Settings,
     traffic::{executor::Executor, server::Server},
 };
@@ -72,8 +73,16 @@
             let _ended = peer_stop.wait_for(|stop| *stop).await;
         },
     ));
-    let server =
-        Server { control: control.clone(), clock, registry, limits: settings.limits, metrics };
+    let pulse = Pulse::new(clock.now());
+    tokio::spawn(pulse.clone().keep(clock));
+    let server = Server {
+        control: control.clone(),
+        clock,
+        registry,
+        pulse,
+        limits: settings.limits,
+        metrics,
+    };
     let callers = tokio::spawn(server.serve(listener, stopping));
 
     asked_to_stop().await?;
--- a/crates/hollywell/src/traffic/calls.rs
+++ b/crates/hollywell/src/traffic/calls.rs
@@ -30,6 +30,7 @@
     pool: &str,
     arrived: Time,
 ) -> Response<Body> {
+    let earliest = server.pulse.arrival(arrived);
     let (head, body) = request.into_parts();
     let read = server.read_body(body).await;
     let prepared = read.and_then(|body| {
@@ -45,7 +46,7 @@
     let keyed = call.key.is_some();
     let (number, replied) = server.registry.open(sent);
     let mut guard = Guard { server, request: Some(number) };
-    let event = Event::Call { request: number, arrived, call };
+    let event = Event::Call { request: number, arrived: earliest, call };
     if server.control.offer(event).is_err() {
         let kind = if keyed { Kind::Unverified } else { Kind::Overloaded };
         return server.refusal(kind, arrived);
--- a/crates/hollywell/src/traffic/server.rs
+++ b/crates/hollywell/src/traffic/server.rs
@@ -24,6 +24,7 @@
     control::{Clock, Handle},
     error::Kind,
     metrics::Metrics,
+    pulse::Pulse,
     settings::Limits,
 };
 
@@ -47,6 +48,8 @@
     pub clock: Clock,
     /// The bytes held.
     pub registry: Registry,
+    /// Whether the process was paused.
+    pub pulse: Pulse,
     /// What one caller can take up.
     pub limits: Limits,
     /// Counts.
