--- a/crates/bench/src/bin/capacity.rs
+++ b/crates/bench/src/bin/capacity.rs
@@ -83,13 +83,15 @@
     change.bytes_allocated as f64 - change.bytes_deallocated as f64
 }
 
+/// A figure as one dimension grows from `base`.
+fn line(base: usize, measure: impl Fn(usize) -> f64) -> Line {
+    let points = FACTORS.map(|factor| ((base * factor) as f64, measure(base * factor)));
+    fit(&points)
+}
+
 /// Bytes as one dimension grows.
 fn bytes_line(base: usize, with: impl Fn(usize) -> Size) -> Line {
-    let points: Vec<(f64, f64)> = FACTORS
-        .iter()
-        .map(|factor| ((base * factor) as f64, bytes_of(with(base * factor))))
-        .collect();
-    fit(&points)
+    line(base, |count| bytes_of(with(count)))
 }
 
 /// Microseconds of one repetition of `work`.
@@ -113,11 +115,7 @@
     with: impl Fn(usize) -> Size,
     work: impl Fn(&mut State, u64) + Copy,
 ) -> Line {
-    let points: Vec<(f64, f64)> = FACTORS
-        .iter()
-        .map(|factor| ((base * factor) as f64, time_us(with(base * factor), work)))
-        .collect();
-    fit(&points)
+    line(base, |count| time_us(with(count), work))
 }
 
 fn keyed_call(state: &mut State, number: u64) {
@@ -148,11 +146,7 @@
 }
 
 fn sample_line(base: usize, with: impl Fn(usize) -> Size) -> Line {
-    let points: Vec<(f64, f64)> = FACTORS
-        .iter()
-        .map(|factor| ((base * factor) as f64, sample_us(with(base * factor))))
-        .collect();
-    fit(&points)
+    line(base, |count| sample_us(with(count)))
 }
 
 fn coded(message: &Message) -> f64 {
--- a/crates/hollywell/tests/interleavings/world/mod.rs
+++ b/crates/hollywell/tests/interleavings/world/mod.rs
@@ -2,6 +2,7 @@
 //! faults are drawn.
 
 mod calls;
+mod faults;
 mod rollouts;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,7 +23,7 @@
 use crate::{
     checks::{Checks, Fault},
     log::Log,
-    node::{Node, Waiter},
+    node::Node,
     trainer::Trainer,
 };
 
@@ -345,126 +346,6 @@
         if self.calm { Ok(false) } else { u.ratio(1, one_in) }
     }
 
-    fn draw_work(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        match self.shape {
-            Shape::OneDomain | Shape::TwoDomains => {
-                let key = if self.keys > 0 && u.ratio(1, 3)? {
-                    u.int_in_range(0..=self.keys - 1)?
-                } else {
-                    self.keys += 1;
-                    self.keys - 1
-                };
-                let last = self.sends.iter().rev().find(|sent| sent.key == key);
-                if last.is_none_or(|sent| self.now > sent.at + RESEND_MS) {
-                    self.after(0, Happening::Send { key });
-                }
-            }
-            Shape::Table => {
-                let trainer = u.int_in_range(0..=2)?;
-                self.after(0, Happening::EditRow { trainer });
-                if u.ratio(1, 2)? {
-                    self.after(1, Happening::EditRow { trainer });
-                }
-            }
-            Shape::Rollouts => {
-                if u.ratio(1, 3)? {
-                    self.after(0, Happening::EditRow { trainer: 0 });
-                } else if u.ratio(1, 3)? {
-                    self.give_up_stream(u)?;
-                } else {
-                    self.trainer.publish();
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// The trainer stops reading a stream and opens the step elsewhere; the
-    /// instance learns of it late.
-    fn give_up_stream(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        if let Some((node, run, request)) = self.trainer.stream() {
-            self.trainer.close();
-            self.nodes[node].waiters.remove(&request);
-            let delay = self.delay(u)?;
-            let event = Event::CallerGone { request };
-            self.after(delay, Happening::Event { node, run, event });
-            self.after(10, Happening::OpenStep);
-        }
-        Ok(())
-    }
-
-    fn draw_fault(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        let node = u.int_in_range(0..=self.nodes.len() - 1)?;
-        let ms = u.int_in_range(100..=5_000)?;
-        let fault = match u.int_in_range(0..=8)? {
-            0 => Fault::Kill,
-            1 | 2 => Fault::Pause,
-            3 => Fault::Cut,
-            4 => Fault::LogDown,
-            5 => Fault::LogCut,
-            6 | 7 => Fault::Isolate,
-            _ => Fault::Stop,
-        };
-        self.note(|| format!("fault {fault:?} n{node} {ms} ms"));
-        self.checks.count(fault);
-        match fault {
-            Fault::Kill => self.kill(node, ms),
-            Fault::Pause => {
-                let now = self.now;
-                let paused = &mut self.nodes[node];
-                if !paused.is_paused(now) {
-                    paused.paused_from = now;
-                }
-                paused.paused_until = paused.paused_until.max(now + ms);
-            }
-            Fault::Cut => {
-                let other = u.int_in_range(0..=self.nodes.len() - 1)?;
-                let pair = (node.min(other), node.max(other));
-                self.cuts.insert(pair, self.now + ms);
-            }
-            Fault::Isolate => {
-                // Long enough for the others to go on without it, while it
-                // may still believe itself in place.
-                let until = self.now + 2 * ms;
-                self.nodes[node].log_cut_until = until;
-                for other in 0..self.nodes.len() {
-                    self.cuts.insert((node.min(other), node.max(other)), until);
-                }
-            }
-            Fault::LogDown => self.log.down_until = self.now + ms,
-            Fault::LogCut => self.nodes[node].log_cut_until = self.now + ms,
-            Fault::Stop => {
-                let run = self.nodes[node].run;
-                self.after(0, Happening::Event { node, run, event: Event::Drain });
-            }
-            _ => {}
-        }
-        Ok(())
-    }
-
-    fn kill(&mut self, node: usize, ms: u64) {
-        if !self.nodes[node].alive {
-            return;
-        }
-        self.nodes[node].alive = false;
-        self.after(ms, Happening::Restart { node });
-        let waiters = std::mem::take(&mut self.nodes[node].waiters);
-        for waiter in waiters.into_values() {
-            match waiter {
-                Waiter::Send(send) => self.sends[send].told = Some((self.now, None)),
-                Waiter::Forward { node, run, request, .. } => {
-                    let event = Event::ForwardEnded { request, result: None };
-                    self.after(1, Happening::Event { node, run, event });
-                }
-                Waiter::Operator { .. } | Waiter::Trainer => {}
-            }
-        }
-        if self.trainer.is_at(node) {
-            self.trainer.close();
-            self.after(50, Happening::OpenStep);
-        }
-    }
-
     fn runs_on(&self, node: usize, run: u64) -> bool {
         self.nodes[node].alive && self.nodes[node].run == run
     }
@@ -658,22 +539,6 @@
         Ok(())
     }
 
-    fn exit(&mut self, node: usize, run: u64) {
-        let open = self.nodes[node].unanswered();
-        // It waits anew as long as connections come, which a process that
-        // was paused meanwhile finds in its sockets.
-        self.nodes[node].lingered += 1;
-        if !open.is_empty() && self.nodes[node].lingered < MOST_LINGERS {
-            self.after(LINGER_MS, Happening::Exited { node, run });
-            return;
-        }
-        if !open.is_empty() {
-            let text = format!("n{node} exits with {open:?} in flight");
-            self.checks.violate(Fault::StopCut, self.now, text);
-        }
-        self.kill(node, 200);
-    }
-
     fn place_of(&self, address: &str) -> Option<usize> {
         self.nodes.iter().position(|node| node.name == address)
     }
