The report from a recorded trace; refusals are logged with their request

Change: a trace is turned into one scrape for each of its seconds; a refusal is logged with request, kind and outcome, an answer at debug level.

Figures: of the recorded run: 1 of 1 step on time, 8 answers, 12 of 25 requests unknown, as its stated outcomes say.

--- a/crates/hollywell/src/cli/report.rs
+++ b/crates/hollywell/src/cli/report.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs,
+    io::BufReader,
     path::PathBuf,
     thread::sleep,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -13,16 +14,11 @@
     Failure,
     ask::{Asker, at_arg},
 };
-use crate::report::{burns, page, scrape::Scrape};
+use crate::report::{burns, page, scrape::Scrape, traced};
 
 pub(super) fn command() -> Command {
     let directory = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("DIR")
-            .help(help)
-            .required(true)
-            .value_parser(value_parser!(PathBuf))
+        Arg::new(name).long(name).value_name("DIR").help(help).value_parser(value_parser!(PathBuf))
     };
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name)
@@ -40,14 +36,25 @@
             Command::new("collect")
                 .about("Scrape one instance now and then into a directory")
                 .arg(at_arg())
-                .arg(directory("into", "Directory of scrapes"))
+                .arg(directory("into", "Directory of scrapes").required(true))
                 .arg(number("every-s", "15", "Seconds between scrapes"))
                 .arg(number("times", "1", "Scrapes to make")),
         )
         .subcommand(
             Command::new("show")
-                .about("Work the burn out of a directory of scrapes")
-                .arg(directory("from", "Directory of scrapes, named SECONDS-INSTANCE.prom"))
+                .about("Work the burn out of scrapes or of a recorded trace")
+                .arg(
+                    directory("from", "Directory of scrapes, named SECONDS-INSTANCE.prom")
+                        .required_unless_present("trace"),
+                )
+                .arg(
+                    Arg::new("trace")
+                        .long("trace")
+                        .value_name("TRACE")
+                        .help("Trace as recorded by serve, instead of scrapes")
+                        .conflicts_with("from")
+                        .value_parser(value_parser!(PathBuf)),
+                )
                 .arg(
                     Arg::new("json")
                         .long("json")
@@ -92,9 +99,7 @@
 }
 
 fn show(args: &ArgMatches) -> Result<(), Failure> {
-    let from = args.get_one::<PathBuf>("from").cloned().unwrap_or_default();
-    let at = |error| Failure::Input(format!("{}: {error}", from.display()));
-    let scrapes = Scrape::load_all(&from).map_err(at)?;
+    let scrapes = scrapes(args)?;
     if let Some(file) = args.get_one::<PathBuf>("html") {
         let page = page::html(&scrapes).map_err(Failure::run)?;
         fs::write(file, page).map_err(Failure::run)?;
@@ -105,3 +110,15 @@
     }
     Ok(())
 }
+
+fn scrapes(args: &ArgMatches) -> Result<Vec<Scrape>, Failure> {
+    let path = |name: &str| args.get_one::<PathBuf>(name);
+    if let Some(trace) = path("trace") {
+        let at = |error| Failure::Input(format!("{}: {error}", trace.display()));
+        let file = BufReader::new(fs::File::open(trace).map_err(at)?);
+        return traced::scrapes(file).map_err(at);
+    }
+    let from = path("from").cloned().unwrap_or_default();
+    let at = |error| Failure::Input(format!("{}: {error}", from.display()));
+    Scrape::load_all(&from).map_err(at)
+}
--- a/crates/hollywell/src/report/mod.rs
+++ b/crates/hollywell/src/report/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod page;
 pub mod scrape;
+pub mod traced;
 
 use serde::Serialize;
 
--- a/crates/hollywell/src/trace.rs
+++ b/crates/hollywell/src/trace.rs
@@ -63,8 +63,22 @@
 /// # Ok::<(), std::io::Error>(())
 /// ```
 pub fn replay(trace: impl BufRead) -> io::Result<Vec<Vec<Effect>>> {
+    let mut all = vec![];
+    replay_each(trace, |_, _, effects| all.push(effects.to_vec()))?;
+    Ok(all)
+}
+
+/// Feeds a trace to a reducer and hands each event on with its time and its
+/// effects.
+///
+/// # Errors
+///
+/// As [`replay`].
+pub fn replay_each(
+    trace: impl BufRead,
+    mut each: impl FnMut(Time, &Event, &[Effect]),
+) -> io::Result<()> {
     let mut state = None;
-    let mut effects = vec![];
     for (index, line) in trace.lines().enumerate() {
         let fault = |text: &str| {
             let text = format!("line {}: {text}", index + 1);
@@ -73,9 +87,12 @@
         let line: Line = serde_json::from_str(&line?).map_err(|error| fault(&error.to_string()))?;
         match (line, &mut state) {
             (Line::Config(config), state) => *state = Some(State::new(*config)),
-            (Line::Event { now, event }, Some(state)) => effects.push(state.step(now, &event)),
+            (Line::Event { now, event }, Some(state)) => {
+                let effects = state.step(now, &event);
+                each(now, &event, &effects);
+            }
             (Line::Event { .. }, None) => return Err(fault("no configuration before it")),
         }
     }
-    Ok(effects)
+    Ok(())
 }
--- a/crates/hollywell/src/traffic/calls.rs
+++ b/crates/hollywell/src/traffic/calls.rs
@@ -57,9 +57,14 @@
         Ok(Replied::Answer { answer, .. }) => {
             let took = Duration::from_millis(server.clock.now().since(arrived));
             server.metrics.answered(took);
+            log::debug!("request {}: answered {} in {took:?}", number.0, answer.status);
             respond(answer)
         }
-        Ok(Replied::Refused { kind, .. }) => server.refusal(kind, arrived),
+        Ok(Replied::Refused { kind, .. }) => {
+            let outcome = kind.answer().outcome.as_str();
+            log::info!("request {}: refused as {}, {outcome}", number.0, kind.as_str());
+            server.refusal(kind, arrived)
+        }
         Ok(Replied::Edited(_)) | Err(_) => server.refusal(Kind::Internal, arrived),
     }
 }
--- a/crates/hollywell/tests/traces.rs
+++ b/crates/hollywell/tests/traces.rs
@@ -9,6 +9,7 @@
 
 use hollywell::{
     prelude::{Effect, Reply},
+    report::{burns, traced::scrapes},
     trace::replay,
 };
 use serde::{Deserialize, Serialize};
@@ -84,3 +85,21 @@
 fn a_process_paused_past_its_lease_during_a_log_outage() {
     check("pause-and-log-outage");
 }
+
+#[test]
+fn the_report_of_a_trace_counts_what_its_outcomes_state() {
+    let directory = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/traces");
+    let trace = File::open(directory.join("step-and-calls.jsonl")).expect("the trace is there");
+    let scrapes = scrapes(BufReader::new(trace)).expect("the trace can be read");
+    let of = |name: &str| {
+        let burns = burns(&scrapes).into_iter();
+        burns
+            .filter(|burn| burn.objective == name)
+            .map(|burn| (burn.long.bad, burn.long.all))
+            .next()
+    };
+    assert_eq!(of("steps on time"), Some((0.0, 1.0)));
+    assert_eq!(of("live latency"), Some((0.0, 8.0)));
+    // 12 unknown of 8 answered, 5 refused as not run and 12 unknown.
+    assert_eq!(of("truthful refusals"), Some((12.0, 25.0)));
+}
