--- a/crates/hollywell/tests/owner.rs
+++ b/crates/hollywell/tests/owner.rs
@@ -211,3 +211,27 @@
     assert!(n.is_blind("any", still), "a caller may still send a key of a's again");
     assert!(!n.is_blind("any", Time(still.0 + 1)));
 }
+
+#[test]
+fn two_that_removed_each_other_lose_nothing_once_they_meet() {
+    let mut b = state("b");
+    b.install(&map(1, None, &["a", "b"]), Time(10));
+    b.hear(&instance("a"), &handoff(1, None), Time(10));
+    b.activate(Time(10));
+    b.install(&map(2, Some(1), &["a"]), Time(20));
+    assert!(b.rejoin());
+    let (a_again, b_again) = (Instance::new("a", 2), Instance::new("b", 2));
+    let later = |epoch: u64, members: &[&Instance]| Map {
+        epoch,
+        base: Some(epoch - 1),
+        members: members.iter().map(|member| (*member).clone()).collect(),
+    };
+    b.install(&later(3, &[&b_again]), Time(30));
+    b.install(&later(4, &[&a_again, &b_again]), Time(40));
+    // a was removed before it could act in the map of its own.
+    let told = Handoff { formerly: vec![instance("a")], ..handoff(4, Some(1)) };
+    b.hear(&a_again, &told, Time(50));
+    assert!(b.activate(Time(50)).is_some(), "everybody who ever acted has handed over");
+    let unknown = (0..64).filter(|n| b.is_blind(&format!("k{n}"), Time(50))).count();
+    assert_eq!(unknown, 0, "of 64 keys");
+}
