Why a step ends early is decided in one place

Cause: read once more: late steps and steps without a row were gathered by the same loop written twice.

Change: one pass asks each step for its reason; the deadline goes first, as before. No behaviour changed.

--- a/crates/hollywell/src/core/reducer/samples.rs
+++ b/crates/hollywell/src/core/reducer/samples.rs
@@ -299,30 +299,26 @@
         self.emit(Effect::Forget { dispatch });
     }
 
+    /// Why a step ends now although samples are missing, if it does.
+    fn end_of(&self, step: &Step) -> Option<Kind> {
+        let row = self.fold.state().table.row(&step.opening().trainer);
+        if self.now >= step.deadline() {
+            Some(Kind::DeadlinePassed)
+        } else if row.is_none() {
+            Some(Kind::UnknownTrainer)
+        } else {
+            None
+        }
+    }
+
     /// Ends steps whose trainer has stopped waiting or has no row any longer,
     /// and those that a stopping instance hands over.
     pub(super) fn end_late_steps(&mut self) {
-        let late: Vec<Request> = self
-            .steps
-            .open
-            .iter()
-            .filter(|(_, step)| self.now >= step.deadline())
-            .map(|(request, _)| *request)
-            .collect();
-        for request in late {
-            self.end_step(request, Some(Kind::DeadlinePassed));
-        }
-        let table = &self.fold.state().table;
-        let is_unknown = |step: &Step| table.row(&step.opening().trainer).is_none();
-        let unknown: Vec<Request> = self
-            .steps
-            .open
-            .iter()
-            .filter(|(_, step)| is_unknown(step))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in unknown {
-            self.end_step(request, Some(Kind::UnknownTrainer));
+        let steps = self.steps.open.iter();
+        let ended: Vec<(Request, Kind)> =
+            steps.filter_map(|(request, step)| Some((*request, self.end_of(step)?))).collect();
+        for (request, kind) in ended {
+            self.end_step(request, Some(kind));
         }
         if self.draining.is_some() {
             let open: Vec<Request> = self.steps.open.keys().copied().collect();
