--- a/crates/hollywell/src/cli/mod.rs
+++ b/crates/hollywell/src/cli/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{fmt, path::PathBuf, process::ExitCode};
 
+use crate::entry::serve::Adapter;
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 mod ask;
@@ -39,7 +40,7 @@
 
 /// Runs the command that the process was started with.
 #[must_use]
-pub fn run() -> ExitCode {
+pub fn run(adapter: &Adapter) -> ExitCode {
     let matches = match command().try_get_matches() {
         Ok(matches) => matches,
         Err(error) => {
@@ -51,6 +52,7 @@
     };
     let ended = match matches.subcommand() {
         Some(("serve", args)) => serve(args),
+        Some(("enter", args)) => enter(adapter, args),
         Some(("check", args)) => check(args),
         Some(("table", args)) => table::run(args),
         Some(("status", args)) => status::run(args),
@@ -83,6 +85,15 @@
                 .about("Run an entry instance until SIGTERM; it then hands over and exits")
                 .arg(config_arg()),
         )
+        .subcommand(
+            Command::new("enter")
+                .about("Run an entry instance on a platform whose store is a log")
+                .arg(
+                    config_arg()
+                        .required(false)
+                        .help("Settings file (INI); the platform's if absent"),
+                ),
+        )
         .subcommand(
             Command::new("check")
                 .about("Check a settings file and print every fault; exit code 2 if there is one")
@@ -118,6 +129,19 @@
     crate::serve::run(&settings).map_err(Failure::run)
 }
 
+fn enter(adapter: &Adapter, args: &ArgMatches) -> Result<(), Failure> {
+    let given = args.get_one::<PathBuf>("config").cloned();
+    let path = given.or_else(adapter.settings_path).ok_or_else(|| {
+        Failure::Input(String::from("no settings file: neither --config nor the platform's"))
+    })?;
+    let settings = crate::entry::settings::Settings::load(&path).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Failure::Input(lines.join("\nhollywell: "))
+    })?;
+    crate::logs::start_stdout(settings.level).map_err(Failure::run)?;
+    crate::entry::serve::run(adapter, settings, &path).map_err(Failure::run)
+}
+
 fn check(args: &ArgMatches) -> Result<(), Failure> {
     let settings = load(args)?;
     let config = &settings.config;
--- /dev/null
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -0,0 +1,510 @@
+//! Which samples this instance runs, where, and when they move: a reducer.
+//!
+//! Groups of samples are dealt out over the live instances by rendezvous
+//! hashing, so that one big job is run by many and a change of the members
+//! moves few groups. A sample that is listed, by whomever, is done. Two
+//! instances may run one sample for a while after a change; the store's
+//! order decides which result counts ([`crate::core::batch`]).
+//!
+//! Events go in with the time, effects come out as data. Text never passes
+//! through here: the driver keeps it, the reducer counts events.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{choice::Sights, fleet::Fleet, time::Time};
+
+/// Requests at a target for each of its slots, everybody's, up to which more
+/// are sent there. Beyond it a sample waits here, where it can still go to
+/// whichever target has room first.
+const MOST_LOAD: f64 = 1.6;
+/// Silence of a stream after which it is continued elsewhere, in
+/// milliseconds: some thirty times the usual time between events.
+const SILENCE_MS: u64 = 1_200;
+/// Time without any answer after which a queued request goes elsewhere, in
+/// milliseconds. A queue moves on within a median sample's time.
+const QUEUED_MS: u64 = 4_000;
+/// A stream this many times slower than the median target moves.
+const SLOW_FACTOR: f64 = 2.0;
+/// Least events still to be expected for a move to pay.
+const MOVE_LEAST_EVENTS: u32 = 4;
+/// Wait after a failed attempt, in milliseconds, times the number of them.
+const BACKOFF_MS: u64 = 50;
+
+/// A sample of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Slot {
+    /// The job.
+    pub job: String,
+    /// The sample's position in the submission.
+    pub at: usize,
+}
+
+/// One run of a sample at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Run(pub u64);
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// Its text is whole.
+    Whole,
+    /// The target had no room and ran nothing.
+    Full,
+    /// The target runs another incarnation or version, and ran nothing.
+    Misdirected,
+    /// The target failed the request.
+    Failed,
+    /// The request can never be done.
+    Impossible,
+    /// The connection broke, or what came was no answer.
+    Broken,
+    /// The text would name a version that is not allowed; it was discarded.
+    WrongVersion,
+}
+
+/// A job as it is run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Its id.
+    pub job: String,
+    /// The pool that runs it.
+    pub pool: String,
+    /// The model that generates its text.
+    pub model: String,
+    /// The oldest version that may.
+    pub min_version: u64,
+    /// Failures after which a sample may be given up.
+    pub attempts: u32,
+    /// When its samples may be given up.
+    pub keep_until: Time,
+    /// Group and estimated tokens of each sample.
+    pub samples: Vec<(String, u32)>,
+    /// Samples that were listed before.
+    pub done: Vec<bool>,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// A job is there to be run.
+    Opened(Work),
+    /// A sample was listed.
+    Listed(Slot),
+    /// A job was ended or dropped.
+    Closed(String),
+    /// The live instances changed.
+    Members(Vec<String>),
+    /// A run's answer began.
+    Head {
+        /// The run.
+        run: Run,
+    },
+    /// A whole event of a run's stream came.
+    Piece {
+        /// The run.
+        run: Run,
+    },
+    /// A run ended.
+    Ended {
+        /// The run.
+        run: Run,
+        /// How.
+        end: End,
+    },
+    /// A finished sample was scored.
+    Scored(Slot),
+    /// Scoring a sample failed for good.
+    Unscored(Slot),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Effect {
+    /// Run a sample at a target, going on after what is kept of its text.
+    Start {
+        /// The run.
+        run: Run,
+        /// The sample.
+        slot: Slot,
+        /// The target's id.
+        target: String,
+        /// Rank at the target, 0 first.
+        priority: u8,
+    },
+    /// Close a run's connection. Its end is not reported.
+    Cancel(Run),
+    /// Forget what is kept of a sample's text.
+    Discard(Slot),
+    /// Send a finished sample's scoring request.
+    Score(Slot),
+    /// Append a sample's result.
+    Deliver(Slot),
+    /// Append that a sample is given up.
+    GiveUp(Slot),
+}
+
+/// Where a sample stands here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Idle,
+    Running(Run),
+    Scoring,
+    Delivering,
+    Done,
+}
+
+#[derive(Clone, Debug)]
+struct Progress {
+    stage: Stage,
+    mine: bool,
+    not_before: Time,
+    failures: u32,
+    events: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    slot: Slot,
+    target: String,
+    head: bool,
+    heard_at: Time,
+    events: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    work: Work,
+    progress: Vec<Progress>,
+    /// Positions in the order in which they are started.
+    order: Vec<usize>,
+}
+
+/// The reducer's state.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    me: String,
+    members: Vec<String>,
+    jobs: BTreeMap<String, Open>,
+    /// Jobs in the order in which they came.
+    arrival: Vec<String>,
+    runs: HashMap<Run, Running>,
+    next_run: u64,
+}
+
+/// The live instance that runs a group of a job: the one with the highest
+/// hash, so that a change of the members moves only what it must.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::dispatch::owner;
+///
+/// let all = ["a".into(), "b".into(), "c".into()];
+/// let before = owner(&all, "job", "group").unwrap();
+/// // Removing an instance that does not run the group changes nothing.
+/// let left: Vec<String> =
+///     all.iter().filter(|m| *m == before || *m == "a").cloned().collect();
+/// assert_eq!(owner(&left, "job", "group"), Some(before));
+/// ```
+#[must_use]
+pub fn owner<'a>(members: &'a [String], job: &str, group: &str) -> Option<&'a str> {
+    let weight = |member: &&String| {
+        let mut hash = xxhash_rust::xxh3::Xxh3Default::new();
+        for part in [job, "|", group, "|", member.as_str()] {
+            hash.update(part.as_bytes());
+        }
+        hash.digest()
+    };
+    members.iter().max_by_key(weight).map(String::as_str)
+}
+
+impl State {
+    /// The state of an instance that knows nobody but itself.
+    #[must_use]
+    pub fn new(me: &str) -> State {
+        State { me: me.to_owned(), members: vec![me.to_owned()], ..State::default() }
+    }
+
+    /// Runs in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Takes an event in and returns what is to be done.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: &Event,
+        fleet: &Fleet,
+        sights: &mut Sights,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Tick => self.watch(now, fleet, sights, &mut effects),
+            Event::Opened(work) => self.open(work.clone()),
+            Event::Listed(slot) => self.listed(slot, sights, &mut effects),
+            Event::Closed(job) => self.close(job, sights, &mut effects),
+            Event::Members(members) => self.members(members),
+            Event::Head { run } => self.head(now, *run),
+            Event::Piece { run } => self.piece(now, *run, sights),
+            Event::Ended { run, end } => self.ended(now, *run, *end, sights, &mut effects),
+            Event::Scored(slot) => {
+                self.delivered(slot, Effect::Deliver(slot.clone()), &mut effects);
+            }
+            Event::Unscored(slot) => {
+                self.delivered(slot, Effect::GiveUp(slot.clone()), &mut effects);
+            }
+        }
+        if !matches!(event, Event::Head { .. } | Event::Piece { .. }) {
+            self.start(now, fleet, sights, &mut effects);
+        }
+        effects
+    }
+
+    fn open(&mut self, work: Work) {
+        if self.jobs.contains_key(&work.job) {
+            return;
+        }
+        let progress = |(at, (group, _)): (usize, &(String, u32))| Progress {
+            stage: if work.done[at] { Stage::Done } else { Stage::Idle },
+            mine: owner(&self.members, &work.job, group) == Some(self.me.as_str()),
+            not_before: Time(0),
+            failures: 0,
+            events: 0,
+        };
+        let progress: Vec<Progress> = work.samples.iter().enumerate().map(progress).collect();
+        let mut order: Vec<usize> = (0..work.samples.len()).collect();
+        // The longest first: a step ends with its longest sample.
+        order.sort_by_key(|at| std::cmp::Reverse(work.samples[*at].1));
+        self.arrival.push(work.job.clone());
+        self.jobs.insert(work.job.clone(), Open { work, progress, order });
+    }
+
+    fn listed(&mut self, slot: &Slot, sights: &mut Sights, effects: &mut Vec<Effect>) {
+        let Some(open) = self.jobs.get_mut(&slot.job) else {
+            return;
+        };
+        let progress = &mut open.progress[slot.at];
+        let stage = std::mem::replace(&mut progress.stage, Stage::Done);
+        if let Stage::Running(run) = stage {
+            self.stop(run, sights, effects);
+        }
+        if stage != Stage::Done {
+            effects.push(Effect::Discard(slot.clone()));
+        }
+    }
+
+    fn close(&mut self, job: &str, sights: &mut Sights, effects: &mut Vec<Effect>) {
+        let Some(open) = self.jobs.remove(job) else {
+            return;
+        };
+        self.arrival.retain(|other| other != job);
+        for (at, progress) in open.progress.iter().enumerate() {
+            if let Stage::Running(run) = progress.stage {
+                self.stop(run, sights, effects);
+            }
+            if progress.stage != Stage::Done {
+                effects.push(Effect::Discard(Slot { job: job.to_owned(), at }));
+            }
+        }
+    }
+
+    fn members(&mut self, members: &[String]) {
+        self.members = members.to_vec();
+        for open in self.jobs.values_mut() {
+            for (at, progress) in open.progress.iter_mut().enumerate() {
+                let group = &open.work.samples[at].0;
+                progress.mine = owner(members, &open.work.job, group) == Some(self.me.as_str());
+            }
+        }
+    }
+
+    fn head(&mut self, now: Time, run: Run) {
+        if let Some(running) = self.runs.get_mut(&run) {
+            running.head = true;
+            running.heard_at = now;
+        }
+    }
+
+    fn piece(&mut self, now: Time, run: Run, sights: &mut Sights) {
+        let Some(running) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if running.events > 0 {
+            sights.pace(&running.target, now.since(running.heard_at) as f64);
+        }
+        running.events += 1;
+        running.heard_at = now;
+    }
+
+    fn ended(
+        &mut self,
+        now: Time,
+        run: Run,
+        end: End,
+        sights: &mut Sights,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(running) = self.runs.remove(&run) else {
+            return;
+        };
+        sights.ended(&running.target);
+        let Some(open) = self.jobs.get_mut(&running.slot.job) else {
+            return;
+        };
+        let attempts = open.work.attempts.max(1);
+        let progress = &mut open.progress[running.slot.at];
+        progress.stage = Stage::Idle;
+        progress.events += running.events;
+        match end {
+            End::Whole => {
+                sights.sound(now, &running.target);
+                progress.stage = Stage::Scoring;
+                effects.push(Effect::Score(running.slot));
+            }
+            End::Full => sights.full(now, &running.target),
+            End::Misdirected => sights.full(now, &running.target),
+            End::Broken => {
+                sights.broke(now, &running.target);
+                progress.not_before = now.after(BACKOFF_MS);
+            }
+            End::WrongVersion => {
+                progress.events = 0;
+                sights.full(now, &running.target);
+                effects.push(Effect::Discard(running.slot));
+            }
+            End::Failed => {
+                progress.failures += 1;
+                progress.not_before = now.after(BACKOFF_MS * u64::from(progress.failures));
+                if progress.failures >= attempts {
+                    progress.stage = Stage::Delivering;
+                    effects.push(Effect::GiveUp(running.slot));
+                }
+            }
+            End::Impossible => {
+                progress.stage = Stage::Delivering;
+                effects.push(Effect::GiveUp(running.slot));
+            }
+        }
+    }
+
+    fn delivered(&mut self, slot: &Slot, effect: Effect, effects: &mut Vec<Effect>) {
+        let open = self.jobs.get_mut(&slot.job);
+        let Some(progress) = open.map(|open| &mut open.progress[slot.at]) else {
+            return;
+        };
+        if progress.stage == Stage::Scoring {
+            progress.stage = Stage::Delivering;
+            effects.push(effect);
+        }
+    }
+
+    fn stop(&mut self, run: Run, sights: &mut Sights, effects: &mut Vec<Effect>) {
+        if let Some(running) = self.runs.remove(&run) {
+            sights.ended(&running.target);
+            effects.push(Effect::Cancel(run));
+        }
+    }
+
+    /// Moves runs off targets that are silent, slow, leaving or gone.
+    fn watch(&mut self, now: Time, fleet: &Fleet, sights: &mut Sights, effects: &mut Vec<Effect>) {
+        let median = sights.median_pace();
+        let mut moving = Vec::new();
+        for (run, running) in &self.runs {
+            let patience = if running.head { SILENCE_MS } else { QUEUED_MS };
+            let silent = now.since(running.heard_at) > patience;
+            let gone = !fleet.targets.contains_key(&running.target);
+            let slow = running.events >= MOVE_LEAST_EVENTS
+                && sights.slowness(&running.target, median) > SLOW_FACTOR;
+            if silent || gone || slow {
+                moving.push((*run, silent));
+            }
+        }
+        moving.sort();
+        for (run, silent) in moving {
+            let Some(running) = self.runs.get(&run).cloned() else {
+                continue;
+            };
+            if silent {
+                sights.broke(now, &running.target);
+            }
+            self.stop(run, sights, effects);
+            if let Some(open) = self.jobs.get_mut(&running.slot.job) {
+                let progress = &mut open.progress[running.slot.at];
+                progress.stage = Stage::Idle;
+                progress.events += running.events;
+            }
+        }
+        self.give_up(now, effects);
+    }
+
+    fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        for open in self.jobs.values_mut() {
+            if now < open.work.keep_until {
+                continue;
+            }
+            for at in 0..open.progress.len() {
+                let progress = &mut open.progress[at];
+                if progress.mine && progress.stage == Stage::Idle {
+                    progress.stage = Stage::Delivering;
+                    effects.push(Effect::GiveUp(Slot { job: open.work.job.clone(), at }));
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, now: Time, fleet: &Fleet, sights: &mut Sights, effects: &mut Vec<Effect>) {
+        let salt = xxhash_rust::xxh3::xxh3_64(self.me.as_bytes());
+        for job in &self.arrival {
+            let Some(open) = self.jobs.get_mut(job) else {
+                continue;
+            };
+            let work = &open.work;
+            let fits = |target: &&crate::core::fleet::Target| {
+                target.said.versions.get(&work.model).is_none_or(|v| *v >= work.min_version)
+            };
+            let longest = open.order.first().map_or(1, |at| work.samples[*at].1.max(1));
+            for &at in &open.order {
+                let progress = &mut open.progress[at];
+                if !progress.mine || progress.stage != Stage::Idle || now < progress.not_before {
+                    continue;
+                }
+                let targets = fleet.usable(&work.pool).filter(fits).map(|target| &target.said);
+                let Some(target) = sights.choose(now, targets, MOST_LOAD, salt ^ self.next_run)
+                else {
+                    break;
+                };
+                let run = Run(self.next_run);
+                self.next_run += 1;
+                progress.stage = Stage::Running(run);
+                sights.sent(&target.id);
+                let slot = Slot { job: job.clone(), at };
+                let running = Running {
+                    slot: slot.clone(),
+                    target: target.id.clone(),
+                    head: false,
+                    heard_at: now,
+                    events: 0,
+                };
+                self.runs.insert(run, running);
+                let priority = priority(work.samples[at].1, longest);
+                effects.push(Effect::Start { run, slot, target: target.id.clone(), priority });
+            }
+        }
+    }
+}
+
+/// Rank of a sample at a target: 4 to 8, long ones first. Live traffic ranks
+/// before all samples.
+fn priority(tokens: u32, longest: u32) -> u8 {
+    const FIRST: u64 = 4;
+    const STEPS: u64 = 4;
+    let share = u64::from(tokens) * STEPS / u64::from(longest.max(1));
+    u8::try_from(FIRST + STEPS - share.min(STEPS)).unwrap_or(u8::MAX)
+}
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -21,18 +21,25 @@
 //! What it leaves out: bodies, sockets and threads, which are in
 //! [`crate::traffic`], [`crate::peer`] and [`crate::control`].
 
+pub mod batch;
+pub mod choice;
 pub mod claim;
+pub mod dispatch;
 pub mod effect;
 pub mod event;
+pub mod fleet;
 pub mod id;
 pub mod lease;
 pub mod member;
 pub mod owner;
 pub mod pace;
+pub mod plan;
 pub mod reducer;
 pub mod retry;
+pub mod roll;
 pub mod rollout;
 pub mod route;
 pub mod stream;
 pub mod table;
+pub mod tenure;
 pub mod time;
--- /dev/null
+++ b/crates/hollywell/src/entry/follow.rs
@@ -0,0 +1,159 @@
+//! Keeps this instance's folds of the store's partitions up to date.
+//!
+//! Each partition is read from its beginning once, by the newest record of
+//! each key, and then on from there. Where records that were not read yet
+//! are gone, it starts over: keyed records are never gone for good.
+
+use std::{cmp::Ordering, rc::Rc, time::Duration};
+
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::{
+    core::batch::Record,
+    entry::{
+        dialect::Wish,
+        shared::{JOBS, Shared},
+        store::{Fault, Part, Read, Records},
+    },
+};
+
+/// How long a read waits for a record. Long, as each call has a price; a
+/// read that nothing answers ends by the client's own time limit.
+const WAIT: Duration = Duration::from_secs(10);
+/// First pause after a failed call.
+const RETRY: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls. A store that is back should be noticed
+/// well within the second that its users are granted.
+const RETRY_MOST: Duration = Duration::from_millis(400);
+/// Least time between reads of a partition of jobs: what one read more costs
+/// against what a result that is known sooner earns.
+const JOBS_PAUSE: Duration = Duration::from_millis(40);
+/// Least time between reads of the targets' announcements. Each heartbeat is
+/// a record; a leaving target must get nothing after two seconds.
+const FLEET_PAUSE: Duration = Duration::from_millis(300);
+/// Least time between reads of the operator's wishes.
+const WISHES_PAUSE: Duration = Duration::from_millis(20);
+
+/// Reads a partition for good and hands every batch of records to `take`,
+/// with the partition's end and whether these are all there is from the
+/// beginning.
+async fn follow(
+    shared: Rc<Shared>,
+    part: Part,
+    pause: Duration,
+    take: impl Fn(&Rc<Shared>, Records, bool),
+) {
+    let mut from: Option<u64> = None;
+    let mut retry = RETRY;
+    loop {
+        let started = Instant::now();
+        let read = match from {
+            None => shared.store.newest_all(&part).await,
+            Some(from) => (shared.store.read)(Read { part: part.clone(), from, wait: WAIT }).await,
+        };
+        match read {
+            Ok(records) => {
+                shared.store_did(true);
+                let last = records.records.last().map_or(0, |record| record.offset + 1);
+                let anew = from.is_none();
+                // A read ends at its last record, the newest of all keys at
+                // the partition's end.
+                let next = if anew { records.end } else { last.max(from.unwrap_or(0)) };
+                from = Some(next);
+                retry = RETRY;
+                take(&shared, records, anew);
+                sleep_until(started + pause).await;
+            }
+            Err(Fault::Gone(first)) => {
+                shared.store_did(true);
+                log::warn!("records of {}/{} before {first} are gone", part.topic, part.number);
+                from = None;
+            }
+            Err(fault) => {
+                shared.store_did(false);
+                log::info!("reading {}/{}: {fault}", part.topic, part.number);
+                sleep(retry).await;
+                retry = (retry * 2).min(RETRY_MOST);
+            }
+        }
+    }
+}
+
+/// Follows one partition of batch jobs.
+pub async fn jobs(shared: Rc<Shared>, part: usize) {
+    let number = u32::try_from(part).unwrap_or_default();
+    follow(shared, Part::new(JOBS, number), JOBS_PAUSE, move |shared, records, anew| {
+        let end = if anew { records.end } else { 0 };
+        shared.absorb(part, &records.records, end);
+    })
+    .await;
+}
+
+/// Follows the targets' announcements.
+pub async fn fleet(shared: Rc<Shared>) {
+    let part = Part::new(shared.dialect.announcements, 0);
+    follow(shared, part, FLEET_PAUSE, |shared, records, anew| {
+        let now = shared.now();
+        {
+            let world = &mut *shared.world.borrow_mut();
+            if anew {
+                // Whatever is not among the newest has vanished unseen.
+                let listed = |id: &String| records.records.iter().any(|r| r.key == *id);
+                let ids: Vec<String> = world.fleet.targets.keys().cloned().collect();
+                for id in ids.iter().filter(|id| !listed(id)) {
+                    world.fleet.vanish(now, id);
+                }
+            }
+            for record in &records.records {
+                let Some(value) = &record.value else {
+                    log::info!("target {} vanished", record.key);
+                    world.fleet.vanish(now, &record.key);
+                    continue;
+                };
+                match (shared.dialect.announcement)(&record.key, value) {
+                    Ok(said) => world.fleet.announce(now, said),
+                    Err(why) => log::warn!("announcement of {} skipped: {why}", record.key),
+                }
+            }
+            world.fleet_known = true;
+        }
+        shared.tell(&crate::core::dispatch::Event::Tick);
+    })
+    .await;
+}
+
+/// Follows the operator's wishes: the configuration and the newest weights.
+pub async fn wishes(shared: Rc<Shared>) {
+    let part = Part::new(shared.dialect.wishes, 0);
+    follow(shared, part, WISHES_PAUSE, |shared, records, _| {
+        for record in &records.records {
+            wish(shared, record);
+        }
+        shared.open_waiting();
+    })
+    .await;
+}
+
+fn wish(shared: &Rc<Shared>, record: &Record) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    match (shared.dialect.wish)(&record.key, value) {
+        Ok(Some(Wish::Plan(plan))) => {
+            let mut world = shared.world.borrow_mut();
+            let before = world.plan.as_ref().map_or(0, |plan| plan.version);
+            if plan.version.cmp(&before) == Ordering::Greater {
+                log::info!("configuration {} in force, was {before}", plan.version);
+                world.plan = Some(Rc::new(plan));
+            }
+        }
+        Ok(Some(Wish::Version { model, version })) => {
+            let mut world = shared.world.borrow_mut();
+            let named = world.named.entry(model.clone()).or_insert(version);
+            *named = (*named).max(version);
+            log::info!("model {model} is named version {version}");
+        }
+        Ok(None) => {}
+        Err(why) => log::warn!("record {:?} of the operator skipped: {why}", record.key),
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/forward.rs
@@ -0,0 +1,328 @@
+//! Plain requests: sent to a target of the route's pool, and again where
+//! that is allowed.
+//!
+//! An answer is taken whole before any of it is passed on, so that one that
+//! breaks off is never seen by the caller, and a repeatable request can be
+//! sent to another target instead. What it leaves out: streams of text
+//! ([`crate::entry::run`]) and where an answer goes.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::Full;
+
+use crate::{
+    core::{
+        fleet::Announcement,
+        plan::{Repeat, Route},
+        time::Time,
+    },
+    entry::{
+        exchange::{Answer, Error},
+        shared::Shared,
+    },
+    error::Kind,
+};
+
+/// Requests at a target for each of its slots beyond which it is not asked.
+/// Plain services shed what they cannot start soon.
+const MOST_LOAD: f64 = 3.0;
+/// A repeatable request goes to another target after so many times the
+/// route's target time without an answer.
+const PATIENCE: u64 = 3;
+/// Least and most of that patience, in milliseconds.
+const PATIENCE_MS: (u64, u64) = (250, 1_000);
+/// Time kept back for the way to the caller, in milliseconds.
+const MARGIN_MS: u64 = 20;
+/// Pause while no target has room, and before a try after all were asked.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Largest answer of a plain service.
+const ANSWER_BYTES: usize = 32 << 20;
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// A plain request, ready to be sent.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: String,
+    /// The host that it names.
+    pub host: String,
+    /// The id of the caller's attempt.
+    pub id: String,
+    /// All other headers of the caller.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+}
+
+/// A target's whole answer.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers, without those of the connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Whole {
+    /// The target's signature.
+    #[must_use]
+    pub fn signature(&self, name: &HeaderName) -> Option<String> {
+        self.headers.get(name)?.to_str().ok().map(str::to_owned)
+    }
+}
+
+/// What became of a request.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// A target answered.
+    Answered(Whole),
+    /// No target's answer can be passed on.
+    Refused(Kind),
+}
+
+/// What became of one send.
+enum Sent {
+    Answered(Whole),
+    NotRun,
+    Maybe,
+}
+
+/// Sends a request until it is answered, its attempts are used up or its
+/// time is over.
+pub async fn run(shared: &Rc<Shared>, route: &Route, plain: &Plain, salt: u64) -> Verdict {
+    let until = plain.deadline;
+    let attempts = route.attempts.max(1);
+    let mut tried: Vec<String> = Vec::new();
+    let mut ran = false;
+    let mut failed: Option<Whole> = None;
+    loop {
+        let now = shared.now();
+        let left_ms = until.since(now).saturating_sub(MARGIN_MS);
+        if left_ms == 0 {
+            break;
+        }
+        if u32::try_from(tried.len()).unwrap_or(u32::MAX) >= attempts {
+            break;
+        }
+        let Some(target) = choose(shared, route, &tried, salt) else {
+            if shared.world.borrow().stopping {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let last = tried.len() + 1 >= attempts as usize;
+        let limit_ms = match route.repeat {
+            Repeat::Safe if !last => patience(route).min(left_ms),
+            _ => left_ms,
+        };
+        let sent = send(shared, route, plain, &target, left_ms, limit_ms).await;
+        match sent {
+            Sent::Answered(whole) if whole.status != StatusCode::INTERNAL_SERVER_ERROR => {
+                return Verdict::Answered(whole);
+            }
+            Sent::Answered(whole) => {
+                tried.push(target.id);
+                ran = true;
+                if route.repeat != Repeat::Safe {
+                    return Verdict::Answered(whole);
+                }
+                failed = Some(whole);
+            }
+            Sent::NotRun => tried.push(target.id),
+            Sent::Maybe => {
+                tried.push(target.id);
+                ran = true;
+                if route.repeat != Repeat::Safe {
+                    break;
+                }
+            }
+        }
+    }
+    if let Some(whole) = failed {
+        return Verdict::Answered(whole);
+    }
+    let kind = match (ran, tried.is_empty()) {
+        (true, _) => Kind::OutcomeUnknown,
+        (false, true) => Kind::NoTarget,
+        (false, false) => Kind::TargetRefused,
+    };
+    log::info!("request {} on {}: {}; tried {tried:?}", plain.id, route.name, kind.as_str());
+    Verdict::Refused(kind)
+}
+
+fn patience(route: &Route) -> u64 {
+    (route.target_ms * PATIENCE).clamp(PATIENCE_MS.0, PATIENCE_MS.1)
+}
+
+fn choose(shared: &Shared, route: &Route, tried: &[String], salt: u64) -> Option<Announcement> {
+    let world = shared.world.borrow();
+    let pool = pick_pool(route, salt)?;
+    let now = shared.now();
+    let all = || world.fleet.usable(pool).map(|target| &target.said);
+    let fresh = all().filter(|target| !tried.contains(&target.id));
+    let salt = salt.wrapping_add(tried.len() as u64);
+    let choice = world.sights.choose(now, fresh, MOST_LOAD, salt);
+    let choice = choice.or_else(|| {
+        // Every other one was asked or is avoided: better one that broke
+        // before than nobody.
+        let avoided = all().filter(|target| world.sights.avoided(now, &target.id));
+        avoided.min_by_key(|target| tried.iter().filter(|id| **id == target.id).count())
+    });
+    choice.cloned()
+}
+
+/// A pool of the route, by weight.
+fn pick_pool(route: &Route, salt: u64) -> Option<&str> {
+    let total: u64 = route.pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    if total == 0 {
+        return route.pools.first().map(|(pool, _)| pool.as_str());
+    }
+    let mut at = xxhash_rust::xxh3::xxh3_64(&salt.to_le_bytes()) % total;
+    for (pool, weight) in &route.pools {
+        if at < u64::from(*weight) {
+            return Some(pool);
+        }
+        at -= u64::from(*weight);
+    }
+    None
+}
+
+async fn send(
+    shared: &Rc<Shared>,
+    route: &Route,
+    plain: &Plain,
+    target: &Announcement,
+    left_ms: u64,
+    limit_ms: u64,
+) -> Sent {
+    shared.world.borrow_mut().sights.sent(&target.id);
+    let _count = Counted { shared, id: &target.id };
+    let limit = Duration::from_millis(limit_ms);
+    let started = shared.now();
+    // A kept connection that had ended says nothing about the target; what
+    // may be repeated goes out again at once, on another connection.
+    let mut sent = shared.pool.send(target.address, request(shared, plain, target, left_ms), limit);
+    let mut answer = sent.await;
+    if matches!(answer, Err(Error::Stale)) && route.repeat == Repeat::Safe {
+        shared.pool.forget(target.address);
+        sent = shared.pool.send(target.address, request(shared, plain, target, left_ms), limit);
+        answer = sent.await;
+    }
+    match answer {
+        Ok(answer) => {
+            let spent = shared.now().since(started);
+            let left = Duration::from_millis(limit_ms.saturating_sub(spent).max(1));
+            take(shared, plain, target, answer, left).await
+        }
+        Err(error) => {
+            log::info!("request {} at {}: {error}", plain.id, target.id);
+            if error != Error::Stale {
+                let now = shared.now();
+                shared.world.borrow_mut().sights.broke(now, &target.id);
+            }
+            if matches!(error, Error::NotSent(_)) { Sent::NotRun } else { Sent::Maybe }
+        }
+    }
+}
+
+/// Counts a request as at its target for as long as it lives, also where the
+/// caller leaves in the middle.
+struct Counted<'a> {
+    shared: &'a Shared,
+    id: &'a str,
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.shared.world.borrow_mut().sights.ended(self.id);
+    }
+}
+
+async fn take(
+    shared: &Rc<Shared>,
+    plain: &Plain,
+    target: &Announcement,
+    answer: Answer,
+    left: Duration,
+) -> Sent {
+    let names = &shared.dialect.headers;
+    let now = shared.now();
+    if let Some(load) = answer.header(&names.load).and_then(shared.dialect.load) {
+        shared.world.borrow_mut().sights.load(now, &target.id, load);
+    }
+    let status = answer.head.status;
+    let not_run = answer.head.headers.contains_key(&names.not_run)
+        || status == StatusCode::MISDIRECTED_REQUEST;
+    if not_run {
+        shared.world.borrow_mut().sights.full(now, &target.id);
+        log::debug!("request {} at {}: not run, {status}", plain.id, target.id);
+        return Sent::NotRun;
+    }
+    let mine = answer.header(&names.request_id) == Some(plain.id.as_str());
+    let signed = answer.head.headers.contains_key(&names.signature);
+    if !mine || !signed || answer.head.headers.contains_key(header::CONTENT_ENCODING) {
+        // Dropping the answer closes the connection: whatever else is on it
+        // belongs to nobody.
+        log::info!("request {} at {}: an answer that is not its own", plain.id, target.id);
+        return Sent::Maybe;
+    }
+    let mut headers = answer.head.headers.clone();
+    match answer.whole(ANSWER_BYTES, left).await {
+        Ok(body) => {
+            for name in HOP_BY_HOP.iter().chain([&header::CONTENT_LENGTH]) {
+                headers.remove(name);
+            }
+            shared.world.borrow_mut().sights.sound(now, &target.id);
+            Sent::Answered(Whole { status, headers, body })
+        }
+        Err(error) => {
+            log::info!("request {} at {}: {error}", plain.id, target.id);
+            Sent::Maybe
+        }
+    }
+}
+
+fn request(
+    shared: &Shared,
+    plain: &Plain,
+    target: &Announcement,
+    left_ms: u64,
+) -> Request<Full<Bytes>> {
+    let names = &shared.dialect.headers;
+    let mut request = Request::new(Full::new(plain.body.clone()));
+    *request.method_mut() = plain.method.clone();
+    *request.uri_mut() = plain.target.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    *headers = plain.headers.clone();
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    let mut set = |name: &HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name.clone(), value);
+        }
+    };
+    set(&header::HOST, &plain.host);
+    set(&names.request_id, &plain.id);
+    set(&names.deadline, &left_ms.to_string());
+    set(&names.target, &target.id);
+    request
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -0,0 +1,272 @@
+//! Callers' connections: each request is told apart, handed on and answered.
+//!
+//! A caller that leaves ends its request's future, and with it whatever the
+//! request was doing at a target.
+
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{
+    core::plan::{Plan, Repeat, Route},
+    entry::{
+        dialect::Ask,
+        forward::{self, Plain, Verdict},
+        jobs::{self, Reply},
+        shared::Shared,
+    },
+    error::Kind,
+};
+
+/// Head time limit before a configuration is known, in milliseconds.
+const HEADER_MS: u64 = 3_000;
+/// Body limit before a configuration is known, in bytes.
+const BODY_BYTES: usize = 32 << 20;
+/// Longest that a read of results is held, in milliseconds.
+const HOLD_MS: u64 = 5_000;
+/// When a refused caller is told to come back: long enough for a load figure
+/// or a reading of the store to be renewed, short against a deadline.
+const COME_BACK: &str = "0.15";
+/// Deadline of a caller that states none and whose route states none.
+const DEADLINE_MS: u64 = 10_000;
+
+type Reply200 = Response<Full<Bytes>>;
+
+/// Requests that are being answered, for an orderly stop.
+#[derive(Debug, Default)]
+pub struct Open {
+    requests: Cell<usize>,
+}
+
+impl Open {
+    /// How many requests are being answered.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.requests.get()
+    }
+}
+
+struct Entered(Rc<Open>);
+
+impl Entered {
+    fn new(open: &Rc<Open>) -> Entered {
+        open.requests.set(open.requests.get() + 1);
+        Entered(open.clone())
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get() - 1);
+    }
+}
+
+/// Serves callers until the instance stops.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener, open: Rc<Open>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(shared.clone(), stream, open.clone()));
+            }
+            Err(error) => {
+                log::warn!("accepting a connection: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream, open: Rc<Open>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a connection: {error}");
+    }
+    let header_ms = {
+        let world = shared.world.borrow();
+        world.plan.as_ref().map_or(HEADER_MS, |plan| plan.header_ms)
+    };
+    let service = service_fn(|request| {
+        let (shared, open) = (shared.clone(), open.clone());
+        async move {
+            let _entered = Entered::new(&open);
+            let mut response = answer(&shared, request).await;
+            if shared.world.borrow().stopping {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(header_ms.max(1)));
+    // Time to first byte of an idle kept connection is not a slow head.
+    builder.keep_alive(true).max_buf_size(64 << 10);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut stop = shared.stop.subscribe();
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stop.wait_for(|stop| *stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("a connection ended: {error}");
+    }
+}
+
+async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> Reply200 {
+    let arrived = shared.now();
+    match (shared.dialect.ask)(request.method(), request.uri()) {
+        Ask::Ready => ready(shared),
+        Ask::Results { job, after } => {
+            let names = &shared.dialect.headers;
+            let hold = number(request.headers(), &names.hold).unwrap_or(0).min(HOLD_MS);
+            let hold = Duration::from_millis(hold);
+            reply(shared, jobs::results(shared, &job, after, hold).await)
+        }
+        Ask::SampleBody { job, sample } => {
+            reply(shared, jobs::sample_body(shared, &job, &sample).await)
+        }
+        Ask::EndJob { job } => reply(shared, jobs::end(shared, &job).await),
+        Ask::Routed => routed(shared, request, arrived).await,
+    }
+}
+
+/// Whether this instance takes callers.
+#[must_use]
+pub fn is_ready(shared: &Shared) -> bool {
+    let world = shared.world.borrow();
+    let loaded = world.shelves.iter().all(|shelf| shelf.loaded);
+    !world.stopping
+        && loaded
+        && world.plan.is_some()
+        && world.fleet_known
+        && !world.fleet.store_away
+}
+
+/// Answers whether this instance takes callers.
+#[must_use]
+pub fn ready(shared: &Shared) -> Reply200 {
+    let ok = is_ready(shared);
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    response
+}
+
+async fn routed(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    arrived: crate::core::time::Time,
+) -> Reply200 {
+    let Some(plan) = shared.world.borrow().plan.clone() else {
+        return refuse(shared, Kind::StoreAway);
+    };
+    let (head, body) = request.into_parts();
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    let Some(route) = plan.route(host, head.uri.path()).cloned() else {
+        log::info!("no route for {host} {} in configuration {}", head.uri.path(), plan.version);
+        return refuse(shared, Kind::NoRoute);
+    };
+    let limit = if plan.body_bytes == 0 { BODY_BYTES } else { plan.body_bytes };
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let too_large = error.downcast_ref::<http_body_util::LengthLimitError>().is_some();
+            log::info!("a body on {}: {error}", route.name);
+            return refuse(shared, if too_large { Kind::TooLarge } else { Kind::Malformed });
+        }
+    };
+    let names = &shared.dialect.headers;
+    let id = head.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
+    let Some(id) = id.map(str::to_owned) else {
+        return refuse(shared, Kind::Malformed);
+    };
+    if route.repeat == Repeat::Batch {
+        return submit(shared, &id, host, head.uri.path(), &body).await;
+    }
+    let timeout_ms = if route.timeout_ms == 0 { DEADLINE_MS } else { route.timeout_ms };
+    let deadline_ms = number(&head.headers, &names.deadline).unwrap_or(timeout_ms).min(timeout_ms);
+    let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let plain = Plain {
+        method: head.method,
+        target,
+        host: host.to_owned(),
+        id,
+        headers: head.headers,
+        body,
+        deadline: arrived.after(deadline_ms),
+    };
+    forwarded(shared, &plan, &route, &plain).await
+}
+
+async fn forwarded(shared: &Rc<Shared>, plan: &Plan, route: &Route, plain: &Plain) -> Reply200 {
+    let salt = xxhash_rust::xxh3::xxh3_64(plain.id.as_bytes());
+    match forward::run(shared, route, plain, salt).await {
+        Verdict::Answered(whole) => {
+            let mut response = Response::new(Full::new(whole.body));
+            *response.status_mut() = whole.status;
+            *response.headers_mut() = whole.headers;
+            response
+        }
+        Verdict::Refused(kind) => {
+            log::info!("request {} refused: {} in {}", plain.id, kind.as_str(), plan.version);
+            refuse(shared, kind)
+        }
+    }
+}
+
+async fn submit(shared: &Rc<Shared>, id: &str, host: &str, path: &str, raw: &[u8]) -> Reply200 {
+    let decoded = match (shared.dialect.submission)(raw) {
+        Ok(decoded) => decoded,
+        Err(why) => {
+            log::info!("job {id} is malformed: {why}");
+            return refuse(shared, Kind::Malformed);
+        }
+    };
+    let done = jobs::submit(shared, id, host, path, raw, &decoded).await;
+    let accepted = done == Reply::Done;
+    let mut response = reply(shared, done);
+    if accepted {
+        *response.status_mut() = StatusCode::ACCEPTED;
+    }
+    response
+}
+
+fn reply(shared: &Shared, reply: Reply) -> Reply200 {
+    match reply {
+        Reply::Done => Response::new(Full::default()),
+        Reply::Found(body) => Response::new(Full::new(body)),
+        Reply::NotDone | Reply::Unsure => refuse(shared, Kind::StoreAway),
+        Reply::Unknown => refuse(shared, Kind::OutcomeUnknown),
+        Reply::Missing => refuse(shared, Kind::NoRoute),
+        Reply::Malformed(why) => {
+            log::info!("refused: {why}");
+            refuse(shared, Kind::Malformed)
+        }
+    }
+}
+
+fn refuse(shared: &Shared, kind: Kind) -> Reply200 {
+    let answer = kind.answer();
+    let mut response = Response::new(Full::new(Bytes::from_static(answer.text.as_bytes())));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    if answer.retry_after_s.is_some() {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_static(COME_BACK));
+    }
+    if answer.outcome == crate::error::Outcome::NotRun && answer.status >= 429 {
+        headers.insert(shared.dialect.headers.not_run.clone(), HeaderValue::from_static("1"));
+    }
+    response
+}
+
+fn number(headers: &http::HeaderMap, name: &http::HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -0,0 +1,407 @@
+//! Batch jobs at this instance: taking them in, reading them, ending them,
+//! scoring their samples and bringing results to the store.
+
+use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    core::{
+        batch::{self, Ending, Head, Outcome, Submission},
+        dispatch::{Event, Slot},
+    },
+    entry::{
+        dialect::Results,
+        forward::{self, Plain, Verdict},
+        shared::{JOBS, Shared, wall_ms},
+        store::{Append, Fault, Part, Read},
+    },
+};
+
+/// Most bytes of results in one answer, of the 1 MB that callers take; the
+/// rest is for names and escapes.
+const PAGE_BYTES: usize = 700_000;
+/// How long to look for an append's records whose answer was lost.
+const LOOK_FOR: Duration = Duration::from_millis(2_500);
+/// Pause between looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+/// Time that a scoring request is given, in milliseconds.
+const SCORE_MS: u64 = 1_500;
+/// Pause before a scoring request is sent again.
+const SCORE_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a failed append of results.
+const APPEND_PAUSE: Duration = Duration::from_millis(150);
+
+/// Results of one partition on their way to the store.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    queue: RefCell<VecDeque<(Slot, Outcome)>>,
+    busy: RefCell<bool>,
+}
+
+/// What became of a caller's wish about a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It was done.
+    Done,
+    /// It was not done and never will be.
+    NotDone,
+    /// It may be done later.
+    Unknown,
+    /// There is no such job or sample.
+    Missing,
+    /// This instance cannot be sure now.
+    Unsure,
+    /// The wish makes no sense.
+    Malformed(String),
+    /// Here it is.
+    Found(Bytes),
+}
+
+/// Takes a job in. [`Reply::Done`] means that it is kept from now on.
+pub async fn submit(
+    shared: &Rc<Shared>,
+    job: &str,
+    host: &str,
+    path: &str,
+    raw: &[u8],
+    decoded: &Submission,
+) -> Reply {
+    let part = shared.part_of(job);
+    if known(shared, part, job) {
+        return Reply::Done;
+    }
+    if !batch::is_id(job) || decoded.samples.iter().any(|sample| !batch::is_id(&sample.id)) {
+        return Reply::Malformed(format!(
+            "ids have 1 to {} bytes, none of them '|'",
+            batch::MAX_ID
+        ));
+    }
+    let head = Head { chunks: 0, host: host.to_owned(), path: path.to_owned(), at_ms: wall_ms() };
+    let store = &shared.settings.store;
+    let records = batch::submission_records(job, &head, raw, store.record_bytes);
+    let bytes: usize = records.iter().map(|(key, value)| key.len() + value.len() + 8).sum();
+    if bytes > store.call_bytes {
+        return Reply::Malformed(format!("{bytes} bytes exceed {} a job", store.call_bytes));
+    }
+    let records = records.into_iter().map(|(key, value)| (Some(key), value)).collect();
+    let number = u32::try_from(part).unwrap_or_default();
+    let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
+    match (shared.store.append)(append).await {
+        Ok(_) => {
+            shared.store_did(true);
+            log::info!("job {job} accepted: {} samples", decoded.samples.len());
+            Reply::Done
+        }
+        Err(Fault::Refused(why)) => {
+            shared.store_did(false);
+            log::info!("job {job} refused: {why}");
+            Reply::NotDone
+        }
+        Err(fault) => {
+            log::info!("job {job}: {fault}; looking for it");
+            look_for(shared, part, |shared| known(shared, part, job)).await
+        }
+    }
+}
+
+fn known(shared: &Shared, part: usize, job: &str) -> bool {
+    shared.world.borrow().shelves[part].book.jobs.contains_key(job)
+}
+
+/// Waits until something that may have been appended is read.
+async fn look_for(shared: &Rc<Shared>, part: usize, there: impl Fn(&Shared) -> bool) -> Reply {
+    let until = Instant::now() + LOOK_FOR;
+    while Instant::now() < until {
+        let _unsure = catch_up(shared, part).await;
+        if there(shared) {
+            return Reply::Done;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    Reply::Unknown
+}
+
+/// Reads a partition to its end, whatever its follower is doing. Returns
+/// whether that went well.
+pub async fn catch_up(shared: &Rc<Shared>, part: usize) -> bool {
+    let number = u32::try_from(part).unwrap_or_default();
+    loop {
+        let (from, loaded) = {
+            let world = shared.world.borrow();
+            (world.shelves[part].next, world.shelves[part].loaded)
+        };
+        if !loaded {
+            return false;
+        }
+        let read = Read { part: Part::new(JOBS, number), from, wait: Duration::ZERO };
+        match (shared.store.read)(read).await {
+            Ok(records) => {
+                shared.store_did(true);
+                shared.absorb(part, &records.records, 0);
+                if shared.world.borrow().shelves[part].next >= records.end {
+                    return true;
+                }
+            }
+            // The follower starts over by itself.
+            Err(Fault::Gone(_)) => return false,
+            Err(fault) => {
+                shared.store_did(false);
+                log::info!("catching up with {JOBS}/{part}: {fault}");
+                return false;
+            }
+        }
+    }
+}
+
+/// Reads a job's results from a position on, waiting for the first of them.
+pub async fn results(shared: &Rc<Shared>, job: &str, after: usize, hold: Duration) -> Reply {
+    let part = shared.part_of(job);
+    let until = Instant::now() + hold;
+    let listed = |shared: &Shared| {
+        let world = shared.world.borrow();
+        let job = world.shelves[part].book.jobs.get(job)?;
+        Some((job.listed.len(), job.done.len()))
+    };
+    // A position beyond the fold was read elsewhere, or never existed.
+    if listed(shared).is_none_or(|(len, _)| len < after) && !catch_up(shared, part).await {
+        return Reply::Unsure;
+    }
+    loop {
+        let notified = shared.listed[part].notified();
+        let Some((len, total)) = listed(shared) else {
+            return Reply::Missing;
+        };
+        if len > after || after >= total || Instant::now() >= until {
+            return page(shared, part, job, after);
+        }
+        let _no_news = timeout_at(until, notified).await;
+    }
+}
+
+fn page(shared: &Shared, part: usize, job: &str, after: usize) -> Reply {
+    let world = shared.world.borrow();
+    let Some(job) = world.shelves[part].book.jobs.get(job) else {
+        return Reply::Missing;
+    };
+    let mut outcomes = Vec::new();
+    let mut bytes = 0;
+    for listed in job.listed.iter().skip(after) {
+        bytes += listed.value.len();
+        if bytes > PAGE_BYTES && !outcomes.is_empty() {
+            break;
+        }
+        match serde_json::from_slice::<Outcome>(&listed.value) {
+            Ok(outcome) => outcomes.push(outcome),
+            Err(error) => {
+                log::error!("result at offset {} cannot be read: {error}", listed.offset);
+                return Reply::Unsure;
+            }
+        }
+    }
+    let next = after + outcomes.len();
+    Reply::Found((shared.dialect.results)(&Results { total: job.done.len(), next, outcomes }))
+}
+
+/// The body of a sample that is not listed.
+pub async fn sample_body(shared: &Rc<Shared>, job: &str, sample: &str) -> Reply {
+    let part = shared.part_of(job);
+    if !known(shared, part, job) && !catch_up(shared, part).await {
+        return Reply::Unsure;
+    }
+    let world = shared.world.borrow();
+    let Some(job) = world.shelves[part].book.jobs.get(job) else {
+        return Reply::Missing;
+    };
+    match job.index.get(sample) {
+        Some(&at) if !job.done[at] => Reply::Found(job.submission.samples[at].body.clone()),
+        _ => Reply::Missing,
+    }
+}
+
+/// Ends a job.
+pub async fn end(shared: &Rc<Shared>, job: &str) -> Reply {
+    let part = shared.part_of(job);
+    if !known(shared, part, job) && !catch_up(shared, part).await {
+        return Reply::Unsure;
+    }
+    let ended = |shared: &Shared| {
+        let world = shared.world.borrow();
+        world.shelves[part].book.jobs.get(job).map(|job| job.ended)
+    };
+    match ended(shared) {
+        None => return Reply::Missing,
+        Some(true) => return Reply::Done,
+        Some(false) => {}
+    }
+    let (key, value) = batch::end_record(job);
+    let number = u32::try_from(part).unwrap_or_default();
+    let records = vec![(Some(key), value)];
+    let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
+    match (shared.store.append)(append).await {
+        Ok(_) => {
+            shared.store_did(true);
+            log::info!("job {job} ended");
+            Reply::Done
+        }
+        Err(Fault::Refused(why)) => {
+            shared.store_did(false);
+            log::info!("end of job {job} refused: {why}");
+            Reply::NotDone
+        }
+        Err(fault) => {
+            log::info!("end of job {job}: {fault}; looking for it");
+            look_for(shared, part, |shared| ended(shared) == Some(true)).await
+        }
+    }
+}
+
+/// Sends a finished sample's scoring request until it is scored or has
+/// failed for good.
+pub async fn score(shared: Rc<Shared>, slot: Slot) {
+    let part = shared.part_of(&slot.job);
+    let mut failures = 0;
+    loop {
+        let request = {
+            let world = shared.world.borrow();
+            let job = world.shelves[part].book.jobs.get(&slot.job);
+            job.filter(|job| !job.ended && !job.done[slot.at])
+                .map(|job| job.submission.samples[slot.at].scorer.clone())
+        };
+        let Some(scorer) = request else {
+            return;
+        };
+        let Some(scorer) = scorer else {
+            shared.tell(&Event::Scored(slot));
+            return;
+        };
+        let plan = shared.world.borrow().plan.clone();
+        let route = plan.as_ref().and_then(|plan| plan.route(&scorer.host, &scorer.path));
+        let Some(route) = route.cloned() else {
+            sleep(SCORE_PAUSE).await;
+            continue;
+        };
+        let most = route.attempts.max(1);
+        let plain = Plain {
+            method: http::Method::POST,
+            target: scorer.path.clone(),
+            host: scorer.host.clone(),
+            id: scorer.id.clone(),
+            headers: http::HeaderMap::new(),
+            body: scorer.body.clone(),
+            deadline: shared.now().after(SCORE_MS),
+        };
+        match forward::run(&shared, &route, &plain, 1).await {
+            Verdict::Answered(answer) if answer.status.is_success() => {
+                let signature = answer.signature(&shared.dialect.headers.signature);
+                if let Some(text) = shared.world.borrow_mut().texts.get_mut(&slot) {
+                    text.score = signature;
+                }
+                shared.tell(&Event::Scored(slot));
+                return;
+            }
+            Verdict::Answered(answer) => {
+                if answer.status == http::StatusCode::INTERNAL_SERVER_ERROR {
+                    failures += 1;
+                }
+                log::debug!("scoring {}/{}: {}", slot.job, slot.at, answer.status);
+            }
+            Verdict::Refused(kind) => log::debug!("scoring {}/{}: {kind:?}", slot.job, slot.at),
+        }
+        if failures >= most {
+            log::info!("scoring {}/{} failed {failures} times", slot.job, slot.at);
+            shared.tell(&Event::Unscored(slot));
+            return;
+        }
+        sleep(SCORE_PAUSE).await;
+    }
+}
+
+/// Queues a sample's result for the store.
+pub fn deliver(shared: &Rc<Shared>, slot: &Slot, dead: bool) {
+    let part = shared.part_of(&slot.job);
+    {
+        let mut world = shared.world.borrow_mut();
+        let text = world.texts.remove(slot).unwrap_or_default();
+        let Some(job) = world.shelves[part].book.jobs.get(&slot.job) else {
+            return;
+        };
+        let id = job.submission.samples[slot.at].id.clone();
+        let outcome = if dead {
+            let (text, versions) = Default::default();
+            Outcome { id, ending: Ending::Dead, text, versions, score: None }
+        } else {
+            Outcome {
+                id,
+                ending: Ending::Whole,
+                text: text.data,
+                versions: text.versions.into_iter().collect(),
+                score: text.score,
+            }
+        };
+        shared.outbox[part].queue.borrow_mut().push_back((slot.clone(), outcome));
+    }
+    if !shared.outbox[part].busy.replace(true) {
+        tokio::task::spawn_local(flush(shared.clone(), part));
+    }
+}
+
+async fn flush(shared: Rc<Shared>, part: usize) {
+    let outbox = &shared.outbox[part];
+    let number = u32::try_from(part).unwrap_or_default();
+    loop {
+        let taken = take(&shared, part);
+        if taken.is_empty() {
+            outbox.busy.replace(false);
+            return;
+        }
+        let record = |(slot, outcome): &(Slot, Outcome)| {
+            // A key of its own for each append: if one key were appended
+            // twice, the store would keep only the later offset.
+            let (key, value) = batch::outcome_record(&slot.job, &shared.unique(), outcome);
+            (Some(key), value)
+        };
+        let records = taken.iter().map(record).collect();
+        let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
+        match (shared.store.append)(append).await {
+            Ok(_) => shared.store_did(true),
+            Err(fault) => {
+                shared.store_did(false);
+                log::info!("{} results kept for another append: {fault}", taken.len());
+                put_back(outbox, taken);
+                sleep(APPEND_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn put_back(outbox: &Outbox, taken: Vec<(Slot, Outcome)>) {
+    let mut queue = outbox.queue.borrow_mut();
+    for entry in taken.into_iter().rev() {
+        queue.push_front(entry);
+    }
+}
+
+/// The next results to append, without those that are listed meanwhile.
+fn take(shared: &Shared, part: usize) -> Vec<(Slot, Outcome)> {
+    const OVERHEAD: usize = 400;
+    let world = shared.world.borrow();
+    let mut queue = shared.outbox[part].queue.borrow_mut();
+    let mut taken = Vec::new();
+    let mut bytes = 0;
+    while let Some((slot, outcome)) = queue.front() {
+        let job = world.shelves[part].book.jobs.get(&slot.job);
+        if job.is_none_or(|job| job.done[slot.at]) {
+            queue.pop_front();
+            continue;
+        }
+        // Escapes may double a text's length.
+        bytes += outcome.text.len() * 2 + OVERHEAD;
+        if bytes > shared.settings.store.call_bytes && !taken.is_empty() {
+            break;
+        }
+        taken.extend(queue.pop_front());
+    }
+    taken
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/mod.rs
@@ -0,0 +1,28 @@
+//! An entry instance on a platform whose store is a log with keyed topics.
+//!
+//! The platform's names and formats come in through a [`dialect::Dialect`]
+//! and a [`store::Client`], both plain structs of closures that an adapter
+//! fills in; nothing here knows how anything is spelled. Decisions are taken
+//! in [`crate::core`]: [`crate::core::dispatch`] (what runs where),
+//! [`crate::core::batch`] (what is listed), [`crate::core::roll`] (weights).
+//! Modules here carry those decisions out.
+//!
+//! Everything runs on one thread, control state and traffic alike. The
+//! project's rule is a control thread beside traffic threads; on a machine
+//! with half a core a second thread only adds a wake-up to every decision,
+//! and wake-ups are what such a machine pays for.
+
+pub mod dialect;
+pub mod exchange;
+pub mod follow;
+pub mod forward;
+pub mod ingress;
+pub mod jobs;
+pub mod lines;
+pub mod member;
+pub mod orders;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod shared;
+pub mod store;
--- /dev/null
+++ b/crates/hollywell/src/entry/orders.rs
@@ -0,0 +1,272 @@
+//! Orders to engines: the lease on one failure domain and the calls.
+//!
+//! Each order is given under a report just read: it names how many orders
+//! the engine has accepted, so that one that is carried out late, after a
+//! newer one, does nothing.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use tokio::time::sleep;
+
+use crate::{
+    core::{
+        roll::{self, Order},
+        tenure::{Claim, Tenure},
+        time::Time,
+    },
+    entry::{
+        dialect::VersionOrder,
+        shared::Shared,
+        store::{Append, Fault, Part, Read},
+    },
+};
+
+/// The topic of leases, one partition for each failure domain.
+const LEASES: &str = "leases";
+/// Engines of one failure domain that load at once.
+const AT_ONCE: usize = 1;
+/// Time between looks at what is to be ordered.
+const TICK: Duration = Duration::from_millis(100);
+/// Time that one call to an engine may take.
+const CALL: Duration = Duration::from_millis(800);
+/// First look whether a load is done; it takes 0.9 s alone.
+const LOADED: Duration = Duration::from_millis(920);
+/// Time between later looks.
+const LOADED_PAUSE: Duration = Duration::from_millis(300);
+/// Later looks.
+const LOADED_LOOKS: u32 = 6;
+/// Largest report.
+const REPORT_BYTES: usize = 1 << 20;
+
+struct Office {
+    tenure: Tenure,
+    roll: roll::State,
+}
+
+/// Competes for the failure domain's lease and gives orders while it is
+/// held.
+pub async fn serve(shared: Rc<Shared>) {
+    let domain = shared.settings.domain.clone();
+    let number = shared.settings.domains.iter().position(|name| *name == domain);
+    let part = Part::new(LEASES, u32::try_from(number.unwrap_or_default()).unwrap_or_default());
+    let office =
+        Rc::new(RefCell::new(Office { tenure: Tenure::default(), roll: roll::State::default() }));
+    tokio::task::spawn_local(hold(shared.clone(), part, office.clone()));
+    loop {
+        sleep(TICK).await;
+        if !shared.world.borrow().stopping {
+            give(&shared, &office, &domain);
+        }
+    }
+}
+
+/// Orders may be given only if a call started now ends within the lease.
+fn fence(shared: &Shared, office: &RefCell<Office>) -> Option<u64> {
+    let margin_ms = u64::try_from(CALL.as_millis()).unwrap_or_default();
+    office.borrow().tenure.fence(shared.now(), margin_ms)
+}
+
+fn give(shared: &Rc<Shared>, office: &Rc<RefCell<Office>>, domain: &str) {
+    if fence(shared, office).is_none() {
+        return;
+    }
+    let orders = {
+        let world = shared.world.borrow();
+        let now = shared.now();
+        let roll = &mut office.borrow_mut().roll;
+        roll.step(now, domain, &world.named, &world.fleet, &world.sights, AT_ONCE)
+    };
+    for order in orders {
+        tokio::task::spawn_local(carry_out(shared.clone(), office.clone(), order));
+    }
+}
+
+async fn carry_out(shared: Rc<Shared>, office: Rc<RefCell<Office>>, order: Order) {
+    let Some(report) = report(&shared, &order.target).await else {
+        office.borrow_mut().roll.failed(&order.target);
+        return;
+    };
+    note(&shared, &order, &report);
+    let has = report.versions.get(&order.model).copied();
+    if has >= Some(order.version) {
+        return;
+    }
+    if !report.busy {
+        let Some(fence) = fence(&shared, &office) else {
+            return;
+        };
+        let asked = VersionOrder {
+            model: order.model.clone(),
+            version: order.version,
+            holder: shared.me.clone(),
+            fence,
+            expected: report.orders,
+        };
+        let (path, body) = (shared.dialect.order)(&asked);
+        let status = call(&shared, &order.target, http::Method::POST, path, body).await;
+        let status = status.map(|(status, _)| status.as_u16());
+        log::info!(
+            "order to {}: {} from {has:?} to {}, fence {fence}, expects {}: {status:?}",
+            order.target,
+            order.model,
+            order.version,
+            report.orders
+        );
+        if !matches!(status, Some(200 | 202)) {
+            // An order without an answer may still be carried out: the next
+            // report tells.
+            sleep(LOADED_PAUSE).await;
+            office.borrow_mut().roll.failed(&order.target);
+            return;
+        }
+    }
+    sleep(LOADED).await;
+    for _ in 0..LOADED_LOOKS {
+        if let Some(report) = self::report(&shared, &order.target).await {
+            note(&shared, &order, &report);
+            if report.versions.get(&order.model).copied() >= Some(order.version) {
+                shared.tell(&crate::core::dispatch::Event::Tick);
+                return;
+            }
+        }
+        sleep(LOADED_PAUSE).await;
+    }
+    office.borrow_mut().roll.failed(&order.target);
+}
+
+fn note(shared: &Shared, order: &Order, report: &crate::entry::dialect::Report) {
+    let mut world = shared.world.borrow_mut();
+    for (model, version) in &report.versions {
+        world.fleet.answered(&order.target, model, *version);
+    }
+}
+
+async fn report(shared: &Rc<Shared>, target: &str) -> Option<crate::entry::dialect::Report> {
+    let path = shared.dialect.report_path;
+    let (status, body) = call(shared, target, http::Method::GET, path, Bytes::new()).await?;
+    if !status.is_success() {
+        return None;
+    }
+    match (shared.dialect.report)(&body) {
+        Ok(report) => Some(report),
+        Err(why) => {
+            log::warn!("report of {target}: {why}");
+            None
+        }
+    }
+}
+
+async fn call(
+    shared: &Rc<Shared>,
+    target: &str,
+    method: http::Method,
+    path: &str,
+    body: Bytes,
+) -> Option<(http::StatusCode, Bytes)> {
+    let address = {
+        let world = shared.world.borrow();
+        world.fleet.targets.get(target).map(|target| target.said.address)
+    }?;
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(&shared.dialect.headers.target, target)
+        .body(Full::new(body))
+        .ok()?;
+    let answer = match shared.pool.send(address, request, CALL).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::info!("call {path} to {target}: {error}");
+            return None;
+        }
+    };
+    let status = answer.head.status;
+    let body = answer.whole(REPORT_BYTES, CALL).await.ok()?;
+    Some((status, body))
+}
+
+/// Keeps up the lease, or waits for its holder to fall silent.
+async fn hold(shared: Rc<Shared>, part: Part, office: Rc<RefCell<Office>>) {
+    let lease_ms = shared.settings.times.lease_ms;
+    let pause = Duration::from_millis(lease_ms / 4);
+    loop {
+        if shared.world.borrow().stopping {
+            return;
+        }
+        read(&shared, &part, &office).await;
+        claim(&shared, &part, &office, lease_ms).await;
+        sleep(pause).await;
+    }
+}
+
+async fn read(shared: &Rc<Shared>, part: &Part, office: &RefCell<Office>) {
+    let from = office.borrow().tenure.end;
+    let read = Read { part: part.clone(), from, wait: Duration::ZERO };
+    match (shared.store.read)(read).await {
+        Ok(records) => {
+            shared.store_did(true);
+            let tenure = &mut office.borrow_mut().tenure;
+            for record in &records.records {
+                let value = record.value.clone().unwrap_or_default();
+                match serde_json::from_slice::<Claim>(&value) {
+                    Ok(claim) => tenure.read(&shared.me, shared.now(), record.offset, &claim),
+                    Err(error) => log::warn!("claim at {} skipped: {error}", record.offset),
+                }
+            }
+            tenure.read_to(records.end);
+        }
+        Err(Fault::Gone(first)) => office.borrow_mut().tenure.end = first,
+        Err(fault) => {
+            shared.store_did(false);
+            log::info!("reading the lease: {fault}");
+        }
+    }
+}
+
+async fn claim(shared: &Rc<Shared>, part: &Part, office: &RefCell<Office>, lease_ms: u64) {
+    let sent: Time = shared.now();
+    let (claim, end, fresh) = {
+        let office = office.borrow();
+        let rank = rank(shared);
+        let Some(claim) = office.tenure.claim(&shared.me, sent, lease_ms, rank) else {
+            return;
+        };
+        (claim, office.tenure.end, office.tenure.is_fresh())
+    };
+    let value = Bytes::from(serde_json::to_vec(&claim).unwrap_or_default());
+    let records = vec![(None, value)];
+    let append = Append { part: part.clone(), records, expected_end: Some(end) };
+    match (shared.store.append)(append).await {
+        Ok(appended) => {
+            shared.store_did(true);
+            if claim.renews.is_none() {
+                log::info!(
+                    "lease of {} granted, fence {}",
+                    shared.settings.domain,
+                    appended.offset
+                );
+            }
+            let tenure = &mut office.borrow_mut().tenure;
+            tenure.granted(sent, appended.offset, &claim, lease_ms, fresh);
+        }
+        Err(Fault::Moved(_)) => {
+            log::info!("lease of {} went to another instance", shared.settings.domain);
+            office.borrow_mut().tenure.refused();
+        }
+        Err(fault) => {
+            shared.store_did(false);
+            log::info!("claiming the lease: {fault}");
+        }
+    }
+}
+
+/// This instance's place among its failure domain's, so that first claims do
+/// not all come at once.
+fn rank(shared: &Shared) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(shared.me.as_bytes()) % 8
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/run.rs
@@ -0,0 +1,215 @@
+//! One run of a sample at an engine: the request, its stream of events, and
+//! the text that has come so far.
+//!
+//! The text outlives the run, so that another engine can go on after its
+//! last whole event. What it leaves out: when and where to run.
+
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+
+use crate::{
+    core::{
+        dispatch::{End, Event, Run, Slot},
+        fleet::Announcement,
+    },
+    entry::{
+        dialect::Piece,
+        exchange::{Answer, Error},
+        lines::Cutter,
+        shared::Shared,
+    },
+};
+
+/// Longest time that a run may take. Silence ends it far sooner.
+const RUN_LIMIT: Duration = Duration::from_secs(60);
+
+/// What has come of a sample's text.
+#[derive(Clone, Debug, Default)]
+pub struct Text {
+    /// Number of the last whole event; 0 before the first.
+    pub last: u64,
+    /// The data of all events, separated by line feeds.
+    pub data: String,
+    /// All versions that generated an event.
+    pub versions: BTreeSet<u64>,
+    /// The signature of its score, once there is one.
+    pub score: Option<String>,
+}
+
+impl Text {
+    fn take(&mut self, piece: &Piece, version: u64) {
+        if self.last > 0 {
+            self.data.push('\n');
+        }
+        self.data.push_str(&piece.data);
+        self.last = piece.id;
+        self.versions.insert(version);
+    }
+}
+
+/// Starts a run as a task of its own.
+pub fn start(shared: &Rc<Shared>, run: Run, slot: Slot, target: &str, priority: u8) {
+    let said = {
+        let world = shared.world.borrow();
+        world.fleet.targets.get(target).map(|target| target.said.clone())
+    };
+    let Some(said) = said else {
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            shared.tell(&Event::Ended { run, end: End::Misdirected });
+        });
+        return;
+    };
+    let task = tokio::task::spawn_local({
+        let shared = shared.clone();
+        async move {
+            let end = go(&shared, run, &slot, &said, priority).await;
+            log::debug!("sample {}/{} at {}: {end:?}", slot.job, slot.at, said.id);
+            shared.world.borrow_mut().runs.remove(&run);
+            shared.tell(&Event::Ended { run, end });
+        }
+    });
+    shared.world.borrow_mut().runs.insert(run, task.abort_handle());
+}
+
+async fn go(
+    shared: &Rc<Shared>,
+    run: Run,
+    slot: &Slot,
+    target: &Announcement,
+    priority: u8,
+) -> End {
+    let Some(request) = request(shared, slot, target, priority) else {
+        return End::Impossible;
+    };
+    let answer = match shared.pool.send(target.address, request, RUN_LIMIT).await {
+        Ok(answer) => answer,
+        Err(Error::Stale) => return End::Misdirected,
+        Err(error) => {
+            log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
+            return End::Broken;
+        }
+    };
+    let headers = &shared.dialect.headers;
+    if let Some(load) = answer.header(&headers.load).and_then(shared.dialect.load) {
+        let now = shared.now();
+        shared.world.borrow_mut().sights.load(now, &target.id, load);
+    }
+    match answer.head.status {
+        StatusCode::OK => stream(shared, run, slot, target, answer).await,
+        StatusCode::MISDIRECTED_REQUEST => End::Misdirected,
+        StatusCode::UNPROCESSABLE_ENTITY => End::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => End::Failed,
+        status => {
+            let refused = answer.head.headers.contains_key(&headers.not_run);
+            log::debug!("sample {}/{} at {}: {status}", slot.job, slot.at, target.id);
+            if refused { End::Full } else { End::Broken }
+        }
+    }
+}
+
+fn request(
+    shared: &Shared,
+    slot: &Slot,
+    target: &Announcement,
+    priority: u8,
+) -> Option<Request<Full<Bytes>>> {
+    let world = shared.world.borrow();
+    let job = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job)?;
+    let sample = job.submission.samples.get(slot.at)?;
+    let headers = &shared.dialect.headers;
+    let mut request = Request::post(sample.path.as_str())
+        .header(http::header::HOST, job.head.host.as_str())
+        .header(&headers.request_id, sample.id.as_str())
+        .header(&headers.target, target.id.as_str())
+        .header(&headers.priority, HeaderValue::from(u16::from(priority)));
+    for (name, value) in &sample.headers {
+        request = request.header(name.as_str(), value.as_str());
+    }
+    if let Some(text) = world.texts.get(slot).filter(|text| text.last > 0) {
+        request = request.header(&headers.last_event, HeaderValue::from(text.last));
+    }
+    request.body(Full::new(sample.body.clone())).ok()
+}
+
+async fn stream(
+    shared: &Rc<Shared>,
+    run: Run,
+    slot: &Slot,
+    target: &Announcement,
+    mut answer: Answer,
+) -> End {
+    let headers = &shared.dialect.headers;
+    let (model, min_version, id) = {
+        let world = shared.world.borrow();
+        let Some(job) = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job) else {
+            return End::Broken;
+        };
+        let sample = &job.submission.samples[slot.at];
+        (job.submission.model.clone(), job.submission.min_version, sample.id.clone())
+    };
+    if answer.header(&headers.request_id) != Some(id.as_str()) {
+        return End::Broken;
+    }
+    let Some(mut version) = answer.header(&headers.version).and_then(|v| v.parse::<u64>().ok())
+    else {
+        return End::Broken;
+    };
+    shared.world.borrow_mut().fleet.answered(&target.id, &model, version);
+    if version < min_version {
+        return End::WrongVersion;
+    }
+    shared.tell(&Event::Head { run });
+    let mut cutter = Cutter::default();
+    loop {
+        let data = match answer.chunk().await {
+            Ok(Some(data)) => data,
+            Ok(None) if cutter.is_empty() => return End::Whole,
+            Ok(None) => return End::Broken,
+            Err(error) => {
+                log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
+                return End::Broken;
+            }
+        };
+        cutter.push(&data);
+        while let Some(event) = cutter.next() {
+            let piece = match std::str::from_utf8(&event) {
+                Ok(text) => (shared.dialect.piece)(text),
+                Err(_) => Err(String::from("not UTF-8")),
+            };
+            let piece = match piece {
+                Ok(piece) => piece,
+                Err(why) => {
+                    log::info!("sample {}/{} at {}: event: {why}", slot.job, slot.at, target.id);
+                    return End::Broken;
+                }
+            };
+            if let Some(newer) = piece.version {
+                version = newer;
+                shared.world.borrow_mut().fleet.answered(&target.id, &model, version);
+            }
+            if version < min_version {
+                return End::WrongVersion;
+            }
+            {
+                let mut world = shared.world.borrow_mut();
+                let text = world.texts.entry(slot.clone()).or_default();
+                if piece.id != text.last + 1 {
+                    log::info!(
+                        "sample {}/{}: event {} after {}",
+                        slot.job,
+                        slot.at,
+                        piece.id,
+                        text.last
+                    );
+                    return End::Broken;
+                }
+                text.take(&piece, version);
+            }
+            shared.tell(&Event::Piece { run });
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/serve.rs
@@ -0,0 +1,201 @@
+//! One entry instance on a platform, from its settings to its end.
+
+use std::{
+    cell::{Cell, RefCell},
+    path::Path,
+    rc::Rc,
+    time::Duration,
+};
+
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{Notify, watch},
+    task::LocalSet,
+};
+
+use crate::{
+    control::Clock,
+    core::{choice::Sights, dispatch, fleet::Fleet, time::Time},
+    entry::{
+        dialect::Dialect,
+        exchange::Pool,
+        follow, ingress, jobs, member, orders,
+        settings::{Settings, Store},
+        shared::{JOB_PARTS, Shared, Shelf, World},
+        store::Client,
+    },
+};
+
+/// Time between ticks of the reducer: how late a silent stream is noticed.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between sweeps of kept connections.
+const SWEEP: Duration = Duration::from_millis(1_000);
+/// Share of the grace after which a stopping instance exits whatever is
+/// still open.
+const GRACE_SHARE: f64 = 0.9;
+/// Time for the balancer to see that a stopping instance is not ready: two
+/// questions, one a second, and what crosses them.
+const DRAIN: Duration = Duration::from_millis(2_300);
+
+/// What an adapter brings.
+#[derive(Clone, Copy, Debug)]
+pub struct Adapter {
+    /// How the platform spells things.
+    pub dialect: fn() -> Dialect,
+    /// The store's client, over the given connections.
+    pub store: fn(Rc<Pool>, &Store) -> Client,
+    /// Where the platform put the settings file.
+    pub settings_path: fn() -> Option<std::path::PathBuf>,
+}
+
+/// Runs an instance until it is asked to stop.
+///
+/// # Errors
+///
+/// If a listener cannot be bound.
+pub fn run(
+    adapter: &Adapter,
+    settings: Settings,
+    path: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(adapter, settings, path))
+}
+
+fn share(adapter: &Adapter, settings: Settings) -> Rc<Shared> {
+    let incarnation = crate::entry::shared::wall_ms();
+    let me = format!("{}@{}/{incarnation:x}", settings.name, settings.peer_listen);
+    let writer = format!("{:08x}", xxhash_rust::xxh3::xxh3_64(me.as_bytes()) & u64::from(u32::MAX));
+    let parts = JOB_PARTS.min(settings.store.parts).max(1) as usize;
+    let world = World {
+        plan: None,
+        fleet: Fleet::default(),
+        sights: Sights::default(),
+        dispatch: dispatch::State::new(&me),
+        shelves: (0..parts).map(|_| Shelf::default()).collect(),
+        named: std::collections::BTreeMap::new(),
+        texts: std::collections::HashMap::new(),
+        runs: std::collections::HashMap::new(),
+        unopened: vec![],
+        members: vec![me.clone()],
+        store_ok_at: Time(0),
+        store_bad_since: None,
+        fleet_known: false,
+        stopping: false,
+    };
+    let pool = Pool::new();
+    Rc::new(Shared {
+        dialect: (adapter.dialect)(),
+        store: (adapter.store)(pool.clone(), &settings.store),
+        pool,
+        clock: Clock::start(),
+        me,
+        writer,
+        written: Cell::new(0),
+        world: RefCell::new(world),
+        listed: (0..parts).map(|_| Notify::new()).collect(),
+        outbox: (0..parts).map(|_| jobs::Outbox::default()).collect(),
+        stop: watch::channel(false).0,
+        settings,
+    })
+}
+
+async fn serve(
+    adapter: &Adapter,
+    settings: Settings,
+    path: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let shared = share(adapter, settings);
+    let settings = &shared.settings;
+    let front = TcpListener::bind(settings.listen).await?;
+    let ready = TcpListener::bind(settings.ready_listen).await?;
+    log::info!("{} listens on {}, settings {}", shared.me, settings.listen, path.display());
+    let open = Rc::new(ingress::Open::default());
+    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    spawn(Box::pin(follow::wishes(shared.clone())));
+    spawn(Box::pin(follow::fleet(shared.clone())));
+    for part in 0..shared.listed.len() {
+        spawn(Box::pin(follow::jobs(shared.clone(), part)));
+    }
+    spawn(Box::pin(member::stay(shared.clone())));
+    spawn(Box::pin(member::watch(shared.clone())));
+    spawn(Box::pin(orders::serve(shared.clone())));
+    spawn(Box::pin(tick(shared.clone())));
+    spawn(Box::pin(answer_ready(shared.clone(), ready)));
+    spawn(Box::pin(ingress::serve(shared.clone(), front, open.clone())));
+    asked_to_stop().await?;
+    stop(&shared, &open).await;
+    Ok(())
+}
+
+async fn stop(shared: &Rc<Shared>, open: &ingress::Open) {
+    log::info!("stopping: {} requests open", open.count());
+    let end = tokio::time::Instant::now() + shared.settings.times.grace.mul_f64(GRACE_SHARE);
+    shared.world.borrow_mut().stopping = true;
+    shared.stop.send_replace(true);
+    if let Err(fault) = member::leave(shared).await {
+        log::warn!("leaving the group: {fault}");
+    }
+    let drained = tokio::time::Instant::now() + DRAIN;
+    while tokio::time::Instant::now() < end {
+        let in_flight = shared.world.borrow().dispatch.in_flight();
+        let quiet = open.count() == 0 && in_flight == 0;
+        if quiet && tokio::time::Instant::now() >= drained {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    log::info!("stopped: {} requests open", open.count());
+}
+
+async fn tick(shared: Rc<Shared>) {
+    let mut swept = tokio::time::Instant::now();
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = shared.now();
+        shared.world.borrow_mut().fleet.expire(now);
+        shared.tell(&dispatch::Event::Tick);
+        if swept.elapsed() > SWEEP {
+            swept = tokio::time::Instant::now();
+            shared.pool.sweep();
+        }
+    }
+}
+
+/// Answers the platform's question whether this instance takes callers.
+async fn answer_ready(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting a question for readiness: {error}");
+                tokio::time::sleep(TICK).await;
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_: hyper::Request<Incoming>| {
+                let response = ingress::ready(&shared);
+                async move { Ok::<_, std::convert::Infallible>(response) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::debug!("a question for readiness: {error}");
+            }
+        });
+    }
+}
+
+async fn asked_to_stop() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/settings.rs
@@ -0,0 +1,136 @@
+//! Settings of an entry instance on a platform: an INI file, checked.
+//!
+//! The platform renders the file from a template, so the keys are the
+//! product's own. Every fault is reported; a key that nothing reads is one
+//! too, since the template is the project's.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use crate::settings::{Fault, Reader};
+
+/// All settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// All failure domains, in a fixed order.
+    pub domains: Vec<String>,
+    /// Where callers and trainers reach it.
+    pub listen: SocketAddr,
+    /// Where the platform asks whether it takes callers.
+    pub ready_listen: SocketAddr,
+    /// Where its peers reach it.
+    pub peer_listen: SocketAddr,
+    /// Where its metrics are served.
+    pub metrics_listen: SocketAddr,
+    /// The store.
+    pub store: Store,
+    /// Times that the platform promises or demands.
+    pub times: Times,
+    /// Least severe level of log lines.
+    pub level: log::LevelFilter,
+}
+
+/// The store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Partitions of each topic.
+    pub parts: u32,
+    /// Longest record, in bytes.
+    pub record_bytes: usize,
+    /// Longest call, in bytes.
+    pub call_bytes: usize,
+    /// Shortest life of a group's member without a call.
+    pub ttl_min: Duration,
+}
+
+/// Times that the platform promises or demands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// From SIGTERM until the process is killed.
+    pub grace: Duration,
+    /// A holder of orders that fell silent for so long has lost them.
+    pub lease_ms: u64,
+    /// A job's results are kept for so long after its submission.
+    pub status: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Every [`Fault`] found.
+    pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            let (line, section, key, value) = Default::default();
+            let allowed = format!("a readable file: {error}");
+            vec![Fault { file: path.to_owned(), line, section, key, value, allowed }]
+        })?;
+        Settings::parse(path, &text)
+    }
+
+    /// Checks the text of a settings file; `path` is only named in faults.
+    ///
+    /// # Errors
+    ///
+    /// Every [`Fault`] found.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hollywell::entry::settings::Settings;
+    ///
+    /// let faults = Settings::parse("a.ini".as_ref(), "[instance]\nnane = a\n").unwrap_err();
+    /// // The misspelt key is reported beside the missing one.
+    /// assert!(faults.iter().any(|fault| fault.key == "nane"));
+    /// assert!(faults.iter().any(|fault| fault.key == "name"));
+    /// ```
+    pub fn parse(path: &Path, text: &str) -> Result<Settings, Vec<Fault>> {
+        let mut reader = Reader::new(path, text)?;
+        let settings = read_all(&mut reader);
+        reader.check_unknown();
+        match reader.faults.is_empty() {
+            true => Ok(settings),
+            false => Err(reader.faults),
+        }
+    }
+}
+
+fn read_all(reader: &mut Reader<'_>) -> Settings {
+    const MOST_MS: u64 = 86_400_000;
+    const MOST_BYTES: u64 = 1 << 30;
+    let instance = "instance";
+    let domain = reader.text(instance, "domain", None);
+    let levels = ["off", "error", "warn", "info", "debug", "trace"];
+    let level = reader.choice("logs", "level", "info", &levels);
+    let store = "store";
+    let parts = reader.number(store, "parts", 1, 1..=1_000);
+    let times = "times";
+    Settings {
+        name: reader.text(instance, "name", None),
+        domains: reader.list(instance, "domains", &domain),
+        domain,
+        listen: reader.address(instance, "listen"),
+        ready_listen: reader.address(instance, "ready_listen"),
+        peer_listen: reader.address(instance, "peer_listen"),
+        metrics_listen: reader.address(instance, "metrics_listen"),
+        store: Store {
+            address: reader.address(store, "address"),
+            parts: u32::try_from(parts).unwrap_or(1),
+            record_bytes: reader.size(store, "record_bytes", 262_144, 4_096..=MOST_BYTES),
+            call_bytes: reader.size(store, "call_bytes", 2_097_152, 4_096..=MOST_BYTES),
+            ttl_min: Duration::from_millis(reader.number(store, "ttl_min_ms", 1_000, 1..=MOST_MS)),
+        },
+        times: Times {
+            grace: Duration::from_millis(reader.number(times, "grace_ms", 8_000, 100..=MOST_MS)),
+            lease_ms: reader.number(times, "lease_ms", 3_000, 100..=MOST_MS),
+            status: Duration::from_secs(reader.number(times, "status_s", 120, 1..=86_400)),
+        },
+        level: level.parse().unwrap_or(log::LevelFilter::Info),
+    }
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/shared.rs
@@ -0,0 +1,277 @@
+//! What all tasks of an instance share, and the one place where events are
+//! taken in and effects are carried out.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use tokio::{
+    sync::{Notify, watch},
+    task::AbortHandle,
+};
+
+use crate::{
+    control::Clock,
+    core::{
+        batch::{Book, Change, Record},
+        choice::Sights,
+        dispatch::{self, Effect, Event, Run, Slot, Work},
+        fleet::Fleet,
+        plan::{Plan, Repeat},
+        time::Time,
+    },
+    entry::{
+        dialect::Dialect, exchange::Pool, jobs, run, run::Text, settings::Settings, store::Client,
+    },
+};
+
+/// The topic that holds batch jobs.
+pub const JOBS: &str = "keyed.jobs";
+/// Partitions of it in use. One would do at today's size; several keep one
+/// big submission from holding up another job's results.
+pub const JOB_PARTS: u32 = 4;
+/// A store that failed for so long is away, in milliseconds; one refused
+/// call is not an outage.
+const AWAY_MS: u64 = 700;
+
+/// One partition of batch jobs as this instance has folded it.
+#[derive(Debug, Default)]
+pub struct Shelf {
+    /// The jobs.
+    pub book: Book,
+    /// The offset to read next.
+    pub next: u64,
+    /// The partition was read from its beginning.
+    pub loaded: bool,
+}
+
+/// Mutable state. Borrowed for the length of one step, never across a wait.
+#[derive(Debug)]
+pub struct World {
+    /// The configuration in force, once one was read.
+    pub plan: Option<Rc<Plan>>,
+    /// The targets.
+    pub fleet: Fleet,
+    /// What was seen of them.
+    pub sights: Sights,
+    /// What runs where.
+    pub dispatch: dispatch::State,
+    /// Batch jobs, by partition.
+    pub shelves: Vec<Shelf>,
+    /// Newest weights of each model.
+    pub named: BTreeMap<String, u64>,
+    /// Text of samples that are not listed.
+    pub texts: HashMap<Slot, Text>,
+    /// Runs in flight.
+    pub runs: HashMap<Run, AbortHandle>,
+    /// Jobs that wait for a configuration that has their route.
+    pub unopened: Vec<String>,
+    /// Live instances.
+    pub members: Vec<String>,
+    /// When the store last did what it was asked to.
+    pub store_ok_at: Time,
+    /// Since when it has failed, if the last call failed.
+    pub store_bad_since: Option<Time>,
+    /// Targets were read to the end of their topic.
+    pub fleet_known: bool,
+    /// The instance is stopping.
+    pub stopping: bool,
+}
+
+/// What all tasks share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// How the platform spells things.
+    pub dialect: Dialect,
+    /// The store.
+    pub store: Client,
+    /// Connections to targets and peers.
+    pub pool: Rc<Pool>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// This run of the instance, as others name it.
+    pub me: String,
+    /// Tells incarnations apart in keys.
+    pub writer: String,
+    /// Counter for keys.
+    pub written: Cell<u64>,
+    /// Mutable state.
+    pub world: RefCell<World>,
+    /// Told when a partition of jobs changed.
+    pub listed: Vec<Notify>,
+    /// Results on their way to the store, by partition.
+    pub outbox: Vec<jobs::Outbox>,
+    /// Turns true when the instance stops.
+    pub stop: watch::Sender<bool>,
+}
+
+impl Shared {
+    /// The instant now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The partition of a job.
+    #[must_use]
+    pub fn part_of(&self, job: &str) -> usize {
+        let parts = u64::from(JOB_PARTS.min(self.settings.store.parts).max(1));
+        usize::try_from(xxhash_rust::xxh3::xxh3_64(job.as_bytes()) % parts).unwrap_or_default()
+    }
+
+    /// A key part that no other record has.
+    #[must_use]
+    pub fn unique(&self) -> String {
+        self.written.set(self.written.get() + 1);
+        format!("{}.{}", self.writer, self.written.get())
+    }
+
+    /// Notes whether a call of the store went well.
+    pub fn store_did(&self, well: bool) {
+        let now = self.now();
+        let mut world = self.world.borrow_mut();
+        if well {
+            world.store_ok_at = now;
+            let since = world.store_bad_since.take();
+            world.fleet.store(now, false);
+            if since.is_some_and(|since| now.since(since) > AWAY_MS) {
+                log::info!("store regained");
+            }
+            return;
+        }
+        let since = *world.store_bad_since.get_or_insert(now);
+        let away = now.since(since) > AWAY_MS;
+        if away && !world.fleet.store_away {
+            log::warn!("store lost: no good answer for {} ms", now.since(since));
+        }
+        world.fleet.store(now, away);
+    }
+
+    /// Whether the store can be reached, as far as is known.
+    #[must_use]
+    pub fn store_away(&self) -> bool {
+        self.world.borrow().fleet.store_away
+    }
+
+    /// Takes an event in and carries its effects out.
+    pub fn tell(self: &Rc<Shared>, event: &Event) {
+        let now = self.now();
+        let effects = {
+            let world = &mut *self.world.borrow_mut();
+            world.dispatch.step(now, event, &world.fleet, &mut world.sights)
+        };
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(self: &Rc<Shared>, effect: Effect) {
+        match effect {
+            Effect::Start { run, slot, target, priority } => {
+                run::start(self, run, slot, &target, priority);
+            }
+            Effect::Cancel(run) => {
+                let handle = self.world.borrow_mut().runs.remove(&run);
+                if let Some(handle) = handle {
+                    handle.abort();
+                }
+            }
+            Effect::Discard(slot) => {
+                self.world.borrow_mut().texts.remove(&slot);
+            }
+            Effect::Score(slot) => {
+                tokio::task::spawn_local(jobs::score(self.clone(), slot));
+            }
+            Effect::Deliver(slot) => jobs::deliver(self, &slot, false),
+            Effect::GiveUp(slot) => jobs::deliver(self, &slot, true),
+        }
+    }
+
+    /// Folds records of a partition of jobs, skipping those folded before.
+    pub fn absorb(self: &Rc<Shared>, part: usize, records: &[Record], end: u64) {
+        let mut changes = Vec::new();
+        {
+            let shelf = &mut self.world.borrow_mut().shelves[part];
+            for record in records.iter().filter(|record| record.offset >= shelf.next) {
+                match shelf.book.apply(record, self.dialect.submission) {
+                    Ok(more) => changes.extend(more),
+                    Err(skip) => log::warn!("{skip}"),
+                }
+            }
+            let last = records.last().map_or(0, |record| record.offset + 1);
+            shelf.next = shelf.next.max(end).max(last);
+            shelf.loaded = true;
+        }
+        for change in changes {
+            self.changed(part, change);
+        }
+        self.listed[part].notify_waiters();
+    }
+
+    fn changed(self: &Rc<Shared>, part: usize, change: Change) {
+        match change {
+            Change::Opened(job) => self.open(part, job),
+            Change::Skipped(skip) => log::warn!("{skip}"),
+            Change::Listed(job, at) => self.tell(&Event::Listed(Slot { job, at })),
+            Change::Ended(job) | Change::Dropped(job) => {
+                self.world.borrow_mut().unopened.retain(|other| *other != job);
+                self.tell(&Event::Closed(job));
+            }
+        }
+    }
+
+    /// Hands a job to the reducer, or keeps it until a configuration with
+    /// its route is read.
+    pub fn open(self: &Rc<Shared>, part: usize, id: String) {
+        let work = {
+            let mut world = self.world.borrow_mut();
+            let Some(job) = world.shelves[part].book.jobs.get(&id) else {
+                return;
+            };
+            if job.ended || job.is_whole() {
+                return;
+            }
+            let plan = world.plan.clone();
+            let route = plan.as_ref().and_then(|plan| plan.route(&job.head.host, &job.head.path));
+            let Some(route) = route.filter(|route| route.repeat == Repeat::Batch) else {
+                world.unopened.push(id);
+                return;
+            };
+            let age_ms = wall_ms().saturating_sub(job.head.at_ms);
+            let sample =
+                |sample: &crate::core::batch::Sample| (sample.group.clone(), sample.tokens_hint);
+            Work {
+                job: id,
+                pool: route.pools.first().map(|(pool, _)| pool.clone()).unwrap_or_default(),
+                model: job.submission.model.clone(),
+                min_version: job.submission.min_version,
+                attempts: route.attempts,
+                keep_until: self.now().after(route.keep_ms.saturating_sub(age_ms)),
+                samples: job.submission.samples.iter().map(sample).collect(),
+                done: job.done.clone(),
+            }
+        };
+        log::debug!("job {} opened: {} samples", work.job, work.samples.len());
+        self.tell(&Event::Opened(work));
+    }
+
+    /// Tries again to open jobs whose route was not known.
+    pub fn open_waiting(self: &Rc<Shared>) {
+        let waiting = std::mem::take(&mut self.world.borrow_mut().unopened);
+        for job in waiting {
+            self.open(self.part_of(&job), job);
+        }
+    }
+}
+
+/// Time of day, in milliseconds since 1970.
+#[must_use]
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hollywell/src/entry/store.rs
@@ -0,0 +1,173 @@
+//! The platform's store as the product sees it: a log with partitions, keyed
+//! topics and groups, behind closures that an adapter fills in.
+//!
+//! What it leaves out: retries and their pace, which differ by use and stand
+//! where the calls are made.
+
+use std::{fmt, future::Future, pin::Pin, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+
+use crate::core::batch::Record;
+
+/// A future that stays on its thread.
+pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The store did nothing: it said so, or was not reached.
+    Refused(String),
+    /// No answer came. The call may have been executed, or may be later.
+    Unknown(String),
+    /// The partition does not end where the caller said; its end.
+    Moved(u64),
+    /// The records asked for are gone; the first that is left.
+    Gone(u64),
+    /// The store's answer makes no sense.
+    Malformed(String),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Refused(why) => write!(f, "the store refused: {why}"),
+            Fault::Unknown(why) => write!(f, "no answer of the store: {why}"),
+            Fault::Moved(end) => write!(f, "the partition ends at {end}"),
+            Fault::Gone(first) => write!(f, "records before {first} are gone"),
+            Fault::Malformed(why) => write!(f, "the store's answer is malformed: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// A topic's partition.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Part {
+    /// The topic.
+    pub topic: String,
+    /// The partition's number.
+    pub number: u32,
+}
+
+impl Part {
+    /// Names a partition.
+    #[must_use]
+    pub fn new(topic: &str, number: u32) -> Part {
+        Part { topic: topic.to_owned(), number }
+    }
+}
+
+/// Records to append, all or none.
+#[derive(Clone, Debug)]
+pub struct Append {
+    /// Where.
+    pub part: Part,
+    /// Keys (for keyed topics) and values.
+    pub records: Vec<(Option<String>, Bytes)>,
+    /// Append only if the partition ends here.
+    pub expected_end: Option<u64>,
+}
+
+/// Where records were appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Appended {
+    /// Offset of the first.
+    pub offset: u64,
+    /// The partition's end after the last.
+    pub end: u64,
+}
+
+/// A read of a partition.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// Where.
+    pub part: Part,
+    /// The first offset wanted.
+    pub from: u64,
+    /// How long to wait for a record; zero for not at all.
+    pub wait: Duration,
+}
+
+/// Records of a partition.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// The partition's end.
+    pub end: u64,
+    /// The records, by offset.
+    pub records: Vec<Record>,
+}
+
+/// A page of the newest record of each key.
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    /// The records, by key.
+    pub records: Vec<Record>,
+    /// The key to go on after, if there is more.
+    pub after: Option<String>,
+    /// The partition's end.
+    pub end: u64,
+}
+
+/// A call that keeps a member in a group.
+#[derive(Clone, Debug)]
+pub struct Join {
+    /// The group.
+    pub group: String,
+    /// The member.
+    pub member: String,
+    /// Topics whose partitions are dealt out.
+    pub topics: Vec<String>,
+    /// How long the member lasts without another call.
+    pub ttl: Duration,
+    /// The generation received last; 0 at first.
+    pub generation: u64,
+}
+
+/// One call of the store.
+pub type Call<I, O> = Rc<dyn Fn(I) -> LocalFuture<Result<O, Fault>>>;
+
+/// The store's client.
+#[derive(Clone)]
+pub struct Client {
+    /// Appends records.
+    pub append: Call<Append, Appended>,
+    /// Reads records, waiting for the first of them.
+    pub read: Call<Read, Records>,
+    /// Reads the newest record of each key, page by page.
+    pub newest: Call<(Part, Option<String>), Page>,
+    /// Joins a group or stays in it; returns the generation.
+    pub join: Call<Join, u64>,
+    /// Leaves a group.
+    pub leave: Call<(String, String), ()>,
+    /// The members of a group that hold a partition.
+    pub members: Call<String, Vec<String>>,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Client")
+    }
+}
+
+impl Client {
+    /// All newest records of a partition below the end that the first page
+    /// names, by offset. Records above it are read from there.
+    ///
+    /// # Errors
+    ///
+    /// The first page's [`Fault`].
+    pub async fn newest_all(&self, part: &Part) -> Result<Records, Fault> {
+        let mut page = (self.newest)((part.clone(), None)).await?;
+        let end = page.end;
+        let mut records = page.records;
+        while let Some(after) = page.after {
+            page = (self.newest)((part.clone(), Some(after))).await?;
+            records.append(&mut page.records);
+        }
+        records.retain(|record| record.offset < end);
+        records.sort_by_key(|record| record.offset);
+        Ok(Records { end, records })
+    }
+}
--- a/crates/hollywell/src/error.rs
+++ b/crates/hollywell/src/error.rs
@@ -67,6 +67,9 @@
     OutcomeUnknown,
     /// The platform's log cannot be reached.
     LogAway,
+    /// The platform's store did not take what must be kept, or cannot be
+    /// asked for what is not known here.
+    StoreAway,
     /// A fault of hollywell itself.
     Internal,
 }
@@ -95,7 +98,7 @@
 
 impl Kind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Kind; 18] = [
+    pub const ALL: [Kind; 19] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::NoRoute,
@@ -113,6 +116,7 @@
         Kind::Unverified,
         Kind::OutcomeUnknown,
         Kind::LogAway,
+        Kind::StoreAway,
         Kind::Internal,
     ];
 
@@ -155,6 +159,7 @@
             Kind::Unverified => answer(503, Unknown, Some(1), "the key's owner cannot act now"),
             Kind::OutcomeUnknown => answer(502, Unknown, Some(5), "no whole answer came back"),
             Kind::LogAway => answer(503, Unknown, Some(5), "the platform's log is away"),
+            Kind::StoreAway => answer(503, NotRun, Some(1), "the platform's store is away"),
             Kind::Internal => answer(500, Unknown, Some(5), "a fault of hollywell"),
         }
     }
@@ -180,6 +185,7 @@
             Kind::Unverified => "unverified",
             Kind::OutcomeUnknown => "outcome_unknown",
             Kind::LogAway => "log_away",
+            Kind::StoreAway => "store_away",
             Kind::Internal => "internal",
         }
     }
--- a/crates/hollywell/src/lib.rs
+++ b/crates/hollywell/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`error`]: the closed list of error kinds and how each is answered.
 //! - [`control`]: the one thread that owns the reducer's state.
 //! - [`traffic`]: HTTP towards callers, trainers and operators.
+//! - [`entry`]: an instance on a platform whose store is a log with keyed
+//!   topics; an adapter spells its names.
 //! - [`peer`], [`platform`], [`service`], [`engine`]: the other sides.
 //! - [`settings`], [`logs`], [`metrics`], [`view`], [`trace`]: running it.
 //! - [`report`]: service-level burn from scraped metrics.
@@ -62,6 +64,7 @@
 pub mod control;
 pub mod core;
 pub mod engine;
+pub mod entry;
 pub mod error;
 pub mod http;
 pub mod logs;
--- a/crates/hollywell/src/logs.rs
+++ b/crates/hollywell/src/logs.rs
@@ -25,3 +25,17 @@
     log4rs::init_config(config)?;
     Ok(())
 }
+
+/// Starts logging as JSON lines to standard output.
+///
+/// # Errors
+///
+/// If logging was started before, or the configuration is refused.
+pub fn start_stdout(level: log::LevelFilter) -> Result<(), Box<dyn std::error::Error>> {
+    let encoder = Box::new(PatternEncoder::new("{l} {M} {m}{n}"));
+    let console = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder).build();
+    let appender = Appender::builder().build("stdout", Box::new(console));
+    let root = Root::builder().appender("stdout").build(level);
+    log4rs::init_config(Config::builder().appender(appender).build(root)?)?;
+    Ok(())
+}
--- a/crates/hollywell/src/main.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! The `hollywell` command.
-
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    hollywell::cli::run()
-}
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -269,16 +269,16 @@
 }
 
 /// Reads values and collects faults and the names of the keys in use.
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     path: &'a Path,
     text: &'a str,
     ini: Ini,
     used: BTreeSet<(&'static str, &'static str)>,
-    faults: Vec<Fault>,
+    pub(crate) faults: Vec<Fault>,
 }
 
 impl<'a> Reader<'a> {
-    fn new(path: &'a Path, text: &'a str) -> Result<Reader<'a>, Vec<Fault>> {
+    pub(crate) fn new(path: &'a Path, text: &'a str) -> Result<Reader<'a>, Vec<Fault>> {
         match Ini::load_from_str(text) {
             Ok(ini) => Ok(Reader { path, text, ini, used: BTreeSet::new(), faults: vec![] }),
             Err(error) => Err(vec![Fault {
@@ -313,7 +313,7 @@
         section_line
     }
 
-    fn fault(&mut self, section: &str, key: &str, value: &str, allowed: &str) {
+    pub(crate) fn fault(&mut self, section: &str, key: &str, value: &str, allowed: &str) {
         let line = self.line_of(section, key);
         self.faults.push(Fault {
             file: self.path.to_owned(),
@@ -325,13 +325,18 @@
         });
     }
 
-    fn optional(&mut self, section: &'static str, key: &'static str) -> Option<String> {
+    pub(crate) fn optional(&mut self, section: &'static str, key: &'static str) -> Option<String> {
         self.used.insert((section, key));
         let value = self.ini.get_from(Some(section), key)?;
         Some(value.trim().to_owned()).filter(|value| !value.is_empty())
     }
 
-    fn text(&mut self, section: &'static str, key: &'static str, default: Option<&str>) -> String {
+    pub(crate) fn text(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: Option<&str>,
+    ) -> String {
         let found = self.optional(section, key).or(default.map(str::to_owned));
         found.unwrap_or_else(|| {
             self.fault(section, key, "", "a name; it must be set");
@@ -339,7 +344,12 @@
         })
     }
 
-    fn list(&mut self, section: &'static str, key: &'static str, must_have: &str) -> Vec<String> {
+    pub(crate) fn list(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        must_have: &str,
+    ) -> Vec<String> {
         let Some(value) = self.optional(section, key) else {
             return vec![must_have.to_owned()];
         };
@@ -353,7 +363,7 @@
         names
     }
 
-    fn address(&mut self, section: &'static str, key: &'static str) -> SocketAddr {
+    pub(crate) fn address(&mut self, section: &'static str, key: &'static str) -> SocketAddr {
         let value = self.optional(section, key).unwrap_or_default();
         value.parse().unwrap_or_else(|_| {
             self.fault(section, key, &value, "an IP number and a port, as 127.0.0.1:8080");
@@ -361,7 +371,7 @@
         })
     }
 
-    fn number(
+    pub(crate) fn number(
         &mut self,
         section: &'static str,
         key: &'static str,
@@ -379,7 +389,7 @@
         })
     }
 
-    fn size(
+    pub(crate) fn size(
         &mut self,
         section: &'static str,
         key: &'static str,
@@ -390,7 +400,7 @@
         usize::try_from(number).unwrap_or(default)
     }
 
-    fn choice(
+    pub(crate) fn choice(
         &mut self,
         section: &'static str,
         key: &'static str,
@@ -406,7 +416,7 @@
     }
 
     /// Reports the sections and keys that nothing has asked for.
-    fn check_unknown(&mut self) {
+    pub(crate) fn check_unknown(&mut self) {
         let mut unknown = vec![];
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or_default();
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -14,7 +14,7 @@
 build() {
   local flags=(--locked --quiet)
   [ "${PROFILE:-debug}" = release ] && flags+=(--release)
-  cargo build "${flags[@]}" -p hollywell -p standin
+  cargo build "${flags[@]}" -p platform -p standin
 }
 
 # One history line, as the stand-ins write them.
