A position is answered as empty only when the store was asked

Ruled out: a lost or reordered result (the record stood at position 62 in the store; the instance's long poll had been hanging since the cut). Change: at the end of the hold the partition is read to its end; where that fails the answer is 'not sure' (503).

--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -173,9 +173,17 @@
         let Some((len, total)) = listed(shared) else {
             return Reply::Missing;
         };
-        if len > after || after >= total || Instant::now() >= until {
+        if len > after || after >= total {
             return page(shared, part, job, after);
         }
+        if Instant::now() >= until {
+            // "Nothing yet" is a claim about the store, which may have gone
+            // silent since the follower last heard from it.
+            return match catch_up(shared, part).await {
+                true => page(shared, part, job, after),
+                false => Reply::Unsure,
+            };
+        }
         let _no_news = timeout_at(until, notified).await;
     }
 }
