--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -23,6 +23,16 @@
 /// How long a target that refused for lack of room is avoided, in
 /// milliseconds.
 const FULL_MS: u64 = 100;
+/// Pace of a target before anything is known, in milliseconds an event.
+const UNKNOWN_PACE_MS: f64 = 40.0;
+/// Events of a usual sample: how long a place at a target stays taken.
+const USUAL_EVENTS: f64 = 20.0;
+/// Each request that runs beside another slows it by so much; engines that
+/// batch continuously lose about half a percent.
+const SLOT_SLOWS: f64 = 0.005;
+/// What a full target costs more than an empty one, in milliseconds, for all
+/// that other instances may be sending there at this moment.
+const SPREAD_MS: f64 = 100.0;
 /// Weight of the newest figure in a target's mean pace.
 const PACE_WEIGHT: f64 = 0.2;
 
@@ -157,14 +167,18 @@
         }
     }
 
-    /// The target at which a request is expected to be done first: by load
-    /// over slots, times pace. `most_load` is how many requests a target may
-    /// have for each of its slots.
+    /// The target at which a request is expected to be done first.
+    ///
+    /// `events` is how many events the request is expected to take; what a
+    /// slow target costs grows with it, what a queue costs does not. So long
+    /// requests go to fast targets and short ones to whatever is free.
+    /// `most_load` is how many requests a target may have for each of its
+    /// slots.
     ///
     /// # Example
     ///
     /// ```
-    /// use hollywell::core::{choice::Sights, fleet::Announcement, time::Time};
+    /// use hollywell::core::{choice::{Need, Sights}, fleet::Announcement, time::Time};
     ///
     /// let target = |id: &str| Announcement {
     ///     id: id.into(), pool: "wadi-gen".into(), address: ([127, 0, 0, 1], 80).into(),
@@ -172,40 +186,54 @@
     ///     versions: Default::default(),
     /// };
     /// let (a, b) = (target("a"), target("b"));
+    /// let need = Need { events: 20.0, most_load: 1.0, salt: 0 };
     /// let mut sights = Sights::default();
     /// sights.sent("a");
-    /// let pick = sights.choose(Time(5), [&a, &b].into_iter(), 1.0, 0);
+    /// let pick = sights.choose(Time(5), [&a, &b].into_iter(), need);
     /// assert_eq!(pick.unwrap().id, "b");
     /// // With both full there is no choice, not the lesser evil.
     /// sights.sent("b");
-    /// assert!(sights.choose(Time(5), [&a, &b].into_iter(), 1.0, 0).is_none());
+    /// assert!(sights.choose(Time(5), [&a, &b].into_iter(), need).is_none());
     /// ```
     #[must_use]
     pub fn choose<'a>(
         &self,
         now: Time,
         targets: impl Iterator<Item = &'a Announcement>,
-        most_load: f64,
-        salt: u64,
+        need: Need,
     ) -> Option<&'a Announcement> {
-        let median = self.median_pace();
-        let score = |target: &Announcement| {
+        let median = self.median_pace().unwrap_or(UNKNOWN_PACE_MS);
+        let cost = |target: &Announcement| {
             let slots = f64::from(target.slots.max(1));
             let load = self.load_of(now, &target.id);
-            if load >= slots * most_load || self.avoided(now, &target.id) {
+            if load >= slots * need.most_load || self.avoided(now, &target.id) {
                 return None;
             }
             let cold = if target.cold { 2.0 } else { 1.0 };
-            let slowness = self.slowness(&target.id, median);
-            Some((1.0 + load) / slots * slowness * cold)
+            let pace = self.of(&target.id).and_then(|sight| sight.pace_ms).unwrap_or(median);
+            let run = need.events * pace * cold * (1.0 + SLOT_SLOWS * load);
+            // A place comes free each time one of its requests ends.
+            let queue = (load + 1.0 - slots).max(0.0) / slots * USUAL_EVENTS * pace;
+            Some(run + queue + load / slots * SPREAD_MS)
         };
-        let scored = targets.filter_map(|target| Some((score(target)?, target)));
+        let costs = targets.filter_map(|target| Some((cost(target)?, target)));
         let key = |target: &Announcement| {
-            xxhash_rust::xxh3::xxh3_64_with_seed(target.id.as_bytes(), salt)
+            xxhash_rust::xxh3::xxh3_64_with_seed(target.id.as_bytes(), need.salt)
         };
-        let best = scored.min_by(|(a, target), (b, other)| {
+        let best = costs.min_by(|(a, target), (b, other)| {
             a.total_cmp(b).then_with(|| key(target).cmp(&key(other)))
         });
         best.map(|(_, target)| target)
     }
 }
+
+/// What a request needs of its target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Events that it is expected to take; 1 for a plain request.
+    pub events: f64,
+    /// Requests that a target may have for each of its slots.
+    pub most_load: f64,
+    /// Breaks ties, so that not all instances choose alike.
+    pub salt: u64,
+}
--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -13,7 +13,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{choice::Sights, fleet::Fleet, time::Time};
+use crate::core::{
+    choice::{Need, Sights},
+    fleet::Fleet,
+    time::Time,
+};
 
 /// Requests at a target for each of its slots, everybody's, up to which more
 /// are sent there. Beyond it a sample waits here, where it can still go to
@@ -29,6 +33,9 @@
 const SLOW_FACTOR: f64 = 2.0;
 /// Least events still to be expected for a move to pay.
 const MOVE_LEAST_EVENTS: u32 = 4;
+/// Tokens in one event, where the platform does not say: only the relation
+/// between run and queue depends on it.
+const TOKENS_AN_EVENT: f64 = 50.0;
 /// Wait after a failed attempt, in milliseconds, times the number of them.
 const BACKOFF_MS: u64 = 50;
 
@@ -476,8 +483,12 @@
                     continue;
                 }
                 let targets = fleet.usable(&work.pool).filter(fits).map(|target| &target.said);
-                let Some(target) = sights.choose(now, targets, MOST_LOAD, salt ^ self.next_run)
-                else {
+                let need = Need {
+                    events: f64::from(work.samples[at].1) / TOKENS_AN_EVENT,
+                    most_load: MOST_LOAD,
+                    salt: salt ^ self.next_run,
+                };
+                let Some(target) = sights.choose(now, targets, need) else {
                     break;
                 };
                 let run = Run(self.next_run);
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     core::{
+        choice::Need,
         fleet::Announcement,
         plan::{Repeat, Route},
         time::Time,
@@ -178,7 +179,8 @@
     let all = || world.fleet.usable(pool).map(|target| &target.said);
     let fresh = all().filter(|target| !tried.contains(&target.id));
     let salt = salt.wrapping_add(tried.len() as u64);
-    let choice = world.sights.choose(now, fresh, MOST_LOAD, salt);
+    let need = Need { events: 1.0, most_load: MOST_LOAD, salt };
+    let choice = world.sights.choose(now, fresh, need);
     let choice = choice.or_else(|| {
         // Every other one was asked or is avoided: better one that broke
         // before than nobody.
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -52,10 +52,12 @@
 
 /// Starts a run as a task of its own.
 pub fn start(shared: &Rc<Shared>, run: Run, slot: Slot, target: &str, priority: u8) {
-    let said = {
+    let (said, from) = {
         let world = shared.world.borrow();
-        world.fleet.targets.get(target).map(|target| target.said.clone())
+        let said = world.fleet.targets.get(target).map(|target| target.said.clone());
+        (said, world.texts.get(&slot).map_or(0, |text| text.last))
     };
+    log::debug!("sample {}/{} starts at {target} after event {from}", slot.job, slot.at);
     let Some(said) = said else {
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
