--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -9,7 +9,7 @@
 //! Events go in with the time, effects come out as data. Text never passes
 //! through here: the driver keeps it, the reducer counts events.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -77,6 +77,8 @@
 pub struct Work {
     /// Its id.
     pub job: String,
+    /// The partition of the store that tells of its end.
+    pub part: usize,
     /// The pool that runs it.
     pub pool: String,
     /// The model that generates its text.
@@ -106,6 +108,13 @@
     Closed(String),
     /// The live instances changed.
     Members(Vec<String>),
+    /// Whether what is known of a partition's jobs is out of date.
+    Stale {
+        /// The partition.
+        part: usize,
+        /// Whether it is.
+        stale: bool,
+    },
     /// A run's answer began.
     Head {
         /// The run.
@@ -201,6 +210,8 @@
     arrival: Vec<String>,
     runs: HashMap<Run, Running>,
     next_run: u64,
+    /// Partitions whose jobs may have been ended unnoticed.
+    stale: BTreeSet<usize>,
 }
 
 /// The live instance that runs a group of a job: the one with the highest
@@ -258,6 +269,12 @@
             Event::Listed(slot) => self.listed(slot, sights, &mut effects),
             Event::Closed(job) => self.close(job, sights, &mut effects),
             Event::Members(members) => self.members(members),
+            Event::Stale { part, stale: true } => {
+                self.stale.insert(*part);
+            }
+            Event::Stale { part, stale: false } => {
+                self.stale.remove(part);
+            }
             Event::Head { run } => self.head(now, *run),
             Event::Piece { run } => self.piece(now, *run, sights),
             Event::Ended { run, end } => self.ended(now, *run, *end, sights, &mut effects),
@@ -473,6 +490,9 @@
                 continue;
             };
             let work = &open.work;
+            if self.stale.contains(&work.part) {
+                continue;
+            }
             let fits = |target: &&crate::core::fleet::Target| {
                 target.said.versions.get(&work.model).is_none_or(|v| *v >= work.min_version)
             };
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -17,9 +17,11 @@
     },
 };
 
-/// How long a read waits for a record. Long, as each call has a price; a
-/// read that nothing answers ends by the client's own time limit.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long a read waits for a record. A connection that died in silence is
+/// noticed only when an answer is overdue, so a long wait would leave this
+/// instance ignorant for as long after a cut has healed; a call a second is
+/// cheap beside that.
+const WAIT: Duration = Duration::from_secs(1);
 /// First pause after a failed call.
 const RETRY: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls. A store that is back should be noticed
@@ -85,6 +87,8 @@
     follow(shared, Part::new(JOBS, number), JOBS_PAUSE, move |shared, records, anew| {
         let end = if anew { records.end } else { 0 };
         shared.absorb(part, &records.records, end);
+        let now = shared.now();
+        shared.world.borrow_mut().shelves[part].read_at = now;
     })
     .await;
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -33,6 +33,10 @@
 /// Partitions of it in use. One would do at today's size; several keep one
 /// big submission from holding up another job's results.
 pub const JOB_PARTS: u32 = 4;
+/// A partition of jobs that was not read for so long while the store answers
+/// other calls is out of date, in milliseconds: its job may have been ended,
+/// and an ended job's samples may go nowhere three seconds after that.
+const STALE_MS: u64 = 2_000;
 /// A store that failed for so long is away, in milliseconds; one refused
 /// call is not an outage.
 const AWAY_MS: u64 = 700;
@@ -46,6 +50,10 @@
     pub next: u64,
     /// The partition was read from its beginning.
     pub loaded: bool,
+    /// When it was last read to its end.
+    pub read_at: Time,
+    /// The reducer was told that it is out of date.
+    pub stale: bool,
 }
 
 /// Mutable state. Borrowed for the length of one step, never across a wait.
@@ -225,6 +233,30 @@
         }
     }
 
+    /// Tells the reducer which partitions are out of date. While the store
+    /// answers nobody here, nothing can be ended here either, and work that
+    /// is known goes on.
+    pub fn check_stale(self: &Rc<Shared>) {
+        let now = self.now();
+        let mut changed = Vec::new();
+        {
+            let world = &mut *self.world.borrow_mut();
+            let away = world.fleet.store_away;
+            for (part, shelf) in world.shelves.iter_mut().enumerate() {
+                let stale = !away && now.since(shelf.read_at) > STALE_MS;
+                if std::mem::replace(&mut shelf.stale, stale) != stale {
+                    changed.push((part, stale));
+                }
+            }
+        }
+        for (part, stale) in changed {
+            if stale {
+                log::info!("jobs of partition {part} are out of date: nothing of them starts");
+            }
+            self.tell(&Event::Stale { part, stale });
+        }
+    }
+
     /// Hands a job to the reducer, or keeps it until a configuration with
     /// its route is read.
     pub fn open(self: &Rc<Shared>, part: usize, id: String) {
@@ -247,6 +279,7 @@
                 |sample: &crate::core::batch::Sample| (sample.group.clone(), sample.tokens_hint);
             Work {
                 job: id,
+                part,
                 pool: route.pools.first().map(|(pool, _)| pool.clone()).unwrap_or_default(),
                 model: job.submission.model.clone(),
                 min_version: job.submission.min_version,
