Runs move off stalled, slow and full engines; callers' idle connections live on

Cause: a run stayed on an engine that loads weights, is full or is slow while others had free places; idle connections of callers were closed after the limit on heads (3 s) although callers keep them for up to 12 s.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -21,8 +21,14 @@
 /// target that is gone vanishes from the store within a few heartbeats.
 const AVOID_MS: u64 = 1_500;
 /// How long a target that refused for lack of room is avoided, in
-/// milliseconds.
+/// milliseconds; twice as long each time in a row. An engine that loads
+/// weights refuses all for most of a second.
 const FULL_MS: u64 = 100;
+/// Doublings of that time.
+const FULL_DOUBLINGS: u32 = 2;
+/// How long a target whose streams stand still is avoided, in milliseconds:
+/// about the time that loading weights takes.
+const STALLED_MS: u64 = 700;
 /// Pace of a target before anything is known, in milliseconds an event.
 const UNKNOWN_PACE_MS: f64 = 40.0;
 /// Events of a usual sample: how long a place at a target stays taken.
@@ -59,6 +65,8 @@
     pub pace_ms: Option<f64>,
     /// Exchanges broken in a row.
     pub broken: u32,
+    /// Refusals for lack of room in a row.
+    full: u32,
     /// When anything last came from it.
     pub heard_at: Time,
 }
@@ -67,6 +75,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sights {
     targets: BTreeMap<String, Sight>,
+    usual_others: f64,
 }
 
 impl Sights {
@@ -106,6 +115,7 @@
     pub fn sound(&mut self, now: Time, id: &str) {
         let sight = self.at(id);
         sight.broken = 0;
+        sight.full = 0;
         sight.avoid_until = Time(0);
         sight.heard_at = now;
     }
@@ -113,7 +123,21 @@
     /// Notes that a target had no room.
     pub fn full(&mut self, now: Time, id: &str) {
         let sight = self.at(id);
-        sight.avoid_until = sight.avoid_until.max(now.after(FULL_MS));
+        let wait_ms = FULL_MS << sight.full.min(FULL_DOUBLINGS);
+        sight.full += 1;
+        sight.avoid_until = sight.avoid_until.max(now.after(wait_ms));
+    }
+
+    /// Notes that a target's streams stand still.
+    pub fn stalled(&mut self, now: Time, id: &str) {
+        let sight = self.at(id);
+        sight.avoid_until = sight.avoid_until.max(now.after(STALLED_MS));
+    }
+
+    /// Notes how many requests of others to expect at a target of which no
+    /// recent figure is known.
+    pub fn expect_others(&mut self, others: f64) {
+        self.usual_others = others;
     }
 
     /// Notes that an exchange with a target broke; it is avoided for longer
@@ -142,11 +166,12 @@
     #[must_use]
     pub fn load_of(&self, now: Time, id: &str) -> f64 {
         let Some(sight) = self.targets.get(id) else {
-            return 0.0;
+            return self.usual_others;
         };
         let age = now.since(sight.others_at).min(LOAD_FADES_MS);
         let fresh = 1.0 - age as f64 / LOAD_FADES_MS as f64;
-        f64::from(sight.mine) + f64::from(sight.others) * fresh
+        let others = f64::from(sight.others) * fresh + self.usual_others * (1.0 - fresh);
+        f64::from(sight.mine) + others
     }
 
     /// Median pace over targets whose pace is known, in milliseconds.
@@ -157,14 +182,12 @@
         paces.get(paces.len() / 2).copied()
     }
 
-    /// How much longer than the median a target takes, at least 1.
+    /// A target's pace, or the median's where it is not known, in
+    /// milliseconds an event.
     #[must_use]
-    pub fn slowness(&self, id: &str, median: Option<f64>) -> f64 {
-        let pace = self.targets.get(id).and_then(|sight| sight.pace_ms);
-        match (pace, median) {
-            (Some(pace), Some(median)) if median > 0.0 => (pace / median).max(1.0),
-            _ => 1.0,
-        }
+    pub fn pace_of(&self, id: &str) -> f64 {
+        let known = self.targets.get(id).and_then(|sight| sight.pace_ms);
+        known.or_else(|| self.median_pace()).unwrap_or(UNKNOWN_PACE_MS)
     }
 
     /// The target at which a request is expected to be done first.
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -23,8 +23,9 @@
     error::Kind,
 };
 
-/// Head time limit before a configuration is known, in milliseconds.
-const HEADER_MS: u64 = 3_000;
+/// How long a caller's connection may be idle before a configuration is
+/// known, in milliseconds.
+const IDLE_MS: u64 = 15_000;
 /// Body limit before a configuration is known, in bytes.
 const BODY_BYTES: usize = 32 << 20;
 /// Longest that a read of results is held, in milliseconds.
@@ -85,9 +86,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("a connection: {error}");
     }
-    let header_ms = {
+    let idle_ms = {
         let world = shared.world.borrow();
-        world.plan.as_ref().map_or(HEADER_MS, |plan| plan.header_ms)
+        world.plan.as_ref().map_or(IDLE_MS, |plan| plan.idle_ms.max(plan.header_ms))
     };
     let service = service_fn(|request| {
         let (shared, open) = (shared.clone(), open.clone());
@@ -102,8 +103,9 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(header_ms.max(1)));
-    // Time to first byte of an idle kept connection is not a slow head.
+    // The library's limit on a head runs from the end of the answer before,
+    // so it must leave room for an idle connection too.
+    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(idle_ms.max(1)));
     builder.keep_alive(true).max_buf_size(64 << 10);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -189,6 +189,9 @@
                     handle.abort();
                 }
             }
+            Effect::Moved { slot, target, why } => {
+                log::info!("sample {}/{} leaves {target}: {why:?}", slot.job, slot.at);
+            }
             Effect::Discard(slot) => {
                 self.world.borrow_mut().texts.remove(&slot);
             }
