Half of the engines load each version, and each engine keeps up one model

Cause: every engine loaded every version of every model. Ruled out: places at the engines (a third were free). Change: an engine keeps up one model, by its rank; it loads when it is two versions behind, or when less than half have the newest.

--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -1,20 +1,77 @@
 //! Which engine gets which weights next, under one failure domain's lease.
 //!
+//! A step allows the version that it is asked for and the one before. So an
+//! engine that loads every second version can always serve, and if half of
+//! the engines load the even and half the odd ones, half of them can serve
+//! the newest step at once while the others load. Loading every version on
+//! every engine was tried: with two loads at a time a pass over eleven
+//! engines takes longer than a step.
+//!
+//! Where several models share the engines each engine keeps up one of them;
+//! loading all of them everywhere would take twice as long as the trainers
+//! give.
+//!
 //! Level-triggered: what is wanted is compared with what the engines report,
 //! again and again, so a lost, doubled or late order ends in the right state.
-//! The engines that can serve the least go first; among equals the one with
-//! the least to do. Few load at once, so that the others keep serving.
 //!
 //! What it leaves out: the lease ([`crate::core::tenure`]) and the calls.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
-use crate::core::{choice::Sights, fleet::Fleet, time::Time};
+use crate::core::{
+    choice::Sights,
+    fleet::{Fleet, Target},
+    time::Time,
+};
 
 /// How long an order may be under way before it is given again, in
 /// milliseconds: a load takes 0.9 s alone, several at once take longer.
 const ORDER_MS: u64 = 4_000;
 
+/// Versions behind the newest at which an engine can serve no step that is
+/// still to come.
+const BEHIND: u64 = 2;
+
+/// The engines that keep up a model, with the version that each has: of
+/// those that hold several models, every engine keeps up one.
+fn keepers<'a>(
+    fleet: &'a Fleet,
+    named: &BTreeMap<String, u64>,
+    model: &str,
+) -> Vec<(u64, &'a str)> {
+    let holds =
+        |target: &&Target| !target.said.draining && target.said.versions.contains_key(model);
+    let mut keepers = Vec::new();
+    for (n, target) in fleet.targets.values().filter(holds).enumerate() {
+        let models: Vec<&String> =
+            target.said.versions.keys().filter(|held| named.contains_key(*held)).collect();
+        if models.get(n % models.len().max(1)).is_some_and(|kept| *kept == model) {
+            keepers.push((target.said.versions[model], target.said.id.as_str()));
+        }
+    }
+    keepers
+}
+
+/// The engines of all failure domains that are to load a model's newest
+/// version now, with the version that each has: those that are too far
+/// behind, and as many more as it takes for half to have it.
+fn due<'a>(
+    fleet: &'a Fleet,
+    named: &BTreeMap<String, u64>,
+    model: &str,
+    version: u64,
+) -> Vec<(u64, &'a str)> {
+    let mut keepers = keepers(fleet, named, model);
+    let half = keepers.len().div_ceil(2);
+    let all = keepers.len();
+    keepers.retain(|(has, _)| *has < version);
+    keepers.sort_unstable();
+    let have = all - keepers.len();
+    let too_old = keepers.iter().filter(|(has, _)| has + BEHIND <= version).count();
+    keepers.truncate(too_old.max(half.saturating_sub(have)));
+    keepers
+}
+
 /// One order to give.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -52,16 +109,15 @@
             behind && now.since(*at) < ORDER_MS
         });
         let mut wanted = Vec::new();
-        for target in fleet.targets.values().filter(|t| t.said.domain == domain) {
-            if target.said.draining || self.under_way.contains_key(&target.said.id) {
-                continue;
-            }
-            for (model, version) in named {
-                let Some(has) = target.said.versions.get(model).filter(|has| *has < version) else {
+        for (model, version) in named {
+            for (has, target) in due(fleet, named, model, *version) {
+                let said = &fleet.targets[target].said;
+                if said.domain != domain || self.under_way.contains_key(target) {
                     continue;
-                };
-                let load = sights.load_of(now, &target.said.id) as u64;
-                wanted.push((*has, load, target.said.id.clone(), model.clone(), *version));
+                }
+                let behind = version - has;
+                let load = sights.load_of(now, target) as u64;
+                wanted.push((Reverse(behind), load, target.to_owned(), model.clone(), *version));
             }
         }
         wanted.sort();
