Texts of long samples are kept in the store while they grow

Change: each 16 events a sample's text is written under its key (newest kept); whoever runs the sample next goes on after it. On SIGTERM all texts are kept and the runs go on elsewhere.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -155,6 +155,25 @@
     (key, Bytes::from(serde_json::to_vec(outcome).unwrap_or_default()))
 }
 
+/// Text of a sample that is not whole yet, kept so that whoever runs the
+/// sample next goes on where this ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Partial {
+    /// Number of the last event in the text.
+    pub last: u64,
+    /// The data of all events so far, separated by line feeds.
+    pub text: String,
+    /// All versions that generated an event of it, ascending.
+    pub versions: Vec<u64>,
+}
+
+/// The record of a sample's text so far. A later one replaces it.
+#[must_use]
+pub fn partial_record(job: &str, sample: &str, partial: &Partial) -> (String, Bytes) {
+    let key = format!("{job}{SEPARATOR}p{SEPARATOR}{sample}");
+    (key, Bytes::from(serde_json::to_vec(partial).unwrap_or_default()))
+}
+
 /// The record of a job's end.
 #[must_use]
 pub fn end_record(job: &str) -> (String, Bytes) {
@@ -183,6 +202,8 @@
     pub done: Vec<bool>,
     /// Results in their order.
     pub listed: Vec<Listed>,
+    /// Newest [`Partial`] of samples that are not listed.
+    pub partials: HashMap<usize, Bytes>,
     /// It was ended by its trainer.
     pub ended: bool,
 }
@@ -276,6 +297,7 @@
         match kind {
             "e" => {
                 let first = !std::mem::replace(&mut entry.ended, true);
+                entry.partials.clear();
                 Ok(if first { vec![Change::Ended(job.to_owned())] } else { vec![] })
             }
             "r" => {
@@ -286,9 +308,20 @@
                 if std::mem::replace(&mut entry.done[index], true) {
                     return Ok(vec![]);
                 }
+                entry.partials.remove(&index);
                 entry.listed.push(Listed { offset: record.offset, value: value.clone() });
                 Ok(vec![Change::Listed(job.to_owned(), index)])
             }
+            "p" => {
+                let sample = parts.next().unwrap_or_default();
+                let Some(&index) = entry.index.get(sample) else {
+                    return Err(skip("no such sample"));
+                };
+                if !entry.done[index] && !entry.ended {
+                    entry.partials.insert(index, value.clone());
+                }
+                Ok(vec![])
+            }
             _ => Err(skip("unknown kind of record")),
         }
     }
@@ -324,7 +357,15 @@
             submission.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
         let done = vec![false; submission.samples.len()];
         let submission = Rc::new(submission);
-        let entry = Job { head, submission, index, done, listed: vec![], ended: false };
+        let entry = Job {
+            head,
+            submission,
+            index,
+            done,
+            listed: vec![],
+            partials: HashMap::new(),
+            ended: false,
+        };
         self.jobs.insert(job.to_owned(), entry);
         let later = self.waiting.remove(job).map(|waiting| waiting.later).unwrap_or_default();
         let mut changes = vec![Change::Opened(job.to_owned())];
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     core::{
-        batch::{self, Ending, Head, Outcome, Submission},
+        batch::{self, Ending, Head, Outcome, Partial, Submission},
         dispatch::{Event, Slot},
     },
     entry::{
@@ -384,6 +384,67 @@
     }
 }
 
+/// Brings texts that have grown by `least` events or more since they were
+/// last kept to the store.
+pub async fn save_partials(shared: &Rc<Shared>, least: u64) {
+    for part in 0..shared.outbox.len() {
+        let (records, saved) = grown(shared, part, least);
+        if records.is_empty() {
+            continue;
+        }
+        let number = u32::try_from(part).unwrap_or_default();
+        let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
+        match (shared.store.append)(append).await {
+            Ok(_) => {
+                shared.store_did(true);
+                let mut world = shared.world.borrow_mut();
+                for (slot, last) in saved {
+                    if let Some(text) = world.texts.get_mut(&slot) {
+                        text.saved = last;
+                    }
+                }
+            }
+            Err(fault) => {
+                shared.store_did(false);
+                log::info!("{} unfinished texts not kept: {fault}", saved.len());
+            }
+        }
+    }
+}
+
+type Grown = (Vec<(Option<String>, Bytes)>, Vec<(Slot, u64)>);
+
+fn grown(shared: &Shared, part: usize, least: u64) -> Grown {
+    let world = shared.world.borrow();
+    let (mut records, mut saved) = (Vec::new(), Vec::new());
+    let mut bytes = 0;
+    for (slot, text) in &world.texts {
+        if shared.part_of(&slot.job) != part || text.last < text.saved + least {
+            continue;
+        }
+        let job = world.shelves[part].book.jobs.get(&slot.job);
+        let Some(job) = job.filter(|job| !job.ended && !job.done[slot.at]) else {
+            continue;
+        };
+        let partial = Partial {
+            last: text.last,
+            text: text.data.clone(),
+            versions: text.versions.iter().copied().collect(),
+        };
+        let sample = &job.submission.samples[slot.at].id;
+        let (key, value) = batch::partial_record(&slot.job, sample, &partial);
+        bytes += key.len() + value.len();
+        if bytes > shared.settings.store.call_bytes / 2 {
+            break;
+        }
+        if value.len() + key.len() < shared.settings.store.record_bytes {
+            records.push((Some(key), value));
+            saved.push((slot.clone(), text.last));
+        }
+    }
+    (records, saved)
+}
+
 fn put_back(outbox: &Outbox, taken: Vec<(Slot, Outcome)>) {
     let mut queue = outbox.queue.borrow_mut();
     for entry in taken.into_iter().rev() {
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     core::{
+        batch::Partial,
         dispatch::{End, Event, Run, Slot},
         fleet::Announcement,
     },
@@ -37,6 +38,8 @@
     pub versions: BTreeSet<u64>,
     /// The signature of its score, once there is one.
     pub score: Option<String>,
+    /// Number of the last event that the store has.
+    pub saved: u64,
 }
 
 impl Text {
@@ -52,6 +55,7 @@
 
 /// Starts a run as a task of its own.
 pub fn start(shared: &Rc<Shared>, run: Run, slot: Slot, target: &str, priority: u8) {
+    recall(shared, &slot);
     let (said, from) = {
         let world = shared.world.borrow();
         let said = world.fleet.targets.get(target).map(|target| target.said.clone());
@@ -77,6 +81,37 @@
     shared.world.borrow_mut().runs.insert(run, task.abort_handle());
 }
 
+/// Takes over the text that another instance, or an earlier run of this one,
+/// left in the store.
+fn recall(shared: &Shared, slot: &Slot) {
+    let world = &mut *shared.world.borrow_mut();
+    let Some(job) = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job) else {
+        return;
+    };
+    let Some(value) = job.partials.get(&slot.at) else {
+        return;
+    };
+    let partial: Partial = match serde_json::from_slice(value) {
+        Ok(partial) => partial,
+        Err(error) => {
+            log::warn!("text of {}/{} cannot be read: {error}", slot.job, slot.at);
+            return;
+        }
+    };
+    let known = world.texts.get(slot).map_or(0, |text| text.last);
+    let allowed = partial.versions.iter().all(|version| *version >= job.submission.min_version);
+    if partial.last > known && allowed {
+        let text = Text {
+            last: partial.last,
+            data: partial.text,
+            versions: partial.versions.into_iter().collect(),
+            score: None,
+            saved: partial.last,
+        };
+        world.texts.insert(slot.clone(), text);
+    }
+}
+
 async fn go(
     shared: &Rc<Shared>,
     run: Run,
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -31,6 +31,11 @@
 
 /// Time between ticks of the reducer: how late a silent stream is noticed.
 const TICK: Duration = Duration::from_millis(50);
+/// Time between looks for texts that have grown.
+const SAVE: Duration = Duration::from_millis(200);
+/// Events by which a text has grown when it is kept: most samples are whole
+/// before that, and what is lost with an instance is under a second's work.
+const SAVE_EVENTS: u64 = 16;
 /// Time between sweeps of kept connections.
 const SWEEP: Duration = Duration::from_millis(1_000);
 /// Share of the grace after which a stopping instance exits whatever is
@@ -124,6 +129,7 @@
     spawn(Box::pin(member::watch(shared.clone())));
     spawn(Box::pin(orders::serve(shared.clone())));
     spawn(Box::pin(tick(shared.clone())));
+    spawn(Box::pin(save(shared.clone())));
     spawn(Box::pin(answer_ready(shared.clone(), ready)));
     spawn(Box::pin(ingress::serve(shared.clone(), front, open.clone())));
     asked_to_stop().await?;
@@ -136,14 +142,14 @@
     let end = tokio::time::Instant::now() + shared.settings.times.grace.mul_f64(GRACE_SHARE);
     shared.world.borrow_mut().stopping = true;
     shared.stop.send_replace(true);
+    jobs::save_partials(shared, 1).await;
     if let Err(fault) = member::leave(shared).await {
         log::warn!("leaving the group: {fault}");
     }
     let drained = tokio::time::Instant::now() + DRAIN;
     while tokio::time::Instant::now() < end {
-        let in_flight = shared.world.borrow().dispatch.in_flight();
-        let quiet = open.count() == 0 && in_flight == 0;
-        if quiet && tokio::time::Instant::now() >= drained {
+        // Samples in flight go on elsewhere after what was kept of them.
+        if open.count() == 0 && tokio::time::Instant::now() >= drained {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -166,6 +172,15 @@
     }
 }
 
+/// Keeps the texts of long samples in the store, so that whoever takes them
+/// over does not begin anew.
+async fn save(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(SAVE).await;
+        jobs::save_partials(&shared, SAVE_EVENTS).await;
+    }
+}
+
 /// Answers the platform's question whether this instance takes callers.
 async fn answer_ready(shared: Rc<Shared>, listener: TcpListener) {
     loop {
