An order blocks only until its own model is loaded; tests of the new parts

Cause: an order counted as under way while its engine was behind in any model. Found by a test of the rollout of weights on engines that hold two models, which failed first (tests/roll.rs). Change: an order is under way until its own model has its version.

--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -92,10 +92,17 @@
     pub version: u64,
 }
 
+#[derive(Clone, Debug)]
+struct UnderWay {
+    given_at: Time,
+    model: String,
+    version: u64,
+}
+
 /// Orders under way in one failure domain.
 #[derive(Clone, Debug, Default)]
 pub struct State {
-    under_way: BTreeMap<String, (Time, u64)>,
+    under_way: BTreeMap<String, UnderWay>,
 }
 
 impl State {
@@ -110,12 +117,10 @@
         sights: &Sights,
         at_once: usize,
     ) -> Vec<Order> {
-        let version_of = |id: &str, model: &str| {
-            fleet.targets.get(id).and_then(|t| t.said.versions.get(model).copied())
-        };
-        self.under_way.retain(|id, (at, _)| {
-            let behind = named.iter().any(|(model, v)| version_of(id, model) < Some(*v));
-            behind && now.since(*at) < ORDER_MS
+        self.under_way.retain(|id, order| {
+            let target = fleet.targets.get(id);
+            let has = target.and_then(|target| target.said.versions.get(&order.model));
+            has < Some(&order.version) && now.since(order.given_at) < ORDER_MS
         });
         let mut wanted = Vec::new();
         for (model, version) in named {
@@ -136,7 +141,8 @@
                 break;
             }
             if orders.iter().all(|order| order.target != target) {
-                self.under_way.insert(target.clone(), (now, version));
+                let order = UnderWay { given_at: now, model: model.clone(), version };
+                self.under_way.insert(target.clone(), order);
                 orders.push(Order { target, model, version });
             }
         }
--- /dev/null
+++ b/crates/hollywell/tests/dispatch.rs
@@ -0,0 +1,193 @@
+//! What runs where: cases, and schedules in which every sample of every
+//! member set is run by somebody.
+
+use std::collections::BTreeMap;
+
+use hollywell::core::{
+    choice::Sights,
+    dispatch::{Effect, End, Event, Leave, Run, Slot, State, Work, owner},
+    fleet::{Announcement, Fleet},
+    time::Time,
+};
+
+struct World {
+    state: State,
+    fleet: Fleet,
+    sights: Sights,
+}
+
+fn target(id: &str, version: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        pool: "llm".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: "d".into(),
+        slots: 4,
+        draining: false,
+        cold: false,
+        versions: BTreeMap::from([("m".to_owned(), version)]),
+    }
+}
+
+fn work(job: &str, hints: &[u32]) -> Work {
+    let samples: Vec<(String, u32)> =
+        hints.iter().enumerate().map(|(n, hint)| (format!("g{n}"), *hint)).collect();
+    Work {
+        job: job.into(),
+        part: 0,
+        pool: "llm".into(),
+        model: "m".into(),
+        min_version: 1,
+        attempts: 3,
+        keep_until: Time(40_000),
+        done: vec![false; samples.len()],
+        samples,
+    }
+}
+
+fn world(targets: &[Announcement]) -> World {
+    let mut fleet = Fleet::default();
+    for target in targets {
+        fleet.announce(Time(1), target.clone());
+    }
+    World { state: State::new("me"), fleet, sights: Sights::default() }
+}
+
+impl World {
+    fn step(&mut self, now: u64, event: &Event) -> Vec<Effect> {
+        self.state.step(Time(now), event, &self.fleet, &mut self.sights)
+    }
+}
+
+fn starts(effects: &[Effect]) -> Vec<(Run, usize, String)> {
+    let start = |effect: &Effect| match effect {
+        Effect::Start { run, slot, target, .. } => Some((*run, slot.at, target.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(start).collect()
+}
+
+fn slot(job: &str, at: usize) -> Slot {
+    Slot { job: job.into(), at }
+}
+
+#[test]
+fn the_longest_samples_start_first_and_a_listed_one_never() {
+    let mut world = world(&[target("a", 1)]);
+    let mut job = work("j", &[100, 900, 500]);
+    job.done[2] = true;
+    let order: Vec<usize> =
+        starts(&world.step(10, &Event::Opened(job))).iter().map(|start| start.1).collect();
+    assert_eq!(order, [1, 0]);
+}
+
+#[test]
+fn an_engine_with_an_old_version_gets_nothing() {
+    let mut world = world(&[target("old", 1), target("new", 2)]);
+    let job = Work { min_version: 2, ..work("j", &[100, 100]) };
+    let started = starts(&world.step(10, &Event::Opened(job)));
+    assert!(started.iter().all(|start| start.2 == "new"), "{started:?}");
+}
+
+#[test]
+fn nothing_starts_on_a_partition_that_is_out_of_date() {
+    let mut world = world(&[target("a", 1)]);
+    world.step(5, &Event::Stale { part: 0, stale: true });
+    assert!(starts(&world.step(10, &Event::Opened(work("j", &[100])))).is_empty());
+    let effects = world.step(20, &Event::Stale { part: 0, stale: false });
+    assert_eq!(starts(&effects).len(), 1, "it starts once the partition was read");
+}
+
+#[test]
+fn an_ended_job_is_cancelled_and_its_late_ends_change_nothing() {
+    let mut world = world(&[target("a", 1)]);
+    let run = starts(&world.step(10, &Event::Opened(work("j", &[100]))))[0].0;
+    let effects = world.step(20, &Event::Closed("j".into()));
+    assert!(effects.contains(&Effect::Cancel(run)), "{effects:?}");
+    assert!(world.step(30, &Event::Ended { run, end: End::Whole }).is_empty());
+}
+
+#[test]
+fn a_whole_text_is_scored_and_then_delivered_once() {
+    let mut world = world(&[target("a", 1)]);
+    let run = starts(&world.step(10, &Event::Opened(work("j", &[100]))))[0].0;
+    let effects = world.step(20, &Event::Ended { run, end: End::Whole });
+    assert_eq!(effects, [Effect::Score(slot("j", 0))]);
+    assert_eq!(world.step(30, &Event::Scored(slot("j", 0))), [Effect::Deliver(slot("j", 0))]);
+    assert!(world.step(40, &Event::Scored(slot("j", 0))).is_empty());
+}
+
+#[test]
+fn failures_count_until_a_sample_may_be_given_up_and_refusals_do_not() {
+    let mut world = world(&[target("a", 1), target("b", 1)]);
+    let mut now = 10;
+    let mut effects = world.step(now, &Event::Opened(work("j", &[100])));
+    for end in [End::Full, End::Failed, End::Misdirected, End::Failed, End::Failed] {
+        let mut started = starts(&effects);
+        while started.is_empty() {
+            now += 50;
+            started = starts(&world.step(now, &Event::Tick));
+            assert!(now < 5_000, "it starts again");
+        }
+        effects = world.step(now, &Event::Ended { run: started[0].0, end });
+    }
+    assert_eq!(effects, [Effect::GiveUp(slot("j", 0))]);
+}
+
+#[test]
+fn a_silent_stream_moves_only_while_another_engine_has_a_free_place() {
+    let mut world = world(&[target("a", 1)]);
+    let (run, _, _) = starts(&world.step(10, &Event::Opened(work("j", &[100]))))[0].clone();
+    world.step(20, &Event::Head { run });
+    assert!(world.step(500, &Event::Tick).is_empty(), "there is nowhere to go");
+    world.fleet.announce(Time(500), target("b", 1));
+    let effects = world.step(520, &Event::Tick);
+    assert!(effects.contains(&Effect::Cancel(run)), "{effects:?}");
+    assert_eq!(starts(&effects)[0].2, "b");
+    let stalled = |effect: &Effect| matches!(effect, Effect::Moved { why: Leave::Stalled, .. });
+    assert!(effects.iter().any(stalled));
+}
+
+#[test]
+fn a_run_leaves_an_engine_that_is_gone() {
+    let mut world = world(&[target("a", 1), target("b", 1)]);
+    let (run, _, at) = starts(&world.step(10, &Event::Opened(work("j", &[100]))))[0].clone();
+    world.fleet.vanish(Time(20), &at);
+    let effects = world.step(20, &Event::Tick);
+    assert!(effects.contains(&Effect::Cancel(run)), "{effects:?}");
+    assert_ne!(starts(&effects)[0].2, at);
+}
+
+#[test]
+fn every_group_has_one_owner_and_a_change_moves_only_what_it_must() {
+    let members: Vec<String> = (0..9).map(|n| format!("m{n}")).collect();
+    let mut moved = 0;
+    for group in 0..200 {
+        let group = format!("g{group}");
+        let before = owner(&members, "j", &group).unwrap();
+        let left: Vec<String> = members[1..].to_vec();
+        let after = owner(&left, "j", &group).unwrap();
+        if before != after {
+            assert_eq!(before, "m0");
+            moved += 1;
+        }
+    }
+    assert!((8..=40).contains(&moved), "about a ninth of 200 groups moves, not {moved}");
+}
+
+#[test]
+fn a_new_member_set_hands_idle_samples_over_and_takes_others() {
+    let mut world = world(&[]);
+    world.step(10, &Event::Opened(work("j", &[100; 20])));
+    let members = vec!["me".to_owned(), "you".to_owned()];
+    world.step(20, &Event::Members(members.clone()));
+    world.fleet.announce(Time(30), target("a", 1));
+    world.fleet.announce(Time(30), target("b", 1));
+    world.fleet.announce(Time(30), target("c", 1));
+    let mut mine: Vec<usize> =
+        starts(&world.step(30, &Event::Tick)).iter().map(|start| start.1).collect();
+    mine.sort_unstable();
+    let expected: Vec<usize> =
+        (0..20).filter(|at| owner(&members, "j", &format!("g{at}")) == Some("me")).collect();
+    assert_eq!(mine, expected);
+}
--- /dev/null
+++ b/crates/hollywell/tests/roll.rs
@@ -0,0 +1,97 @@
+//! Which engines load what, and when.
+
+use std::collections::BTreeMap;
+
+use hollywell::core::{
+    choice::Sights,
+    fleet::{Announcement, Fleet},
+    roll::{State, is_due},
+    time::Time,
+};
+
+fn fleet(engines: usize, models: &[&str], version: u64) -> Fleet {
+    let mut fleet = Fleet::default();
+    for n in 0..engines {
+        let versions = models.iter().map(|model| ((*model).to_owned(), version)).collect();
+        let said = Announcement {
+            id: format!("e{n}"),
+            pool: "llm".into(),
+            address: ([127, 0, 0, 1], 80).into(),
+            domain: "d".into(),
+            slots: 4,
+            draining: false,
+            cold: false,
+            versions,
+        };
+        fleet.announce(Time(1), said);
+    }
+    fleet
+}
+
+fn named(versions: &[(&str, u64)]) -> BTreeMap<String, u64> {
+    versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect()
+}
+
+/// Carries all orders out, one pass after the other; how many there were.
+fn settle(fleet: &mut Fleet, named: &BTreeMap<String, u64>) -> usize {
+    let (mut state, sights) = (State::default(), Sights::default());
+    let mut count = 0;
+    for now in 1..100 {
+        for order in state.step(Time(now), "d", named, fleet, &sights, 1) {
+            fleet.answered(&order.target, &order.model, order.version);
+            count += 1;
+        }
+    }
+    assert!(!is_due("d", named, fleet));
+    count
+}
+
+#[test]
+fn each_version_is_loaded_by_half_and_no_engine_falls_two_behind() {
+    let mut fleet = fleet(11, &["m"], 1);
+    for version in 2..12 {
+        let count = settle(&mut fleet, &named(&[("m", version)]));
+        assert!((5..=6).contains(&count), "{count} loads for version {version}");
+        let oldest = fleet.targets.values().map(|target| target.said.versions["m"]).min();
+        assert!(oldest >= Some(version - 1), "{oldest:?} at version {version}");
+    }
+}
+
+#[test]
+fn engines_that_hold_two_models_keep_up_one_each() {
+    let mut fleet = fleet(9, &["m", "n"], 1);
+    for version in 2..8 {
+        let count = settle(&mut fleet, &named(&[("m", version), ("n", version)]));
+        assert!(count <= 6, "{count} loads for version {version}");
+        for model in ["m", "n"] {
+            let fresh = |id: &str| fleet.targets[id].said.versions[model] + 1 >= version;
+            let able = fleet.targets.keys().filter(|id| fresh(id)).count();
+            assert!(able >= 4, "{able} engines can serve {model} at {version}");
+        }
+    }
+}
+
+#[test]
+fn an_order_without_effect_is_given_again_and_others_wait_for_it() {
+    let fleet = fleet(2, &["m"], 1);
+    let named = named(&[("m", 3)]);
+    let (mut state, sights) = (State::default(), Sights::default());
+    let first = state.step(Time(10), "d", &named, &fleet, &sights, 1);
+    assert_eq!(first.len(), 1);
+    assert!(state.step(Time(500), "d", &named, &fleet, &sights, 1).is_empty());
+    state.failed(&first[0].target);
+    assert_eq!(state.step(Time(600), "d", &named, &fleet, &sights, 1).len(), 1);
+    let again = state.step(Time(9_000), "d", &named, &fleet, &sights, 1);
+    assert_eq!(again.len(), 1, "an order does not block for good");
+}
+
+#[test]
+fn engines_of_other_failure_domains_and_leaving_ones_get_no_orders() {
+    let mut fleet = fleet(3, &["m"], 1);
+    fleet.targets.get_mut("e0").unwrap().said.domain = "elsewhere".into();
+    fleet.targets.get_mut("e1").unwrap().said.draining = true;
+    let named = named(&[("m", 3)]);
+    let orders = State::default().step(Time(10), "d", &named, &fleet, &Sights::default(), 9);
+    let targets: Vec<&str> = orders.iter().map(|order| order.target.as_str()).collect();
+    assert_eq!(targets, ["e2"]);
+}
--- /dev/null
+++ b/crates/hollywell/tests/tenure.rs
@@ -0,0 +1,158 @@
+//! The lease by compare-and-append: one holder at a time, orders of two
+//! holders far enough apart, fences that rise.
+
+use arbtest::arbtest;
+use hollywell::core::{
+    tenure::{Claim, Tenure, Terms},
+    time::Time,
+};
+
+/// Schedules of each generated test, with fixed seeds.
+const SCHEDULES: u64 = 2_000;
+/// Random bytes of a schedule.
+const SIZE: u64 = 1500;
+
+const TERMS: Terms = Terms { term_ms: 1_800, apart_ms: 3_000 };
+const MARGIN_MS: u64 = 600;
+
+struct Instance {
+    name: String,
+    tenure: Tenure,
+}
+
+/// A partition with compare-and-append.
+#[derive(Default)]
+struct Log(Vec<Claim>);
+
+impl Log {
+    fn read(&self, to: &mut Instance, now: Time) {
+        for (offset, claim) in self.0.iter().enumerate().skip(to.tenure.end as usize) {
+            to.tenure.read(&to.name, now, offset as u64, claim);
+        }
+        to.tenure.read_to(self.0.len() as u64);
+    }
+
+    /// Appends a claim, unless somebody was first; `heard` says whether the
+    /// claimant gets the answer.
+    fn append(&mut self, by: &mut Instance, sent: Time, claim: Claim, heard: bool) -> bool {
+        if by.tenure.end != self.0.len() as u64 {
+            return false;
+        }
+        let offset = self.0.len() as u64;
+        self.0.push(claim.clone());
+        if heard {
+            by.tenure.granted(sent, offset, &claim, TERMS);
+        }
+        true
+    }
+}
+
+fn instance(name: &str) -> Instance {
+    Instance { name: name.into(), tenure: Tenure::default() }
+}
+
+fn turn(log: &mut Log, instance: &mut Instance, now: u64, orders: bool) -> bool {
+    if !instance.tenure.is_held() {
+        log.read(instance, Time(now));
+    }
+    let claim = instance.tenure.claim(&instance.name, Time(now), TERMS, 0, orders);
+    claim.is_some_and(|claim| log.append(instance, Time(now), claim, true))
+}
+
+#[test]
+fn a_quiet_holder_that_gives_up_is_followed_at_once() {
+    let (mut log, mut a, mut b) = (Log::default(), instance("a"), instance("b"));
+    assert!(turn(&mut log, &mut a, 0, false));
+    assert!(!turn(&mut log, &mut b, 100, true), "the lease is held");
+    let release = a.tenure.release("a", Time(200)).unwrap();
+    assert!(log.append(&mut a, Time(200), release, true));
+    assert!(turn(&mut log, &mut b, 210, true));
+    assert!(turn(&mut log, &mut b, 220, true), "the claim that announces orders");
+    assert!(b.tenure.fence(Time(230), MARGIN_MS).is_some(), "nobody ever gave an order");
+    assert!(a.tenure.fence(Time(230), MARGIN_MS).is_none());
+}
+
+#[test]
+fn orders_of_two_holders_are_apart_also_when_the_first_just_vanishes() {
+    let (mut log, mut a, mut b) = (Log::default(), instance("a"), instance("b"));
+    assert!(turn(&mut log, &mut a, 0, true));
+    assert!(turn(&mut log, &mut a, 10, true));
+    let last = (10..5_000).rev().find(|now| a.tenure.fence(Time(*now), MARGIN_MS).is_some());
+    let last = last.unwrap();
+    let mut first = None;
+    for now in (20..10_000).step_by(100) {
+        turn(&mut log, &mut b, now, true);
+        if b.tenure.fence(Time(now), MARGIN_MS).is_some() {
+            first = Some(now);
+            break;
+        }
+    }
+    let first = first.unwrap();
+    assert!(first >= last + TERMS.apart_ms, "a orders until {last}, b from {first}");
+    assert!(first <= last + 2 * TERMS.apart_ms, "b waits no longer than it must: {first}");
+}
+
+#[test]
+fn a_holder_that_said_it_gives_no_orders_says_otherwise_first() {
+    let (mut log, mut a) = (Log::default(), instance("a"));
+    assert!(turn(&mut log, &mut a, 0, false));
+    assert!(turn(&mut log, &mut a, 400, false));
+    assert!(a.tenure.must_announce());
+    assert_eq!(a.tenure.fence(Time(410), MARGIN_MS), None);
+    assert!(turn(&mut log, &mut a, 420, true));
+    assert!(a.tenure.fence(Time(430), MARGIN_MS).is_some());
+}
+
+#[test]
+fn generated_schedules_keep_orders_apart_and_fences_rising() {
+    for seed in 0..SCHEDULES {
+        arbtest(|u| {
+            let mut log = Log::default();
+            let mut all = [instance("a"), instance("b"), instance("c")];
+            let mut orders: Vec<(u64, usize, u64)> = vec![];
+            let mut now = 0;
+            for _ in 0..u.int_in_range(10..=120usize)? {
+                now += u.int_in_range(1..=900u64)?;
+                let who = u.int_in_range(0..=2usize)?;
+                let instance = &mut all[who];
+                match u.int_in_range(0..=9u8)? {
+                    0 => {
+                        if let Some(claim) = instance.tenure.release(&instance.name, Time(now)) {
+                            log.append(instance, Time(now), claim, u.arbitrary()?);
+                        }
+                    }
+                    1 => {
+                        // A claim that is done without an answer.
+                        let wants = u.arbitrary()?;
+                        let name = instance.name.clone();
+                        let claim = instance.tenure.claim(&name, Time(now), TERMS, 0, wants);
+                        if let Some(claim) = claim {
+                            log.append(instance, Time(now), claim, false);
+                        }
+                    }
+                    2 => log.read(instance, Time(now)),
+                    3..=5 => {
+                        turn(&mut log, instance, now, u.arbitrary()?);
+                    }
+                    _ => {
+                        if let Some(fence) = instance.tenure.fence(Time(now), MARGIN_MS) {
+                            instance.tenure.ordered(Time(now));
+                            orders.push((now, who, fence));
+                        }
+                    }
+                }
+            }
+            for pair in orders.windows(2) {
+                let ((at, who, fence), (next_at, next_who, next_fence)) = (pair[0], pair[1]);
+                assert!(fence <= next_fence, "{orders:?}");
+                if who != next_who {
+                    assert!(fence < next_fence, "{orders:?}");
+                    assert!(next_at >= at + TERMS.apart_ms, "{orders:?}");
+                }
+            }
+            Ok(())
+        })
+        .seed((seed + 1).wrapping_mul(0x9E37_79B9) << 32 | SIZE)
+        .run();
+    }
+}
