--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -91,8 +91,7 @@
         if !office.tenure.is_held() {
             return;
         }
-        let due = || roll::is_due(domain, &world.named, &world.fleet);
-        office.wanted = due();
+        office.wanted = roll::is_due(domain, &world.named, &world.fleet);
         if office.wanted && office.tenure.must_announce() {
             office.urgent.notify_one();
         }
