--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -39,6 +39,11 @@
 /// What a full target costs more than an empty one, in milliseconds, for all
 /// that other instances may be sending there at this moment.
 const SPREAD_MS: f64 = 100.0;
+/// How long a target's word that it has room is believed, in milliseconds.
+const ROOM_MS: u64 = 400;
+/// Share of a target's places up to which it has room for more than an
+/// instance's own share.
+const ROOM_SHARE: f64 = 0.75;
 /// Weight of the newest figure in a target's mean pace.
 const PACE_WEIGHT: f64 = 0.2;
 
@@ -174,6 +179,19 @@
         f64::from(sight.mine) + others
     }
 
+    fn mine_at(&self, id: &str) -> f64 {
+        self.targets.get(id).map_or(0.0, |sight| f64::from(sight.mine))
+    }
+
+    /// Whether a target reported a free place a moment ago.
+    fn has_room(&self, now: Time, target: &Announcement) -> bool {
+        let Some(sight) = self.targets.get(&target.id) else {
+            return false;
+        };
+        let load = f64::from(sight.mine + sight.others);
+        now.since(sight.others_at) < ROOM_MS && load < f64::from(target.slots) * ROOM_SHARE
+    }
+
     /// Median pace over targets whose pace is known, in milliseconds.
     #[must_use]
     pub fn median_pace(&self) -> Option<f64> {
@@ -209,7 +227,7 @@
     ///     versions: Default::default(),
     /// };
     /// let (a, b) = (target("a"), target("b"));
-    /// let need = Need { events: 20.0, most_load: 1.0, salt: 0 };
+    /// let need = Need { events: 20.0, most_load: 1.0, sharers: 1.0, salt: 0 };
     /// let mut sights = Sights::default();
     /// sights.sent("a");
     /// let pick = sights.choose(Time(5), [&a, &b].into_iter(), need);
@@ -232,6 +250,10 @@
             if load >= slots * need.most_load || self.avoided(now, &target.id) {
                 return None;
             }
+            let share = (slots * need.most_load / need.sharers.max(1.0)).ceil();
+            if self.mine_at(&target.id) >= share && !self.has_room(now, target) {
+                return None;
+            }
             let cold = if target.cold { 2.0 } else { 1.0 };
             let pace = self.of(&target.id).and_then(|sight| sight.pace_ms).unwrap_or(median);
             let run = need.events * pace * cold * (1.0 + SLOT_SLOWS * load);
@@ -257,6 +279,11 @@
     pub events: f64,
     /// Requests that a target may have for each of its slots.
     pub most_load: f64,
+    /// Instances that choose at the same time. Each keeps to its share of a
+    /// target's places, unless the target has just said that it has room:
+    /// else all of them would fill the few targets that can serve, before
+    /// any answer tells them of the others.
+    pub sharers: f64,
     /// Breaks ties, so that not all instances choose alike.
     pub salt: u64,
 }
--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -529,7 +529,9 @@
         sights: &Sights,
     ) -> Option<String> {
         let work = &self.jobs.get(&running.slot.job)?.work;
-        let need = Need { events: self.events_left(running), most_load: FREE_LOAD, salt: 0 };
+        let events = self.events_left(running);
+        let sharers = self.members.len() as f64;
+        let need = Need { events, most_load: FREE_LOAD, sharers, salt: 0 };
         let targets = fleet
             .usable(&work.pool)
             .map(|target| &target.said)
@@ -611,6 +613,7 @@
                 let need = Need {
                     events: f64::from(work.samples[at].1) / TOKENS_AN_EVENT,
                     most_load: MOST_LOAD,
+                    sharers: self.members.len() as f64,
                     salt: salt ^ self.next_run,
                 };
                 let Some(target) = sights.choose(now, targets, need) else {
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -179,7 +179,7 @@
     let all = || world.fleet.usable(pool).map(|target| &target.said);
     let fresh = all().filter(|target| !tried.contains(&target.id));
     let salt = salt.wrapping_add(tried.len() as u64);
-    let need = Need { events: 1.0, most_load: MOST_LOAD, salt };
+    let need = Need { events: 1.0, most_load: MOST_LOAD, sharers: 1.0, salt };
     let choice = world.sights.choose(now, fresh, need);
     let choice = choice.or_else(|| {
         // Every other one was asked or is avoided: better one that broke
