Finished loads are told to all instances

Cause: instances learned of a loaded version from the engine's announcement, up to 1.5 s later; each step began with half of its engines unknown. Change: the holder appends each finished load to a topic that all read.

--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -18,6 +18,8 @@
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::{
     choice::Sights,
     fleet::{Fleet, Target},
@@ -81,8 +83,8 @@
     })
 }
 
-/// One order to give.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// One order to give; once it is carried out, what is told to all instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// The engine's id.
     pub target: String,
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
-    core::batch::Record,
+    core::{batch::Record, roll::Order},
     entry::{
         dialect::Wish,
         shared::{JOBS, Shared},
@@ -33,19 +33,25 @@
 /// Least time between reads of the targets' announcements. Each heartbeat is
 /// a record; a leaving target must get nothing after two seconds.
 const FLEET_PAUSE: Duration = Duration::from_millis(300);
+/// The topic of finished loads.
+pub const LOADS: &str = "loads";
+/// Least time between reads of finished loads.
+const LOADS_PAUSE: Duration = Duration::from_millis(50);
 /// Least time between reads of the operator's wishes.
 const WISHES_PAUSE: Duration = Duration::from_millis(20);
 
 /// Reads a partition for good and hands every batch of records to `take`,
 /// with the partition's end and whether these are all there is from the
-/// beginning.
+/// beginning. A keyed partition is read from its newest records, another
+/// from whatever is left of it.
 async fn follow(
     shared: Rc<Shared>,
     part: Part,
     pause: Duration,
+    keyed: bool,
     take: impl Fn(&Rc<Shared>, Records, bool),
 ) {
-    let mut from: Option<u64> = None;
+    let mut from: Option<u64> = (!keyed).then_some(0);
     let mut retry = RETRY;
     loop {
         let started = Instant::now();
@@ -69,7 +75,7 @@
             Err(Fault::Gone(first)) => {
                 shared.store_did(true);
                 log::warn!("records of {}/{} before {first} are gone", part.topic, part.number);
-                from = None;
+                from = (!keyed).then_some(first);
             }
             Err(fault) => {
                 shared.store_did(false);
@@ -84,7 +90,7 @@
 /// Follows one partition of batch jobs.
 pub async fn jobs(shared: Rc<Shared>, part: usize) {
     let number = u32::try_from(part).unwrap_or_default();
-    follow(shared, Part::new(JOBS, number), JOBS_PAUSE, move |shared, records, anew| {
+    follow(shared, Part::new(JOBS, number), JOBS_PAUSE, true, move |shared, records, anew| {
         let end = if anew { records.end } else { 0 };
         shared.absorb(part, &records.records, end);
         let now = shared.now();
@@ -96,7 +102,7 @@
 /// Follows the targets' announcements.
 pub async fn fleet(shared: Rc<Shared>) {
     let part = Part::new(shared.dialect.announcements, 0);
-    follow(shared, part, FLEET_PAUSE, |shared, records, anew| {
+    follow(shared, part, FLEET_PAUSE, true, |shared, records, anew| {
         let now = shared.now();
         {
             let world = &mut *shared.world.borrow_mut();
@@ -126,10 +132,33 @@
     .await;
 }
 
+/// Follows what holders of the lease say of finished loads. Engines announce
+/// a new version themselves, but up to a heartbeat later, and a step waits
+/// for it.
+pub async fn loads(shared: Rc<Shared>) {
+    let part = Part::new(LOADS, 0);
+    follow(shared, part, LOADS_PAUSE, false, |shared, records, _| {
+        for record in &records.records {
+            let value = record.value.clone().unwrap_or_default();
+            match serde_json::from_slice::<Order>(&value) {
+                Ok(load) => {
+                    let fleet = &mut shared.world.borrow_mut().fleet;
+                    fleet.answered(&load.target, &load.model, load.version);
+                }
+                Err(error) => log::warn!("load at {} skipped: {error}", record.offset),
+            }
+        }
+        if !records.records.is_empty() {
+            shared.tell(&crate::core::dispatch::Event::Tick);
+        }
+    })
+    .await;
+}
+
 /// Follows the operator's wishes: the configuration and the newest weights.
 pub async fn wishes(shared: Rc<Shared>) {
     let part = Part::new(shared.dialect.wishes, 0);
-    follow(shared, part, WISHES_PAUSE, |shared, records, _| {
+    follow(shared, part, WISHES_PAUSE, true, |shared, records, _| {
         for record in &records.records {
             wish(shared, record);
         }
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -18,6 +18,7 @@
     },
     entry::{
         dialect::VersionOrder,
+        follow::LOADS,
         shared::Shared,
         store::{Append, Fault, Part, Read},
     },
@@ -154,7 +155,7 @@
         if let Some(report) = self::report(&shared, &order.target).await {
             note(&shared, &order, &report);
             if report.versions.get(&order.model).copied() >= Some(order.version) {
-                shared.tell(&crate::core::dispatch::Event::Tick);
+                publish(&shared, &order).await;
                 return;
             }
         }
@@ -163,6 +164,18 @@
     office.borrow_mut().roll.failed(&order.target);
 }
 
+/// Tells all instances that an engine has loaded.
+async fn publish(shared: &Rc<Shared>, order: &Order) {
+    let value = Bytes::from(serde_json::to_vec(order).unwrap_or_default());
+    let records = vec![(None, value)];
+    let append = Append { part: Part::new(LOADS, 0), records, expected_end: None };
+    match (shared.store.append)(append).await {
+        Ok(_) => shared.store_did(true),
+        // The engine announces it too, a little later.
+        Err(fault) => log::info!("telling of a load at {}: {fault}", order.target),
+    }
+}
+
 fn note(shared: &Shared, order: &Order, report: &crate::entry::dialect::Report) {
     let mut world = shared.world.borrow_mut();
     for (model, version) in &report.versions {
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -122,6 +122,7 @@
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(follow::wishes(shared.clone())));
     spawn(Box::pin(follow::fleet(shared.clone())));
+    spawn(Box::pin(follow::loads(shared.clone())));
     for part in 0..shared.listed.len() {
         spawn(Box::pin(follow::jobs(shared.clone(), part)));
     }
