A failed request goes to the next target at once, also where all were asked

Cause: a request whose attempts were not used up but whose targets all were waited for its deadline. Ruled out: results that were not appended (none was kept back), engines. Change: with all targets asked the one asked least is next; scoring asks one target at a time and counts each failure.

--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -181,15 +181,21 @@
     let salt = salt.wrapping_add(tried.len() as u64);
     let need = Need { events: 1.0, most_load: MOST_LOAD, sharers: 1.0, salt };
     let choice = world.sights.choose(now, fresh, need);
+    // Where every other one was asked or is avoided, one that was asked
+    // before is better than nobody: the request's time is running.
     let choice = choice.or_else(|| {
-        // Every other one was asked or is avoided: better one that broke
-        // before than nobody.
-        let avoided = all().filter(|target| world.sights.avoided(now, &target.id));
-        avoided.min_by_key(|target| tried.iter().filter(|id| **id == target.id).count())
+        let times = |target: &&Announcement| tried.iter().filter(|id| **id == target.id).count();
+        let usable = all().filter(|target| world.sights.load_of(now, &target.id) < full(target));
+        usable.min_by_key(times)
     });
     choice.cloned()
 }
 
+/// Requests at a target from which on it is not asked.
+fn full(target: &Announcement) -> f64 {
+    f64::from(target.slots.max(1)) * MOST_LOAD
+}
+
 /// A pool of the route, by weight.
 fn pick_pool(route: &Route, salt: u64) -> Option<&str> {
     let total: u64 = route.pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -27,9 +27,9 @@
 /// Pause between looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// Time that a scoring request is given, in milliseconds.
-const SCORE_MS: u64 = 1_500;
+const SCORE_MS: u64 = 800;
 /// Pause before a scoring request is sent again.
-const SCORE_PAUSE: Duration = Duration::from_millis(100);
+const SCORE_PAUSE: Duration = Duration::from_millis(30);
 /// Pause after a failed append of results.
 const APPEND_PAUSE: Duration = Duration::from_millis(150);
 
@@ -269,7 +269,7 @@
 /// failed for good.
 pub async fn score(shared: Rc<Shared>, slot: Slot) {
     let part = shared.part_of(&slot.job);
-    let mut failures = 0;
+    let (mut failures, mut tries) = (0, 0);
     loop {
         let request = {
             let world = shared.world.borrow();
@@ -286,11 +286,12 @@
         };
         let plan = shared.world.borrow().plan.clone();
         let route = plan.as_ref().and_then(|plan| plan.route(&scorer.host, &scorer.path));
-        let Some(route) = route.cloned() else {
+        let Some(mut route) = route.cloned() else {
             sleep(SCORE_PAUSE).await;
             continue;
         };
-        let most = route.attempts.max(1);
+        // One target at a time: each failure counts.
+        let most = std::mem::replace(&mut route.attempts, 1).max(1);
         let plain = Plain {
             method: http::Method::POST,
             target: scorer.path.clone(),
@@ -300,7 +301,8 @@
             body: scorer.body.clone(),
             deadline: shared.now().after(SCORE_MS),
         };
-        match forward::run(&shared, &route, &plain, 1).await {
+        tries += 1;
+        match forward::run(&shared, &route, &plain, tries).await {
             Verdict::Answered(answer) if answer.status.is_success() => {
                 let signature = answer.signature(&shared.dialect.headers.signature);
                 if let Some(text) = shared.world.borrow_mut().texts.get_mut(&slot) {
