Whole texts have a topic of their own; carried samples go first

A step also waits for every group that an earlier step left, whatever else is whole; one such sample held a step for 5.7 s, and it had been started anew behind another instance's text. Change: texts are appended before the results that name them and read when a caller asks; unfinished texts are dropped from the store with their result; samples that an earlier step asked for start first and go on from its text; a run begins anew after a kept text that is 12 events ahead.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -73,6 +73,23 @@
     Dead,
 }
 
+/// Where a whole text lies in the store.
+///
+/// Texts have a topic of their own and are written before the result that
+/// names them: every instance folds all results, and reads a text only when
+/// a caller of its own asks for it. With the texts in the results an
+/// instance that started read the texts of all jobs, four seconds' worth.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextRef {
+    /// Offset of its record in the partition of texts, which has the same
+    /// number as the job's.
+    pub offset: u64,
+    /// The record's key, for when the history around it is gone.
+    pub key: String,
+    /// Its length, in bytes.
+    pub len: usize,
+}
+
 /// A sample's result, as it lies in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcome {
@@ -80,8 +97,8 @@
     pub id: String,
     /// How it ended.
     pub ending: Ending,
-    /// The data of all events, in order, separated by line feeds.
-    pub text: String,
+    /// Where its text lies; none where it was given up.
+    pub text: Option<TextRef>,
     /// All versions that generated an event of the text, ascending.
     pub versions: Vec<u64>,
     /// The signature of its score.
@@ -148,6 +165,24 @@
     pieces.enumerate().map(record).collect()
 }
 
+/// What the keys of a job's texts begin with.
+#[must_use]
+pub fn text_prefix(job: &str) -> String {
+    format!("{job}{SEPARATOR}t{SEPARATOR}")
+}
+
+/// The key of a whole text. `writer` tells appends apart.
+#[must_use]
+pub fn text_key(job: &str, writer: &str, sample: &str) -> String {
+    format!("{}{writer}{SEPARATOR}{sample}", text_prefix(job))
+}
+
+/// The record that drops a sample's unfinished text.
+#[must_use]
+pub fn no_partial_record(job: &str, sample: &str) -> (String, Bytes) {
+    (format!("{job}{SEPARATOR}p{SEPARATOR}{sample}"), Bytes::new())
+}
+
 /// The record of a result. `writer` tells incarnations of instances apart.
 #[must_use]
 pub fn outcome_record(job: &str, writer: &str, outcome: &Outcome) -> (String, Bytes) {
@@ -202,7 +237,8 @@
     pub done: Vec<bool>,
     /// Results in their order.
     pub listed: Vec<Listed>,
-    /// Newest [`Partial`] of samples that are not listed.
+    /// Newest [`Partial`] of samples that are not listed. They outlive the
+    /// job's end for a while: a later step may ask for the same samples.
     pub partials: HashMap<usize, Bytes>,
     /// It was ended by its trainer.
     pub ended: bool,
@@ -215,6 +251,8 @@
     Opened(String),
     /// A sample of a job is listed.
     Listed(String, usize),
+    /// More of a sample's text is kept than before.
+    Grown(String, usize),
     /// A job was ended.
     Ended(String),
     /// A job's records were dropped.
@@ -297,7 +335,6 @@
         match kind {
             "e" => {
                 let first = !std::mem::replace(&mut entry.ended, true);
-                entry.partials.clear();
                 Ok(if first { vec![Change::Ended(job.to_owned())] } else { vec![] })
             }
             "r" => {
@@ -317,10 +354,11 @@
                 let Some(&index) = entry.index.get(sample) else {
                     return Err(skip("no such sample"));
                 };
-                if !entry.done[index] && !entry.ended {
-                    entry.partials.insert(index, value.clone());
+                if entry.done[index] || entry.ended {
+                    return Ok(vec![]);
                 }
-                Ok(vec![])
+                entry.partials.insert(index, value.clone());
+                Ok(vec![Change::Grown(job.to_owned(), index)])
             }
             _ => Err(skip("unknown kind of record")),
         }
--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -38,6 +38,9 @@
 /// Time without any answer after which a target is taken for broken, in
 /// milliseconds. A queue moves on within a median sample's time.
 const QUEUED_MOST_MS: u64 = 4_000;
+/// Events by which another instance's text must be ahead for a run to start
+/// anew after it.
+const AHEAD_EVENTS: u32 = 12;
 /// What a move to a faster target must gain, in milliseconds.
 const MOVE_GAIN_MS: f64 = 250.0;
 /// Events of a run after which its pace is taken into account.
@@ -87,6 +90,18 @@
     WrongVersion,
 }
 
+/// A sample as it is run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Samples of one group are run by one instance.
+    pub group: String,
+    /// Estimate of the tokens that it will take.
+    pub tokens: u32,
+    /// An earlier step asked for it. The trainer waits for all of these,
+    /// whatever else is whole.
+    pub carried: bool,
+}
+
 /// A job as it is run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -104,8 +119,8 @@
     pub attempts: u32,
     /// When its samples may be given up.
     pub keep_until: Time,
-    /// Group and estimated tokens of each sample.
-    pub samples: Vec<(String, u32)>,
+    /// Its samples.
+    pub samples: Vec<Item>,
     /// Samples that were listed before.
     pub done: Vec<bool>,
 }
@@ -147,6 +162,13 @@
         /// How.
         end: End,
     },
+    /// Another instance has kept a sample's text up to an event.
+    Ahead {
+        /// The sample.
+        slot: Slot,
+        /// The last event kept.
+        last: u32,
+    },
     /// A finished sample was scored.
     Scored(Slot),
     /// Scoring a sample failed for good.
@@ -315,6 +337,7 @@
             Event::Head { run } => self.head(now, *run),
             Event::Piece { run } => self.piece(now, *run, sights),
             Event::Ended { run, end } => self.ended(now, *run, *end, sights, &mut effects),
+            Event::Ahead { slot, last } => self.ahead(slot, *last, sights, &mut effects),
             Event::Scored(slot) => {
                 self.delivered(slot, Effect::Deliver(slot.clone()), &mut effects);
             }
@@ -332,17 +355,21 @@
         if self.jobs.contains_key(&work.job) {
             return;
         }
-        let progress = |(at, (group, _)): (usize, &(String, u32))| Progress {
+        let progress = |(at, item): (usize, &Item)| Progress {
             stage: if work.done[at] { Stage::Done } else { Stage::Idle },
-            mine: owner(&self.members, &work.job, group) == Some(self.me.as_str()),
+            mine: owner(&self.members, &work.job, &item.group) == Some(self.me.as_str()),
             not_before: Time(0),
             failures: 0,
             events: 0,
         };
         let progress: Vec<Progress> = work.samples.iter().enumerate().map(progress).collect();
         let mut order: Vec<usize> = (0..work.samples.len()).collect();
-        // The longest first: a step ends with its longest sample.
-        order.sort_by_key(|at| std::cmp::Reverse(work.samples[*at].1));
+        // Those that the trainer cannot do without, then the longest: a step
+        // ends with its longest sample.
+        order.sort_by_key(|at| {
+            let item = &work.samples[*at];
+            (!item.carried, std::cmp::Reverse(item.tokens))
+        });
         self.arrival.push(work.job.clone());
         self.jobs.insert(work.job.clone(), Open { work, progress, order });
     }
@@ -361,6 +388,24 @@
         }
     }
 
+    /// Starts a run anew where another instance got further: after a change
+    /// of the members two may run one sample.
+    fn ahead(&mut self, slot: &Slot, last: u32, sights: &mut Sights, effects: &mut Vec<Effect>) {
+        let Some(progress) = self.jobs.get_mut(&slot.job).map(|open| &mut open.progress[slot.at])
+        else {
+            return;
+        };
+        let Stage::Running(run) = progress.stage else {
+            return;
+        };
+        let here = progress.events + self.runs.get(&run).map_or(0, |running| running.events);
+        if here + AHEAD_EVENTS < last {
+            progress.stage = Stage::Idle;
+            progress.events = last;
+            self.stop(run, sights, effects);
+        }
+    }
+
     fn close(&mut self, job: &str, sights: &mut Sights, effects: &mut Vec<Effect>) {
         let Some(open) = self.jobs.remove(job) else {
             return;
@@ -380,7 +425,7 @@
         self.members = members.to_vec();
         for open in self.jobs.values_mut() {
             for (at, progress) in open.progress.iter_mut().enumerate() {
-                let group = &open.work.samples[at].0;
+                let group = &open.work.samples[at].group;
                 progress.mine = owner(members, &open.work.job, group) == Some(self.me.as_str());
             }
         }
@@ -546,7 +591,7 @@
             return 0.0;
         };
         let so_far = f64::from(open.progress[running.slot.at].events + running.events);
-        let estimate = f64::from(open.work.samples[running.slot.at].1) / TOKENS_AN_EVENT;
+        let estimate = f64::from(open.work.samples[running.slot.at].tokens) / TOKENS_AN_EVENT;
         (estimate - so_far).max(so_far * TAIL_SHARE).max(1.0)
     }
 
@@ -603,7 +648,7 @@
             let fits = |target: &&crate::core::fleet::Target| {
                 target.said.versions.get(&work.model).is_none_or(|v| *v >= work.min_version)
             };
-            let longest = open.order.first().map_or(1, |at| work.samples[*at].1.max(1));
+            let longest = work.samples.iter().map(|item| item.tokens).max().unwrap_or(1);
             for &at in &open.order {
                 let progress = &mut open.progress[at];
                 if !progress.mine || progress.stage != Stage::Idle || now < progress.not_before {
@@ -611,7 +656,7 @@
                 }
                 let targets = fleet.usable(&work.pool).filter(fits).map(|target| &target.said);
                 let need = Need {
-                    events: f64::from(work.samples[at].1) / TOKENS_AN_EVENT,
+                    events: f64::from(work.samples[at].tokens) / TOKENS_AN_EVENT,
                     most_load: MOST_LOAD,
                     sharers: self.members.len() as f64,
                     salt: salt ^ self.next_run,
@@ -632,18 +677,21 @@
                     events: 0,
                 };
                 self.runs.insert(run, running);
-                let priority = priority(work.samples[at].1, longest);
+                let priority = priority(&work.samples[at], longest);
                 effects.push(Effect::Start { run, slot, target: target.id.clone(), priority });
             }
         }
     }
 }
 
-/// Rank of a sample at a target: 4 to 8, long ones first. Live traffic ranks
-/// before all samples.
-fn priority(tokens: u32, longest: u32) -> u8 {
+/// Rank of a sample at a target: 4 to 8, long ones first, after those that an
+/// earlier step asked for. Live traffic ranks before all samples.
+fn priority(item: &Item, longest: u32) -> u8 {
     const FIRST: u64 = 4;
     const STEPS: u64 = 4;
-    let share = u64::from(tokens) * STEPS / u64::from(longest.max(1));
+    if item.carried {
+        return FIRST as u8;
+    }
+    let share = u64::from(item.tokens) * STEPS / u64::from(longest.max(1));
     u8::try_from(FIRST + STEPS - share.min(STEPS)).unwrap_or(u8::MAX)
 }
--- /dev/null
+++ b/crates/hollywell/src/entry/carry.rs
@@ -0,0 +1,67 @@
+//! Samples that an earlier step asked for and a later one asks for again.
+//!
+//! The trainer waits for all of them, so they go first, and what was
+//! generated of their text is used where its versions still fit.
+
+use bytes::Bytes;
+
+use crate::{
+    core::{
+        batch::{Partial, Sample, Submission},
+        dispatch::Item,
+    },
+    entry::shared::Shelf,
+};
+
+/// Steps after which unfinished texts are of no use: trainers ask again at
+/// once or not at all.
+const STEPS: u64 = 3;
+
+/// The samples of a job that is opened, as they are run. Unfinished texts of
+/// earlier steps are handed to the job; old ones are dropped.
+pub fn items(shelves: &mut [Shelf], part: usize, job: &str, submission: &Submission) -> Vec<Item> {
+    forget(shelves, submission);
+    let mut items = Vec::new();
+    for (at, sample) in submission.samples.iter().enumerate() {
+        let earlier = earlier(shelves, job, sample);
+        let carried = earlier.is_some();
+        let text = earlier.flatten().filter(|text| is_allowed(text, submission.min_version));
+        if let (Some(text), Some(job)) = (text, shelves[part].book.jobs.get_mut(job))
+            && !job.done[at]
+        {
+            job.partials.entry(at).or_insert(text);
+        }
+        let (group, tokens) = (sample.group.clone(), sample.tokens_hint);
+        items.push(Item { group, tokens, carried });
+    }
+    items
+}
+
+/// Whether another job has the sample, and what is kept of its text there.
+fn earlier(shelves: &[Shelf], job: &str, sample: &Sample) -> Option<Option<Bytes>> {
+    let jobs = shelves.iter().flat_map(|shelf| &shelf.book.jobs);
+    let mut found = None;
+    for (_, other) in jobs.filter(|(id, _)| *id != job) {
+        if let Some(at) = other.index.get(&sample.id) {
+            let text = other.partials.get(at).cloned();
+            found = Some(found.flatten().or(text));
+        }
+    }
+    found
+}
+
+fn is_allowed(text: &Bytes, min_version: u64) -> bool {
+    let partial = serde_json::from_slice::<Partial>(text);
+    partial.is_ok_and(|partial| partial.versions.iter().all(|version| *version >= min_version))
+}
+
+fn forget(shelves: &mut [Shelf], submission: &Submission) {
+    let jobs = shelves.iter_mut().flat_map(|shelf| shelf.book.jobs.values_mut());
+    for job in jobs {
+        let old = job.submission.model == submission.model
+            && job.submission.step + STEPS < submission.step;
+        if old {
+            job.partials.clear();
+        }
+    }
+}
--- a/crates/hollywell/src/entry/dialect.rs
+++ b/crates/hollywell/src/entry/dialect.rs
@@ -75,7 +75,16 @@
     /// The position after the last of these results.
     pub next: usize,
     /// The results.
-    pub outcomes: Vec<Outcome>,
+    pub results: Vec<Delivered>,
+}
+
+/// A result with its text.
+#[derive(Clone, Debug)]
+pub struct Delivered {
+    /// The result.
+    pub outcome: Outcome,
+    /// The data of all events, in order, separated by line feeds.
+    pub text: Bytes,
 }
 
 /// An order to load weights.
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -1,27 +1,33 @@
 //! Batch jobs at this instance: taking them in, reading them, ending them,
-//! scoring their samples and bringing results to the store.
+//! and scoring their samples.
+//!
+//! What it leaves out: bringing results to the store
+//! ([`crate::entry::outbox`]).
 
-use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     core::{
-        batch::{self, Ending, Head, Outcome, Partial, Submission},
+        batch::{self, Head, Outcome, Submission, TextRef},
         dispatch::{Event, Slot},
     },
     entry::{
-        dialect::Results,
+        dialect::{Delivered, Results},
         forward::{self, Plain, Verdict},
         shared::{JOBS, Shared, wall_ms},
         store::{Append, Fault, Part, Read},
+        texts,
     },
 };
 
 /// Most bytes of results in one answer, of the 1 MB that callers take; the
 /// rest is for names and escapes.
 const PAGE_BYTES: usize = 700_000;
+/// What a result takes in an answer besides its text, at most.
+const OVERHEAD_BYTES: usize = 300;
 /// How long to look for an append's records whose answer was lost.
 const LOOK_FOR: Duration = Duration::from_millis(2_500);
 /// Pause between looks.
@@ -30,15 +36,6 @@
 const SCORE_MS: u64 = 800;
 /// Pause before a scoring request is sent again.
 const SCORE_PAUSE: Duration = Duration::from_millis(30);
-/// Pause after a failed append of results.
-const APPEND_PAUSE: Duration = Duration::from_millis(150);
-
-/// Results of one partition on their way to the store.
-#[derive(Debug, Default)]
-pub struct Outbox {
-    queue: RefCell<VecDeque<(Slot, Outcome)>>,
-    busy: RefCell<bool>,
-}
 
 /// What became of a caller's wish about a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -174,13 +171,13 @@
             return Reply::Missing;
         };
         if len > after || after >= total {
-            return page(shared, part, job, after);
+            return page(shared, part, job, after).await;
         }
         if Instant::now() >= until {
             // "Nothing yet" is a claim about the store, which may have gone
             // silent since the follower last heard from it.
             return match catch_up(shared, part).await {
-                true => page(shared, part, job, after),
+                true => page(shared, part, job, after).await,
                 false => Reply::Unsure,
             };
         }
@@ -188,28 +185,53 @@
     }
 }
 
-fn page(shared: &Shared, part: usize, job: &str, after: usize) -> Reply {
-    let world = shared.world.borrow();
-    let Some(job) = world.shelves[part].book.jobs.get(job) else {
+async fn page(shared: &Rc<Shared>, part: usize, job: &str, after: usize) -> Reply {
+    let Some((total, outcomes)) = outcomes(shared, part, job, after) else {
         return Reply::Missing;
     };
-    let mut outcomes = Vec::new();
+    let wanted: Vec<TextRef> = outcomes.iter().filter_map(|o| o.text.clone()).collect();
+    let mut texts = match texts::fetch(shared, part, job, &wanted).await {
+        Ok(texts) => texts.into_iter(),
+        Err(fault) => {
+            log::info!("texts of job {job} from {after} on: {fault}");
+            return Reply::Unsure;
+        }
+    };
+    let next = after + outcomes.len();
+    let delivered = |outcome: Outcome| {
+        let text = outcome.text.as_ref().and_then(|_| texts.next()).unwrap_or_default();
+        Delivered { outcome, text }
+    };
+    let results = outcomes.into_iter().map(delivered).collect();
+    Reply::Found((shared.dialect.results)(&Results { total, next, results }))
+}
+
+/// A job's number of samples and as many of its results as fit in an answer.
+fn outcomes(
+    shared: &Shared,
+    part: usize,
+    job: &str,
+    after: usize,
+) -> Option<(usize, Vec<Outcome>)> {
+    let world = shared.world.borrow();
+    let job = world.shelves[part].book.jobs.get(job)?;
+    let mut outcomes: Vec<Outcome> = Vec::new();
     let mut bytes = 0;
     for listed in job.listed.iter().skip(after) {
-        bytes += listed.value.len();
-        if bytes > PAGE_BYTES && !outcomes.is_empty() {
-            break;
-        }
-        match serde_json::from_slice::<Outcome>(&listed.value) {
-            Ok(outcome) => outcomes.push(outcome),
+        let outcome: Outcome = match serde_json::from_slice(&listed.value) {
+            Ok(outcome) => outcome,
             Err(error) => {
                 log::error!("result at offset {} cannot be read: {error}", listed.offset);
-                return Reply::Unsure;
+                break;
             }
+        };
+        bytes += outcome.text.as_ref().map_or(0, |text| text.len) + OVERHEAD_BYTES;
+        if bytes > PAGE_BYTES && !outcomes.is_empty() {
+            break;
         }
+        outcomes.push(outcome);
     }
-    let next = after + outcomes.len();
-    Reply::Found((shared.dialect.results)(&Results { total: job.done.len(), next, outcomes }))
+    Some((job.done.len(), outcomes))
 }
 
 /// The body of a sample that is not listed.
@@ -327,152 +349,3 @@
         sleep(SCORE_PAUSE).await;
     }
 }
-
-/// Queues a sample's result for the store.
-pub fn deliver(shared: &Rc<Shared>, slot: &Slot, dead: bool) {
-    let part = shared.part_of(&slot.job);
-    {
-        let mut world = shared.world.borrow_mut();
-        let text = world.texts.remove(slot).unwrap_or_default();
-        let Some(job) = world.shelves[part].book.jobs.get(&slot.job) else {
-            return;
-        };
-        let id = job.submission.samples[slot.at].id.clone();
-        let outcome = if dead {
-            let (text, versions) = Default::default();
-            Outcome { id, ending: Ending::Dead, text, versions, score: None }
-        } else {
-            Outcome {
-                id,
-                ending: Ending::Whole,
-                text: text.data,
-                versions: text.versions.into_iter().collect(),
-                score: text.score,
-            }
-        };
-        shared.outbox[part].queue.borrow_mut().push_back((slot.clone(), outcome));
-    }
-    if !shared.outbox[part].busy.replace(true) {
-        tokio::task::spawn_local(flush(shared.clone(), part));
-    }
-}
-
-async fn flush(shared: Rc<Shared>, part: usize) {
-    let outbox = &shared.outbox[part];
-    let number = u32::try_from(part).unwrap_or_default();
-    loop {
-        let taken = take(&shared, part);
-        if taken.is_empty() {
-            outbox.busy.replace(false);
-            return;
-        }
-        let record = |(slot, outcome): &(Slot, Outcome)| {
-            // A key of its own for each append: if one key were appended
-            // twice, the store would keep only the later offset.
-            let (key, value) = batch::outcome_record(&slot.job, &shared.unique(), outcome);
-            (Some(key), value)
-        };
-        let records = taken.iter().map(record).collect();
-        let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
-        match (shared.store.append)(append).await {
-            Ok(_) => shared.store_did(true),
-            Err(fault) => {
-                shared.store_did(false);
-                log::info!("{} results kept for another append: {fault}", taken.len());
-                put_back(outbox, taken);
-                sleep(APPEND_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Brings texts that have grown by `least` events or more since they were
-/// last kept to the store.
-pub async fn save_partials(shared: &Rc<Shared>, least: u64) {
-    for part in 0..shared.outbox.len() {
-        let (records, saved) = grown(shared, part, least);
-        if records.is_empty() {
-            continue;
-        }
-        let number = u32::try_from(part).unwrap_or_default();
-        let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
-        match (shared.store.append)(append).await {
-            Ok(_) => {
-                shared.store_did(true);
-                let mut world = shared.world.borrow_mut();
-                for (slot, last) in saved {
-                    if let Some(text) = world.texts.get_mut(&slot) {
-                        text.saved = last;
-                    }
-                }
-            }
-            Err(fault) => {
-                shared.store_did(false);
-                log::info!("{} unfinished texts not kept: {fault}", saved.len());
-            }
-        }
-    }
-}
-
-type Grown = (Vec<(Option<String>, Bytes)>, Vec<(Slot, u64)>);
-
-fn grown(shared: &Shared, part: usize, least: u64) -> Grown {
-    let world = shared.world.borrow();
-    let (mut records, mut saved) = (Vec::new(), Vec::new());
-    let mut bytes = 0;
-    for (slot, text) in &world.texts {
-        if shared.part_of(&slot.job) != part || text.last < text.saved + least {
-            continue;
-        }
-        let job = world.shelves[part].book.jobs.get(&slot.job);
-        let Some(job) = job.filter(|job| !job.ended && !job.done[slot.at]) else {
-            continue;
-        };
-        let partial = Partial {
-            last: text.last,
-            text: text.data.clone(),
-            versions: text.versions.iter().copied().collect(),
-        };
-        let sample = &job.submission.samples[slot.at].id;
-        let (key, value) = batch::partial_record(&slot.job, sample, &partial);
-        bytes += key.len() + value.len();
-        if bytes > shared.settings.store.call_bytes / 2 {
-            break;
-        }
-        if value.len() + key.len() < shared.settings.store.record_bytes {
-            records.push((Some(key), value));
-            saved.push((slot.clone(), text.last));
-        }
-    }
-    (records, saved)
-}
-
-fn put_back(outbox: &Outbox, taken: Vec<(Slot, Outcome)>) {
-    let mut queue = outbox.queue.borrow_mut();
-    for entry in taken.into_iter().rev() {
-        queue.push_front(entry);
-    }
-}
-
-/// The next results to append, without those that are listed meanwhile.
-fn take(shared: &Shared, part: usize) -> Vec<(Slot, Outcome)> {
-    const OVERHEAD: usize = 400;
-    let world = shared.world.borrow();
-    let mut queue = shared.outbox[part].queue.borrow_mut();
-    let mut taken = Vec::new();
-    let mut bytes = 0;
-    while let Some((slot, outcome)) = queue.front() {
-        let job = world.shelves[part].book.jobs.get(&slot.job);
-        if job.is_none_or(|job| job.done[slot.at]) {
-            queue.pop_front();
-            continue;
-        }
-        // Escapes may double a text's length.
-        bytes += outcome.text.len() * 2 + OVERHEAD;
-        if bytes > shared.settings.store.call_bytes && !taken.is_empty() {
-            break;
-        }
-        taken.extend(queue.pop_front());
-    }
-    taken
-}
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -12,6 +12,7 @@
 //! with half a core a second thread only adds a wake-up to every decision,
 //! and wake-ups are what such a machine pays for.
 
+pub mod carry;
 pub mod dialect;
 pub mod exchange;
 pub mod follow;
@@ -21,8 +22,10 @@
 pub mod lines;
 pub mod member;
 pub mod orders;
+pub mod outbox;
 pub mod run;
 pub mod serve;
 pub mod settings;
 pub mod shared;
 pub mod store;
+pub mod texts;
--- /dev/null
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -0,0 +1,230 @@
+//! Results and unfinished texts on their way to the store.
+//!
+//! A result goes in two appends, its text first: whoever reads the result
+//! finds the text. An append whose outcome is unknown is made again under
+//! another key; readers take the first result of a sample and never look at
+//! a text that no result names.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use crate::{
+    core::{
+        batch::{self, Ending, Outcome, Partial, TextRef},
+        dispatch::Slot,
+    },
+    entry::{
+        shared::{JOBS, Shared, TEXTS},
+        store::{Append, Fault, Part},
+    },
+};
+
+/// Pause after a failed append.
+const APPEND_PAUSE: Duration = Duration::from_millis(150);
+/// What a record takes besides its value, at most.
+const OVERHEAD_BYTES: usize = 500;
+
+/// Records to append, and the samples and last events that they hold.
+type Grown = (Vec<(Option<String>, Bytes)>, Vec<(Slot, u64)>);
+
+struct Entry {
+    slot: Slot,
+    outcome: Outcome,
+    /// The text, until the store has it.
+    text: Option<Bytes>,
+}
+
+/// Results of one partition on their way to the store.
+#[derive(Default)]
+pub struct Outbox {
+    queue: RefCell<VecDeque<Entry>>,
+    busy: Cell<bool>,
+}
+
+impl std::fmt::Debug for Outbox {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Outbox").field("queue", &self.queue.borrow().len()).finish_non_exhaustive()
+    }
+}
+
+fn number(part: usize) -> u32 {
+    u32::try_from(part).unwrap_or_default()
+}
+
+/// Queues a sample's result for the store.
+pub fn deliver(shared: &Rc<Shared>, slot: &Slot, dead: bool) {
+    let part = shared.part_of(&slot.job);
+    {
+        let mut world = shared.world.borrow_mut();
+        let text = world.texts.remove(slot).unwrap_or_default();
+        let Some(job) = world.shelves[part].book.jobs.get(&slot.job) else {
+            return;
+        };
+        let id = job.submission.samples[slot.at].id.clone();
+        let ending = if dead { Ending::Dead } else { Ending::Whole };
+        let versions = if dead { vec![] } else { text.versions.into_iter().collect() };
+        let score = text.score.filter(|_| !dead);
+        let outcome = Outcome { id, ending, text: None, versions, score };
+        let text = (!dead).then(|| Bytes::from(text.data));
+        let entry = Entry { slot: slot.clone(), outcome, text };
+        shared.outbox[part].queue.borrow_mut().push_back(entry);
+    }
+    if !shared.outbox[part].busy.replace(true) {
+        tokio::task::spawn_local(flush(shared.clone(), part));
+    }
+}
+
+async fn flush(shared: Rc<Shared>, part: usize) {
+    loop {
+        let mut taken = take(&shared, part);
+        if taken.is_empty() {
+            shared.outbox[part].busy.set(false);
+            return;
+        }
+        let mut appended = append_texts(&shared, part, &mut taken).await;
+        if appended.is_ok() {
+            appended = append_results(&shared, part, &taken).await;
+        }
+        shared.store_did(appended.is_ok());
+        if let Err(fault) = appended {
+            log::info!("{} results kept for another append: {fault}", taken.len());
+            put_back(&shared.outbox[part], taken);
+            sleep(APPEND_PAUSE).await;
+        }
+    }
+}
+
+async fn append_texts(shared: &Rc<Shared>, part: usize, taken: &mut [Entry]) -> Result<(), Fault> {
+    let mut waiting: Vec<&mut Entry> =
+        taken.iter_mut().filter(|entry| entry.text.is_some()).collect();
+    if waiting.is_empty() {
+        return Ok(());
+    }
+    let record = |entry: &&mut Entry| {
+        let key = batch::text_key(&entry.slot.job, &shared.unique(), &entry.outcome.id);
+        (key, entry.text.clone().unwrap_or_default())
+    };
+    let keyed: Vec<(String, Bytes)> = waiting.iter().map(record).collect();
+    let records = keyed.iter().map(|(key, text)| (Some(key.clone()), text.clone())).collect();
+    let append = Append { part: Part::new(TEXTS, number(part)), records, expected_end: None };
+    let first = (shared.store.append)(append).await?.offset;
+    for ((entry, (key, text)), offset) in waiting.iter_mut().zip(keyed).zip(first..) {
+        let len = text.len();
+        shared.texts.keep(part, offset, text);
+        entry.outcome.text = Some(TextRef { offset, key, len });
+        entry.text = None;
+    }
+    Ok(())
+}
+
+async fn append_results(shared: &Rc<Shared>, part: usize, taken: &[Entry]) -> Result<(), Fault> {
+    let mut records = Vec::new();
+    for Entry { slot, outcome, .. } in taken {
+        // A key of its own for each append: if one key were appended twice,
+        // the store would keep only the later offset, and with it another
+        // position.
+        let (key, value) = batch::outcome_record(&slot.job, &shared.unique(), outcome);
+        records.push((Some(key), value));
+        let world = shared.world.borrow();
+        let job = world.shelves[part].book.jobs.get(&slot.job);
+        if job.is_some_and(|job| job.partials.contains_key(&slot.at)) {
+            let (key, nothing) = batch::no_partial_record(&slot.job, &outcome.id);
+            records.push((Some(key), nothing));
+        }
+    }
+    let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
+    (shared.store.append)(append).await.map(|_| ())
+}
+
+fn put_back(outbox: &Outbox, taken: Vec<Entry>) {
+    let mut queue = outbox.queue.borrow_mut();
+    for entry in taken.into_iter().rev() {
+        queue.push_front(entry);
+    }
+}
+
+/// The next results to append, without those that are listed meanwhile.
+fn take(shared: &Shared, part: usize) -> Vec<Entry> {
+    let world = shared.world.borrow();
+    let mut queue = shared.outbox[part].queue.borrow_mut();
+    let mut taken = Vec::new();
+    let mut bytes = 0;
+    while let Some(entry) = queue.front() {
+        let job = world.shelves[part].book.jobs.get(&entry.slot.job);
+        if job.is_none_or(|job| job.done[entry.slot.at]) {
+            queue.pop_front();
+            continue;
+        }
+        bytes += entry.text.as_ref().map_or(0, Bytes::len) + OVERHEAD_BYTES;
+        if bytes > shared.settings.store.call_bytes && !taken.is_empty() {
+            break;
+        }
+        taken.extend(queue.pop_front());
+    }
+    taken
+}
+
+/// Brings texts that have grown by `least` events or more since they were
+/// last kept to the store.
+pub async fn save_partials(shared: &Rc<Shared>, least: u64) {
+    for part in 0..shared.outbox.len() {
+        let (records, saved) = grown(shared, part, least);
+        if records.is_empty() {
+            continue;
+        }
+        let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
+        match (shared.store.append)(append).await {
+            Ok(_) => {
+                shared.store_did(true);
+                let mut world = shared.world.borrow_mut();
+                for (slot, last) in saved {
+                    if let Some(text) = world.texts.get_mut(&slot) {
+                        text.saved = last;
+                    }
+                }
+            }
+            Err(fault) => {
+                shared.store_did(false);
+                log::info!("{} unfinished texts not kept: {fault}", saved.len());
+            }
+        }
+    }
+}
+
+fn grown(shared: &Shared, part: usize, least: u64) -> Grown {
+    let world = shared.world.borrow();
+    let (mut records, mut saved) = (Vec::new(), Vec::new());
+    let mut bytes = 0;
+    for (slot, text) in &world.texts {
+        if shared.part_of(&slot.job) != part || text.last < text.saved + least {
+            continue;
+        }
+        let job = world.shelves[part].book.jobs.get(&slot.job);
+        let Some(job) = job.filter(|job| !job.ended && !job.done[slot.at]) else {
+            continue;
+        };
+        let partial = Partial {
+            last: text.last,
+            text: text.data.clone(),
+            versions: text.versions.iter().copied().collect(),
+        };
+        let sample = &job.submission.samples[slot.at].id;
+        let (key, value) = batch::partial_record(&slot.job, sample, &partial);
+        bytes += key.len() + value.len();
+        if bytes > shared.settings.store.call_bytes / 2 {
+            break;
+        }
+        if value.len() + OVERHEAD_BYTES < shared.settings.store.record_bytes {
+            records.push((Some(key), value));
+            saved.push((slot.clone(), text.last));
+        }
+    }
+    (records, saved)
+}
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -22,10 +22,11 @@
     entry::{
         dialect::Dialect,
         exchange::Pool,
-        follow, ingress, jobs, member, orders,
+        follow, ingress, member, orders, outbox,
         settings::{Settings, Store},
         shared::{JOB_PARTS, Shared, Shelf, World},
         store::Client,
+        texts::Texts,
     },
 };
 
@@ -102,7 +103,8 @@
         written: Cell::new(0),
         world: RefCell::new(world),
         listed: (0..parts).map(|_| Notify::new()).collect(),
-        outbox: (0..parts).map(|_| jobs::Outbox::default()).collect(),
+        outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
+        texts: Texts::default(),
         stop: watch::channel(false).0,
         settings,
     })
@@ -143,7 +145,7 @@
     let end = tokio::time::Instant::now() + shared.settings.times.grace.mul_f64(GRACE_SHARE);
     shared.world.borrow_mut().stopping = true;
     shared.stop.send_replace(true);
-    jobs::save_partials(shared, 1).await;
+    outbox::save_partials(shared, 1).await;
     if let Err(fault) = member::leave(shared).await {
         log::warn!("leaving the group: {fault}");
     }
@@ -178,7 +180,7 @@
 async fn save(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(SAVE).await;
-        jobs::save_partials(&shared, SAVE_EVENTS).await;
+        outbox::save_partials(&shared, SAVE_EVENTS).await;
     }
 }
 
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -16,7 +16,7 @@
 use crate::{
     control::Clock,
     core::{
-        batch::{Book, Change, Record},
+        batch::{Book, Change, Partial, Record},
         choice::Sights,
         dispatch::{self, Effect, Event, Run, Slot, Work},
         fleet::Fleet,
@@ -24,13 +24,16 @@
         time::Time,
     },
     entry::{
-        dialect::Dialect, exchange::Pool, jobs, run, run::Text, settings::Settings, store::Client,
+        carry, dialect::Dialect, exchange::Pool, jobs, outbox, run, run::Text, settings::Settings,
+        store::Client, texts::Texts,
     },
 };
 
 /// The topic that holds batch jobs.
 pub const JOBS: &str = "keyed.jobs";
-/// Partitions of it in use. One would do at today's size; several keep one
+/// The topic that holds the whole texts of samples.
+pub const TEXTS: &str = "keyed.texts";
+/// Partitions of each in use. One would do at today's size; several keep one
 /// big submission from holding up another job's results.
 pub const JOB_PARTS: u32 = 4;
 /// A partition of jobs that was not read for so long while the store answers
@@ -113,7 +116,9 @@
     /// Told when a partition of jobs changed.
     pub listed: Vec<Notify>,
     /// Results on their way to the store, by partition.
-    pub outbox: Vec<jobs::Outbox>,
+    pub outbox: Vec<outbox::Outbox>,
+    /// Whole texts that were read or written lately.
+    pub texts: Texts,
     /// Turns true when the instance stops.
     pub stop: watch::Sender<bool>,
 }
@@ -198,8 +203,8 @@
             Effect::Score(slot) => {
                 tokio::task::spawn_local(jobs::score(self.clone(), slot));
             }
-            Effect::Deliver(slot) => jobs::deliver(self, &slot, false),
-            Effect::GiveUp(slot) => jobs::deliver(self, &slot, true),
+            Effect::Deliver(slot) => outbox::deliver(self, &slot, false),
+            Effect::GiveUp(slot) => outbox::deliver(self, &slot, true),
         }
     }
 
@@ -229,6 +234,7 @@
             Change::Opened(job) => self.open(part, job),
             Change::Skipped(skip) => log::warn!("{skip}"),
             Change::Listed(job, at) => self.tell(&Event::Listed(Slot { job, at })),
+            Change::Grown(job, at) => self.grown(part, Slot { job, at }),
             Change::Ended(job) | Change::Dropped(job) => {
                 self.world.borrow_mut().unopened.retain(|other| *other != job);
                 self.tell(&Event::Closed(job));
@@ -236,6 +242,23 @@
         }
     }
 
+    /// Tells the reducer how far a sample's kept text goes, where that is
+    /// further than this instance's own.
+    fn grown(self: &Rc<Shared>, part: usize, slot: Slot) {
+        let last = {
+            let world = self.world.borrow();
+            if world.texts.get(&slot).is_none_or(|text| text.saved == text.last) {
+                return;
+            }
+            let job = world.shelves[part].book.jobs.get(&slot.job);
+            let value = job.and_then(|job| job.partials.get(&slot.at));
+            value.and_then(|value| serde_json::from_slice::<Partial>(value).ok()).map(|p| p.last)
+        };
+        if let Some(last) = last.and_then(|last| u32::try_from(last).ok()) {
+            self.tell(&Event::Ahead { slot, last });
+        }
+    }
+
     /// Tells the reducer which partitions are out of date. While the store
     /// answers nobody here, nothing can be ended here either, and work that
     /// is known goes on.
@@ -278,9 +301,8 @@
                 return;
             };
             let age_ms = wall_ms().saturating_sub(job.head.at_ms);
-            let sample =
-                |sample: &crate::core::batch::Sample| (sample.group.clone(), sample.tokens_hint);
-            Work {
+            let submission = job.submission.clone();
+            let mut work = Work {
                 job: id,
                 part,
                 pool: route.pools.first().map(|(pool, _)| pool.clone()).unwrap_or_default(),
@@ -288,9 +310,11 @@
                 min_version: job.submission.min_version,
                 attempts: route.attempts,
                 keep_until: self.now().after(route.keep_ms.saturating_sub(age_ms)),
-                samples: job.submission.samples.iter().map(sample).collect(),
+                samples: vec![],
                 done: job.done.clone(),
-            }
+            };
+            work.samples = carry::items(&mut world.shelves, part, &work.job, &submission);
+            work
         };
         log::debug!("job {} opened: {} samples", work.job, work.samples.len());
         self.tell(&Event::Opened(work));
