--- a/crates/hollywell/tests/batch.rs
+++ b/crates/hollywell/tests/batch.rs
@@ -1,6 +1,8 @@
 //! The fold of batch jobs: the same positions at every reader, whatever was
 //! read when, how often, and from which kind of read.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::collections::BTreeMap;
 
 use arbtest::arbtest;
--- a/crates/hollywell/tests/dispatch.rs
+++ b/crates/hollywell/tests/dispatch.rs
@@ -1,6 +1,8 @@
 //! What runs where: cases, and schedules in which every sample of every
 //! member set is run by somebody.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::collections::BTreeMap;
 
 use hollywell::core::{
--- a/crates/hollywell/tests/fleet.rs
+++ b/crates/hollywell/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! Targets as they announce themselves: leaving, vanishing, lapsing.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::collections::BTreeMap;
 
 use hollywell::core::{
--- a/crates/hollywell/tests/roll.rs
+++ b/crates/hollywell/tests/roll.rs
@@ -1,5 +1,7 @@
 //! Which engines load what, and when.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::collections::BTreeMap;
 
 use hollywell::core::{
--- a/crates/hollywell/tests/tenure.rs
+++ b/crates/hollywell/tests/tenure.rs
@@ -1,6 +1,8 @@
 //! The lease by compare-and-append: one holder at a time, orders of two
 //! holders far enough apart, fences that rise.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use arbtest::arbtest;
 use hollywell::core::{
     tenure::{Claim, Tenure, Terms},
@@ -34,14 +36,14 @@
 
     /// Appends a claim, unless somebody was first; `heard` says whether the
     /// claimant gets the answer.
-    fn append(&mut self, by: &mut Instance, sent: Time, claim: Claim, heard: bool) -> bool {
+    fn append(&mut self, by: &mut Instance, sent: Time, claim: &Claim, heard: bool) -> bool {
         if by.tenure.end != self.0.len() as u64 {
             return false;
         }
         let offset = self.0.len() as u64;
         self.0.push(claim.clone());
         if heard {
-            by.tenure.granted(sent, offset, &claim, TERMS);
+            by.tenure.granted(sent, offset, claim, TERMS);
         }
         true
     }
@@ -56,7 +58,7 @@
         log.read(instance, Time(now));
     }
     let claim = instance.tenure.claim(&instance.name, Time(now), TERMS, 0, orders);
-    claim.is_some_and(|claim| log.append(instance, Time(now), claim, true))
+    claim.is_some_and(|claim| log.append(instance, Time(now), &claim, true))
 }
 
 #[test]
@@ -65,7 +67,7 @@
     assert!(turn(&mut log, &mut a, 0, false));
     assert!(!turn(&mut log, &mut b, 100, true), "the lease is held");
     let release = a.tenure.release("a", Time(200)).unwrap();
-    assert!(log.append(&mut a, Time(200), release, true));
+    assert!(log.append(&mut a, Time(200), &release, true));
     assert!(turn(&mut log, &mut b, 210, true));
     assert!(turn(&mut log, &mut b, 220, true), "the claim that announces orders");
     assert!(b.tenure.fence(Time(230), MARGIN_MS).is_some(), "nobody ever gave an order");
@@ -118,7 +120,7 @@
                 match u.int_in_range(0..=9u8)? {
                     0 => {
                         if let Some(claim) = instance.tenure.release(&instance.name, Time(now)) {
-                            log.append(instance, Time(now), claim, u.arbitrary()?);
+                            log.append(instance, Time(now), &claim, u.arbitrary()?);
                         }
                     }
                     1 => {
@@ -127,7 +129,7 @@
                         let name = instance.name.clone();
                         let claim = instance.tenure.claim(&name, Time(now), TERMS, 0, wants);
                         if let Some(claim) = claim {
-                            log.append(instance, Time(now), claim, false);
+                            log.append(instance, Time(now), &claim, false);
                         }
                     }
                     2 => log.read(instance, Time(now)),
