--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -13,7 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
-    core::plan::{Plan, Repeat, Route},
+    core::{
+        plan::{Plan, Repeat, Route},
+        time::Time,
+    },
     entry::{
         dialect::Ask,
         forward::{self, Plain, Verdict},
@@ -124,7 +127,28 @@
 
 async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> Reply200 {
     let arrived = shared.now();
-    match (shared.dialect.ask)(request.method(), request.uri()) {
+    let ask = (shared.dialect.ask)(request.method(), request.uri());
+    let label = match &ask {
+        Ask::Ready => "ready",
+        Ask::Results { .. } => "results",
+        Ask::SampleBody { .. } => "sample_body",
+        Ask::EndJob { .. } => "end_job",
+        Ask::Routed => "routed",
+    };
+    let response = answer_ask(shared, request, ask, arrived).await;
+    let seconds = shared.now().since(arrived) as f64 / 1_000.0;
+    shared.meters.answer_seconds.with_label_values(&[label]).observe(seconds);
+    shared.meters.answers.with_label_values(&[label, response.status().as_str()]).inc();
+    response
+}
+
+async fn answer_ask(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    ask: Ask,
+    arrived: Time,
+) -> Reply200 {
+    match ask {
         Ask::Ready => ready(shared),
         Ask::Results { job, after } => {
             let names = &shared.dialect.headers;
@@ -152,6 +176,29 @@
         && !world.fleet.store_away
 }
 
+/// All meters as text.
+#[must_use]
+pub fn metrics(shared: &Shared) -> Reply200 {
+    let meters = &shared.meters;
+    let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+    {
+        let world = shared.world.borrow();
+        let plan = world.plan.as_ref().map_or(0, |plan| plan.version);
+        meters.plan.set(i64::try_from(plan).unwrap_or(i64::MAX));
+        meters.members.set(gauge(world.members.len()));
+        meters.in_flight.set(gauge(world.dispatch.in_flight()));
+    }
+    meters.connections.set(i64::try_from(shared.pool.opened.get()).unwrap_or(i64::MAX));
+    meters.ready.set(i64::from(is_ready(shared)));
+    match meters.text() {
+        Ok(text) => Response::new(Full::new(Bytes::from(text))),
+        Err(error) => {
+            log::error!("metrics cannot be written: {error}");
+            refuse(shared, Kind::Internal)
+        }
+    }
+}
+
 /// Answers whether this instance takes callers.
 #[must_use]
 pub fn ready(shared: &Shared) -> Reply200 {
@@ -161,11 +208,7 @@
     response
 }
 
-async fn routed(
-    shared: &Rc<Shared>,
-    request: Request<Incoming>,
-    arrived: crate::core::time::Time,
-) -> Reply200 {
+async fn routed(shared: &Rc<Shared>, request: Request<Incoming>, arrived: Time) -> Reply200 {
     let Some(plan) = shared.world.borrow().plan.clone() else {
         return refuse(shared, Kind::StoreAway);
     };
--- /dev/null
+++ b/crates/hollywell/src/entry/meters.rs
@@ -0,0 +1,90 @@
+//! What an entry instance on a platform counts and times, in the Prometheus
+//! exposition format.
+
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of answer times, in seconds.
+const ANSWER_SECONDS: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.4, 1.0, 2.0, 5.0, 10.0];
+
+/// All meters of one instance.
+#[derive(Clone, Debug)]
+pub struct Meters {
+    registry: Registry,
+    /// Answers to callers, by what was asked and the status.
+    pub answers: IntCounterVec,
+    /// Time from a request's arrival to its answer, by what was asked.
+    pub answer_seconds: HistogramVec,
+    /// Ends of samples' runs, by how.
+    pub runs: IntCounterVec,
+    /// Runs that left their target, by why.
+    pub moves: IntCounterVec,
+    /// Calls of the store, by whether they went well.
+    pub store: IntCounterVec,
+    /// Connections opened.
+    pub connections: IntGauge,
+    /// Runs in flight.
+    pub in_flight: IntGauge,
+    /// Version of the configuration in force.
+    pub plan: IntGauge,
+    /// Live instances known.
+    pub members: IntGauge,
+    /// 1 while the instance takes callers.
+    pub ready: IntGauge,
+}
+
+impl Meters {
+    /// Registers all meters.
+    ///
+    /// # Errors
+    ///
+    /// If two meters have one name, which a test would show.
+    pub fn new() -> prometheus::Result<Meters> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let seconds = HistogramOpts::new(
+            "hollywell_entry_answer_seconds",
+            "Time from a request's arrival to its answer.",
+        );
+        let answer_seconds = HistogramVec::new(seconds.buckets(ANSWER_SECONDS.to_vec()), &["ask"])?;
+        registry.register(Box::new(answer_seconds.clone()))?;
+        Ok(Meters {
+            answers: counter(
+                "hollywell_entry_answers_total",
+                "Answers to callers.",
+                &["ask", "status"],
+            )?,
+            answer_seconds,
+            runs: counter("hollywell_entry_runs_total", "Ends of samples' runs.", &["end"])?,
+            moves: counter("hollywell_entry_moves_total", "Runs that left a target.", &["why"])?,
+            store: counter("hollywell_entry_store_total", "Calls of the store.", &["well"])?,
+            connections: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
+            in_flight: gauge("hollywell_entry_runs_in_flight", "Runs in flight.")?,
+            plan: gauge("hollywell_entry_plan_version", "Configuration in force.")?,
+            members: gauge("hollywell_entry_members", "Live instances known.")?,
+            ready: gauge("hollywell_entry_ready", "Whether the instance takes callers.")?,
+            registry,
+        })
+    }
+
+    /// All meters as text.
+    ///
+    /// # Errors
+    ///
+    /// If the text cannot be written.
+    pub fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -21,6 +21,7 @@
 pub mod jobs;
 pub mod lines;
 pub mod member;
+pub mod meters;
 pub mod orders;
 pub mod outbox;
 pub mod run;
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -74,6 +74,7 @@
         async move {
             let end = go(&shared, run, &slot, &said, priority).await;
             log::debug!("sample {}/{} at {}: {end:?}", slot.job, slot.at, said.id);
+            shared.meters.runs.with_label_values(&[&format!("{end:?}")]).inc();
             shared.world.borrow_mut().runs.remove(&run);
             shared.tell(&Event::Ended { run, end });
         }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -22,7 +24,9 @@
     entry::{
         dialect::Dialect,
         exchange::Pool,
-        follow, ingress, member, orders, outbox,
+        follow, ingress, member,
+        meters::Meters,
+        orders, outbox,
         settings::{Settings, Store},
         shared::{JOB_PARTS, Shared, Shelf, World},
         store::Client,
@@ -71,7 +75,7 @@
     LocalSet::new().block_on(&runtime, serve(adapter, settings, path))
 }
 
-fn share(adapter: &Adapter, settings: Settings) -> Rc<Shared> {
+fn share(adapter: &Adapter, settings: Settings) -> prometheus::Result<Rc<Shared>> {
     let incarnation = crate::entry::shared::wall_ms();
     let me = format!("{}@{}/{incarnation:x}", settings.name, settings.peer_listen);
     let writer = format!("{:08x}", xxhash_rust::xxh3::xxh3_64(me.as_bytes()) & u64::from(u32::MAX));
@@ -93,7 +97,8 @@
         stopping: false,
     };
     let pool = Pool::new();
-    Rc::new(Shared {
+    Ok(Rc::new(Shared {
+        meters: Meters::new()?,
         dialect: (adapter.dialect)(),
         store: (adapter.store)(pool.clone(), &settings.store),
         pool,
@@ -107,7 +112,7 @@
         texts: Texts::default(),
         stop: watch::channel(false).0,
         settings,
-    })
+    }))
 }
 
 async fn serve(
@@ -115,10 +120,11 @@
     settings: Settings,
     path: &Path,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let shared = share(adapter, settings);
+    let shared = share(adapter, settings)?;
     let settings = &shared.settings;
     let front = TcpListener::bind(settings.listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
+    let metrics = TcpListener::bind(settings.metrics_listen).await?;
     log::info!("{} listens on {}, settings {}", shared.me, settings.listen, path.display());
     let open = Rc::new(ingress::Open::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
@@ -133,7 +139,8 @@
     spawn(Box::pin(orders::serve(shared.clone())));
     spawn(Box::pin(tick(shared.clone())));
     spawn(Box::pin(save(shared.clone())));
-    spawn(Box::pin(answer_ready(shared.clone(), ready)));
+    spawn(Box::pin(answer_always(shared.clone(), ready, ingress::ready)));
+    spawn(Box::pin(answer_always(shared.clone(), metrics, ingress::metrics)));
     spawn(Box::pin(ingress::serve(shared.clone(), front, open.clone())));
     asked_to_stop().await?;
     stop(&shared, &open).await;
@@ -184,13 +191,18 @@
     }
 }
 
-/// Answers the platform's question whether this instance takes callers.
-async fn answer_ready(shared: Rc<Shared>, listener: TcpListener) {
+/// Gives the same answer to whatever is asked at a listener: whether the
+/// instance takes callers, or its metrics.
+async fn answer_always(
+    shared: Rc<Shared>,
+    listener: TcpListener,
+    answer: fn(&Shared) -> hyper::Response<Full<Bytes>>,
+) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!("accepting a question for readiness: {error}");
+                log::warn!("accepting a connection: {error}");
                 tokio::time::sleep(TICK).await;
                 continue;
             }
@@ -198,12 +210,12 @@
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|_: hyper::Request<Incoming>| {
-                let response = ingress::ready(&shared);
+                let response = answer(&shared);
                 async move { Ok::<_, std::convert::Infallible>(response) }
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
-                log::debug!("a question for readiness: {error}");
+                log::debug!("a connection ended: {error}");
             }
         });
     }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -24,8 +24,8 @@
         time::Time,
     },
     entry::{
-        carry, dialect::Dialect, exchange::Pool, jobs, outbox, run, run::Text, settings::Settings,
-        store::Client, texts::Texts,
+        carry, dialect::Dialect, exchange::Pool, jobs, meters::Meters, outbox, run, run::Text,
+        settings::Settings, store::Client, texts::Texts,
     },
 };
 
@@ -111,6 +111,8 @@
     pub writer: String,
     /// Counter for keys.
     pub written: Cell<u64>,
+    /// What is counted and timed.
+    pub meters: Meters,
     /// Mutable state.
     pub world: RefCell<World>,
     /// Told when a partition of jobs changed.
@@ -146,6 +148,7 @@
 
     /// Notes whether a call of the store went well.
     pub fn store_did(&self, well: bool) {
+        self.meters.store.with_label_values(&[if well { "yes" } else { "no" }]).inc();
         let now = self.now();
         let mut world = self.world.borrow_mut();
         if well {
@@ -195,6 +198,7 @@
                 }
             }
             Effect::Moved { slot, target, why } => {
+                self.meters.moves.with_label_values(&[&format!("{why:?}")]).inc();
                 log::info!("sample {}/{} leaves {target}: {why:?}", slot.job, slot.at);
             }
             Effect::Discard(slot) => {
