Samples lie in bundles that only their runners read; reads of all newest records resume

Cause: every instance read every request of every sample. Change: a job's record holds its head (ids, groups, estimates and where the requests lie); requests lie in bundles in the topic of texts, read by those who run them; unfinished texts too. Pages of newest records go on where they failed, after pauses with jitter; a read that got no answer is followed by one that does not wait; the group is read less often where it is large.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -15,40 +15,71 @@
 use std::{collections::HashMap, fmt, rc::Rc};
 
 use bytes::Bytes;
+use prost::Message as _;
 use serde::{Deserialize, Serialize};
 
 /// A request that scores a finished sample.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Scorer {
     /// The request's id.
+    #[prost(string, tag = "1")]
     pub id: String,
     /// The host that selects its route.
+    #[prost(string, tag = "2")]
     pub host: String,
     /// Its path.
+    #[prost(string, tag = "3")]
     pub path: String,
     /// Its body.
+    #[prost(bytes = "bytes", tag = "4")]
     pub body: Bytes,
 }
 
+/// A header of a sample's request.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Header {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its value.
+    #[prost(string, tag = "2")]
+    pub value: String,
+}
+
 /// One sample to be generated.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Sample {
     /// Its id; the id of the request for tokens too.
+    #[prost(string, tag = "1")]
     pub id: String,
     /// The path of that request.
+    #[prost(string, tag = "2")]
     pub path: String,
     /// Headers of that request.
-    pub headers: Vec<(String, String)>,
+    #[prost(message, repeated, tag = "3")]
+    pub headers: Vec<Header>,
     /// Its body.
+    #[prost(bytes = "bytes", tag = "4")]
     pub body: Bytes,
     /// Samples of one group share their prompt.
+    #[prost(string, tag = "5")]
     pub group: String,
     /// Estimate of the number of tokens that it will take.
+    #[prost(uint32, tag = "6")]
     pub tokens_hint: u32,
     /// The request that scores it, if any.
+    #[prost(message, optional, tag = "7")]
     pub scorer: Option<Scorer>,
 }
 
+/// Samples that lie in the store together.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Bundle {
+    /// The samples.
+    #[prost(message, repeated, tag = "1")]
+    pub samples: Vec<Sample>,
+}
+
 /// A batch job as it was submitted.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Submission {
@@ -81,8 +112,10 @@
 /// instance that started read the texts of all jobs, four seconds' worth.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TextRef {
-    /// Offset of its record in the partition of texts, which has the same
-    /// number as the job's.
+    /// The partition of texts: the one with the job's number, or, for a text
+    /// that an earlier step left, with that step's.
+    pub part: usize,
+    /// Offset of its record there.
     pub offset: u64,
     /// The record's key, for when the history around it is gone.
     pub key: String,
@@ -105,19 +138,73 @@
     pub score: Option<String>,
 }
 
-/// The head of a submission's record.
+/// What every instance keeps of a sample.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// Its id.
+    pub id: String,
+    /// Its group.
+    pub group: String,
+    /// Estimate of the number of tokens that it will take.
+    pub tokens: u32,
+    /// Position in the job's bundles of the one that it lies in.
+    pub bundle: usize,
+    /// Its position in that bundle.
+    pub at: usize,
+}
+
+/// A job as every instance folds it: all but the samples' requests, which
+/// lie in bundles and are read by whoever runs them. With the requests in
+/// the record, 84 instances read each of them 84 times, and the store's
+/// bandwidth was gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
-    /// Records that the submission is cut into.
-    pub chunks: usize,
     /// The host of the route that it came on.
     pub host: String,
     /// The path that it was submitted under.
     pub path: String,
     /// Time of day at its first acceptance, in milliseconds since 1970.
     pub at_ms: u64,
+    /// The trainer's step.
+    pub step: u64,
+    /// The model that generates its text.
+    pub model: String,
+    /// The oldest version of the weights that may generate it.
+    pub min_version: u64,
+    /// How many whole groups the trainer waits for.
+    pub groups_wanted: u64,
+    /// Its samples.
+    pub samples: Vec<Brief>,
+    /// Where the samples' requests lie.
+    pub bundles: Vec<TextRef>,
+}
+
+/// Cuts a submission into bundles of one group each, smaller than
+/// `most_bytes` where one sample is; the head says where each sample went.
+#[must_use]
+pub fn bundle(submission: &Submission, most_bytes: usize) -> (Vec<Brief>, Vec<Bundle>) {
+    let mut bundles: Vec<Bundle> = Vec::new();
+    let mut open: HashMap<&str, (usize, usize)> = HashMap::new();
+    let mut briefs = Vec::new();
+    for sample in &submission.samples {
+        let bytes = sample.encoded_len() + SAMPLE_OVERHEAD;
+        let fits = open.get(sample.group.as_str()).filter(|(_, used)| used + bytes <= most_bytes);
+        let (bundle, used) = fits.copied().unwrap_or_else(|| {
+            bundles.push(Bundle::default());
+            (bundles.len() - 1, 0)
+        });
+        open.insert(&sample.group, (bundle, used + bytes));
+        let at = bundles[bundle].samples.len();
+        bundles[bundle].samples.push(sample.clone());
+        let (id, group) = (sample.id.clone(), sample.group.clone());
+        briefs.push(Brief { id, group, tokens: sample.tokens_hint, bundle, at });
+    }
+    (briefs, bundles)
 }
 
+/// Bytes that a sample takes in a bundle besides its own encoding.
+const SAMPLE_OVERHEAD: usize = 8;
+
 /// A record of the store, as the fold takes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -141,40 +228,22 @@
     !id.is_empty() && id.len() <= MAX_ID && !id.contains(SEPARATOR)
 }
 
-/// The records of a submission: its head and raw body, cut so that no record
-/// is longer than `record_bytes`.
+/// The record that makes a submission a job: from then on it is kept.
 #[must_use]
-pub fn submission_records(
-    job: &str,
-    head: &Head,
-    raw: &[u8],
-    record_bytes: usize,
-) -> Vec<(String, Bytes)> {
-    // Room for the key, its length byte and the head.
-    const MARGIN: usize = 2_048;
-    let size = record_bytes.saturating_sub(MARGIN).max(1);
-    let chunks = raw.len().div_ceil(size).max(1);
-    let head = Head { chunks, ..head.clone() };
-    let mut head = serde_json::to_vec(&head).unwrap_or_default();
-    head.push(b'\n');
-    let pieces = (0..chunks).map(|n| &raw[n * size..raw.len().min((n + 1) * size)]);
-    let record = |(n, piece): (usize, &[u8])| {
-        let value = if n == 0 { [&head, piece].concat() } else { piece.to_vec() };
-        (format!("{job}{SEPARATOR}s{SEPARATOR}{n}"), Bytes::from(value))
-    };
-    pieces.enumerate().map(record).collect()
+pub fn head_record(job: &str, head: &Head) -> (String, Bytes) {
+    (format!("{job}{SEPARATOR}s"), Bytes::from(serde_json::to_vec(head).unwrap_or_default()))
 }
 
-/// What the keys of a job's texts begin with.
+/// The key of a bundle. `writer` tells appends apart.
 #[must_use]
-pub fn text_prefix(job: &str) -> String {
-    format!("{job}{SEPARATOR}t{SEPARATOR}")
+pub fn bundle_key(job: &str, writer: &str) -> String {
+    format!("{job}{SEPARATOR}b{SEPARATOR}{writer}")
 }
 
 /// The key of a whole text. `writer` tells appends apart.
 #[must_use]
 pub fn text_key(job: &str, writer: &str, sample: &str) -> String {
-    format!("{}{writer}{SEPARATOR}{sample}", text_prefix(job))
+    format!("{job}{SEPARATOR}t{SEPARATOR}{writer}{SEPARATOR}{sample}")
 }
 
 /// The record that drops a sample's unfinished text.
@@ -196,12 +265,18 @@
 pub struct Partial {
     /// Number of the last event in the text.
     pub last: u64,
-    /// The data of all events so far, separated by line feeds.
-    pub text: String,
+    /// Where the data of all events so far lies.
+    pub text: TextRef,
     /// All versions that generated an event of it, ascending.
     pub versions: Vec<u64>,
 }
 
+/// The key of an unfinished text; a longer one takes its place.
+#[must_use]
+pub fn partial_text_key(job: &str, sample: &str) -> String {
+    format!("{job}{SEPARATOR}q{SEPARATOR}{sample}")
+}
+
 /// The record of a sample's text so far. A later one replaces it.
 #[must_use]
 pub fn partial_record(job: &str, sample: &str, partial: &Partial) -> (String, Bytes) {
@@ -228,9 +303,7 @@
 #[derive(Debug)]
 pub struct Job {
     /// Its head.
-    pub head: Head,
-    /// What was submitted.
-    pub submission: Rc<Submission>,
+    pub head: Rc<Head>,
     /// Position of each sample in the submission, by id.
     pub index: HashMap<String, usize>,
     /// Which samples are listed.
@@ -276,23 +349,13 @@
     }
 }
 
-/// Decodes a submission's raw body.
-pub type Decode = fn(&[u8]) -> Result<Submission, String>;
-
-/// Parts of a submission whose other records have not been read yet, and
-/// results and ends that were read before it.
-#[derive(Debug, Default)]
-struct Waiting {
-    chunks: HashMap<usize, Bytes>,
-    later: Vec<Record>,
-}
-
 /// All jobs of one partition.
 #[derive(Default)]
 pub struct Book {
     /// By id.
     pub jobs: HashMap<String, Job>,
-    waiting: HashMap<String, Waiting>,
+    /// Results, texts and ends that were read before their job.
+    waiting: HashMap<String, Vec<Record>>,
 }
 
 impl fmt::Debug for Book {
@@ -302,13 +365,13 @@
 }
 
 impl Book {
-    /// Folds a record. Records must come in the order of their offsets, but
-    /// for those of a submission, which may come again.
+    /// Folds a record. Records must come in the order of their offsets; a
+    /// head may come again.
     ///
     /// # Errors
     ///
     /// [`Skip`] if the record cannot be understood.
-    pub fn apply(&mut self, record: &Record, decode: Decode) -> Result<Vec<Change>, Skip> {
+    pub fn apply(&mut self, record: &Record) -> Result<Vec<Change>, Skip> {
         let skip = |why: &str| Skip { key: record.key.clone(), why: why.to_owned() };
         let mut parts = record.key.splitn(4, SEPARATOR);
         let job = parts.next().unwrap_or_default();
@@ -324,12 +387,10 @@
             return Ok(vec![]);
         };
         if kind == "s" {
-            let n = parts.next().and_then(|n| n.parse().ok());
-            let n = n.ok_or_else(|| skip("a chunk's number is a number"))?;
-            return self.chunk(job, n, value, decode).map_err(|why| skip(&why));
+            return self.open(job, value).map_err(|why| skip(&why));
         }
         let Some(entry) = self.jobs.get_mut(job) else {
-            self.waiting.entry(job.to_owned()).or_default().later.push(record.clone());
+            self.waiting.entry(job.to_owned()).or_default().push(record.clone());
             return Ok(vec![]);
         };
         match kind {
@@ -364,51 +425,20 @@
         }
     }
 
-    fn chunk(
-        &mut self,
-        job: &str,
-        n: usize,
-        value: &Bytes,
-        decode: Decode,
-    ) -> Result<Vec<Change>, String> {
+    fn open(&mut self, job: &str, value: &Bytes) -> Result<Vec<Change>, String> {
         if self.jobs.contains_key(job) {
             return Ok(vec![]);
         }
-        let waiting = self.waiting.entry(job.to_owned()).or_default();
-        waiting.chunks.insert(n, value.clone());
-        let Some(first) = waiting.chunks.get(&0) else {
-            return Ok(vec![]);
-        };
-        let line = first.iter().position(|byte| *byte == b'\n').ok_or("no head")?;
-        let head: Head =
-            serde_json::from_slice(&first[..line]).map_err(|error| error.to_string())?;
-        if waiting.chunks.len() < head.chunks {
-            return Ok(vec![]);
-        }
-        let mut raw = first[line + 1..].to_vec();
-        for n in 1..head.chunks {
-            let piece = waiting.chunks.get(&n).ok_or_else(|| format!("chunk {n} is missing"))?;
-            raw.extend_from_slice(piece);
-        }
-        let submission = decode(&raw)?;
+        let head: Head = serde_json::from_slice(value).map_err(|error| error.to_string())?;
         let index: HashMap<String, usize> =
-            submission.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
-        let done = vec![false; submission.samples.len()];
-        let submission = Rc::new(submission);
-        let entry = Job {
-            head,
-            submission,
-            index,
-            done,
-            listed: vec![],
-            partials: HashMap::new(),
-            ended: false,
-        };
+            head.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
+        let done = vec![false; head.samples.len()];
+        let (listed, partials, head) = (vec![], HashMap::new(), Rc::new(head));
+        let entry = Job { head, index, done, listed, partials, ended: false };
         self.jobs.insert(job.to_owned(), entry);
-        let later = self.waiting.remove(job).map(|waiting| waiting.later).unwrap_or_default();
         let mut changes = vec![Change::Opened(job.to_owned())];
-        for record in &later {
-            match self.apply(record, decode) {
+        for record in self.waiting.remove(job).unwrap_or_default() {
+            match self.apply(&record) {
                 Ok(more) => changes.extend(more),
                 Err(skip) => changes.push(Change::Skipped(skip)),
             }
--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -54,6 +54,8 @@
 /// Tokens in one event, where the platform does not say: only the relation
 /// between run and queue depends on it.
 const TOKENS_AN_EVENT: f64 = 50.0;
+/// Wait after a sample's request could not be read, in milliseconds.
+const UNREADY_MS: u64 = 200;
 /// Wait after a failed attempt, in milliseconds, times the number of them.
 const BACKOFF_MS: u64 = 50;
 
@@ -86,6 +88,9 @@
     Impossible,
     /// The connection broke, or what came was no answer.
     Broken,
+    /// The sample's request could not be read from the store; no target was
+    /// asked.
+    Unready,
     /// The text would name a version that is not allowed; it was discarded.
     WrongVersion,
 }
@@ -476,6 +481,7 @@
             }
             End::Full => sights.full(now, &running.target),
             End::Misdirected => sights.full(now, &running.target),
+            End::Unready => progress.not_before = now.after(UNREADY_MS),
             End::Broken => {
                 sights.broke(now, &running.target);
                 progress.not_before = now.after(BACKOFF_MS);
--- a/crates/hollywell/src/entry/carry.rs
+++ b/crates/hollywell/src/entry/carry.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     core::{
-        batch::{Partial, Sample, Submission},
+        batch::{Head, Partial},
         dispatch::Item,
     },
     entry::shared::Shelf,
@@ -19,30 +19,30 @@
 
 /// The samples of a job that is opened, as they are run. Unfinished texts of
 /// earlier steps are handed to the job; old ones are dropped.
-pub fn items(shelves: &mut [Shelf], part: usize, job: &str, submission: &Submission) -> Vec<Item> {
-    forget(shelves, submission);
+pub fn items(shelves: &mut [Shelf], part: usize, job: &str, head: &Head) -> Vec<Item> {
+    forget(shelves, head);
     let mut items = Vec::new();
-    for (at, sample) in submission.samples.iter().enumerate() {
-        let earlier = earlier(shelves, job, sample);
+    for (at, sample) in head.samples.iter().enumerate() {
+        let earlier = earlier(shelves, job, &sample.id);
         let carried = earlier.is_some();
-        let text = earlier.flatten().filter(|text| is_allowed(text, submission.min_version));
+        let text = earlier.flatten().filter(|text| is_allowed(text, head.min_version));
         if let (Some(text), Some(job)) = (text, shelves[part].book.jobs.get_mut(job))
             && !job.done[at]
         {
             job.partials.entry(at).or_insert(text);
         }
-        let (group, tokens) = (sample.group.clone(), sample.tokens_hint);
+        let (group, tokens) = (sample.group.clone(), sample.tokens);
         items.push(Item { group, tokens, carried });
     }
     items
 }
 
 /// Whether another job has the sample, and what is kept of its text there.
-fn earlier(shelves: &[Shelf], job: &str, sample: &Sample) -> Option<Option<Bytes>> {
+fn earlier(shelves: &[Shelf], job: &str, sample: &str) -> Option<Option<Bytes>> {
     let jobs = shelves.iter().flat_map(|shelf| &shelf.book.jobs);
     let mut found = None;
     for (_, other) in jobs.filter(|(id, _)| *id != job) {
-        if let Some(at) = other.index.get(&sample.id) {
+        if let Some(at) = other.index.get(sample) {
             let text = other.partials.get(at).cloned();
             found = Some(found.flatten().or(text));
         }
@@ -55,11 +55,10 @@
     partial.is_ok_and(|partial| partial.versions.iter().all(|version| *version >= min_version))
 }
 
-fn forget(shelves: &mut [Shelf], submission: &Submission) {
+fn forget(shelves: &mut [Shelf], head: &Head) {
     let jobs = shelves.iter_mut().flat_map(|shelf| shelf.book.jobs.values_mut());
     for job in jobs {
-        let old = job.submission.model == submission.model
-            && job.submission.step + STEPS < submission.step;
+        let old = job.head.model == head.model && job.head.step + STEPS < head.step;
         if old {
             job.partials.clear();
         }
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -13,7 +13,7 @@
     entry::{
         dialect::Wish,
         shared::{JOBS, Shared},
-        store::{Fault, Part, Read, Records},
+        store::{Fault, Newest, Part, Read, Records},
     },
 };
 
@@ -52,12 +52,20 @@
     take: impl Fn(&Rc<Shared>, Records, bool),
 ) {
     let mut from: Option<u64> = (!keyed).then_some(0);
+    let mut newest = Newest::default();
     let mut retry = RETRY;
+    let mut wait = WAIT;
     loop {
         let started = Instant::now();
         let read = match from {
-            None => shared.store.newest_all(&part).await,
-            Some(from) => (shared.store.read)(Read { part: part.clone(), from, wait: WAIT }).await,
+            None => {
+                let read = shared.store.newest_on(&part, &mut newest).await;
+                read.map(|()| std::mem::take(&mut newest).into_records())
+            }
+            Some(from) => {
+                let read = Read { part: part.clone(), from, wait, most_kb: None };
+                (shared.store.read)(read).await
+            }
         };
         match read {
             Ok(records) => {
@@ -69,6 +77,7 @@
                 let next = if anew { records.end } else { last.max(from.unwrap_or(0)) };
                 from = Some(next);
                 retry = RETRY;
+                wait = WAIT;
                 take(&shared, records, anew);
                 sleep_until(started + pause).await;
             }
@@ -80,13 +89,21 @@
             Err(fault) => {
                 shared.store_did(false);
                 log::info!("reading {}/{}: {fault}", part.topic, part.number);
-                sleep(retry).await;
+                // A read that waits may be the only kind that gets no answer.
+                wait = Duration::ZERO;
+                sleep(jitter(retry)).await;
                 retry = (retry * 2).min(RETRY_MOST);
             }
         }
     }
 }
 
+/// A pause between half and all of `most`, so that many instances that
+/// failed together do not all return together.
+fn jitter(most: Duration) -> Duration {
+    most.mul_f64(rand::random_range(0.5..=1.0))
+}
+
 /// Follows one partition of batch jobs.
 pub async fn jobs(shared: Rc<Shared>, part: usize) {
     let number = u32::try_from(part).unwrap_or_default();
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -274,7 +274,7 @@
             return refuse(shared, Kind::Malformed);
         }
     };
-    let done = jobs::submit(shared, id, host, path, raw, &decoded).await;
+    let done = jobs::submit(shared, id, host, path, &decoded).await;
     let accepted = done == Reply::Done;
     let mut response = reply(shared, done);
     if accepted {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -11,12 +11,13 @@
 
 use crate::{
     core::{
-        batch::{self, Head, Outcome, Submission, TextRef},
+        batch::{self, Head, Outcome, Sample, Submission, TextRef},
         dispatch::{Event, Slot},
     },
     entry::{
         dialect::{Delivered, Results},
         forward::{self, Plain, Verdict},
+        samples,
         shared::{JOBS, Shared, wall_ms},
         store::{Append, Fault, Part, Read},
         texts,
@@ -62,7 +63,6 @@
     job: &str,
     host: &str,
     path: &str,
-    raw: &[u8],
     decoded: &Submission,
 ) -> Reply {
     let part = shared.part_of(job);
@@ -75,15 +75,34 @@
             batch::MAX_ID
         ));
     }
-    let head = Head { chunks: 0, host: host.to_owned(), path: path.to_owned(), at_ms: wall_ms() };
-    let store = &shared.settings.store;
-    let records = batch::submission_records(job, &head, raw, store.record_bytes);
-    let bytes: usize = records.iter().map(|(key, value)| key.len() + value.len() + 8).sum();
-    if bytes > store.call_bytes {
-        return Reply::Malformed(format!("{bytes} bytes exceed {} a job", store.call_bytes));
+    // The samples first: until the head is there, nothing is kept and nothing
+    // runs, whatever became of this append.
+    let (samples, bundles) = match samples::put(shared, job, decoded).await {
+        Ok(put) => put,
+        Err(fault) => {
+            shared.store_did(false);
+            log::info!("job {job} refused, its samples: {fault}");
+            return Reply::NotDone;
+        }
+    };
+    let head = Head {
+        host: host.to_owned(),
+        path: path.to_owned(),
+        at_ms: wall_ms(),
+        step: decoded.step,
+        model: decoded.model.clone(),
+        min_version: decoded.min_version,
+        groups_wanted: decoded.groups_wanted,
+        samples,
+        bundles,
+    };
+    let (key, value) = batch::head_record(job, &head);
+    let most = shared.settings.store.record_bytes;
+    if key.len() + value.len() >= most {
+        return Reply::Malformed(format!("{} bytes of a job's head exceed {most}", value.len()));
     }
-    let records = records.into_iter().map(|(key, value)| (Some(key), value)).collect();
     let number = u32::try_from(part).unwrap_or_default();
+    let records = vec![(Some(key), value)];
     let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
     match (shared.store.append)(append).await {
         Ok(_) => {
@@ -132,7 +151,8 @@
         if !loaded {
             return false;
         }
-        let read = Read { part: Part::new(JOBS, number), from, wait: Duration::ZERO };
+        let read =
+            Read { part: Part::new(JOBS, number), from, wait: Duration::ZERO, most_kb: None };
         match (shared.store.read)(read).await {
             Ok(records) => {
                 shared.store_did(true);
@@ -190,7 +210,7 @@
         return Reply::Missing;
     };
     let wanted: Vec<TextRef> = outcomes.iter().filter_map(|o| o.text.clone()).collect();
-    let mut texts = match texts::fetch(shared, part, job, &wanted).await {
+    let mut texts = match texts::fetch(shared, &wanted).await {
         Ok(texts) => texts.into_iter(),
         Err(fault) => {
             log::info!("texts of job {job} from {after} on: {fault}");
@@ -240,13 +260,18 @@
     if !known(shared, part, job) && !catch_up(shared, part).await {
         return Reply::Unsure;
     }
-    let world = shared.world.borrow();
-    let Some(job) = world.shelves[part].book.jobs.get(job) else {
+    let at = {
+        let world = shared.world.borrow();
+        let found = world.shelves[part].book.jobs.get(job);
+        found.and_then(|job| job.index.get(sample).copied().filter(|at| !job.done[*at]))
+    };
+    let Some(at) = at else {
         return Reply::Missing;
     };
-    match job.index.get(sample) {
-        Some(&at) if !job.done[at] => Reply::Found(job.submission.samples[at].body.clone()),
-        _ => Reply::Missing,
+    let slot = Slot { job: job.to_owned(), at };
+    match samples::get(shared, &slot).await {
+        Some(sample) => Reply::Found(sample.body),
+        None => Reply::Unsure,
     }
 }
 
@@ -293,14 +318,17 @@
     let part = shared.part_of(&slot.job);
     let (mut failures, mut tries) = (0, 0);
     loop {
-        let request = {
+        let wanted = {
             let world = shared.world.borrow();
             let job = world.shelves[part].book.jobs.get(&slot.job);
-            job.filter(|job| !job.ended && !job.done[slot.at])
-                .map(|job| job.submission.samples[slot.at].scorer.clone())
+            job.is_some_and(|job| !job.ended && !job.done[slot.at])
         };
-        let Some(scorer) = request else {
+        if !wanted {
             return;
+        }
+        let Some(Sample { scorer, .. }) = samples::get(&shared, &slot).await else {
+            sleep(SCORE_PAUSE).await;
+            continue;
         };
         let Some(scorer) = scorer else {
             shared.tell(&Event::Scored(slot));
--- a/crates/hollywell/src/entry/member.rs
+++ b/crates/hollywell/src/entry/member.rs
@@ -26,6 +26,10 @@
 /// Time between readings of the members.
 const LOOK: Duration = Duration::from_millis(300);
 
+/// Members up to which the group is read as often as that; with more, less
+/// often in proportion.
+const LOOK_MEMBERS: f64 = 30.0;
+
 /// Stays in the group until the instance stops.
 pub async fn stay(shared: Rc<Shared>) {
     let topics = (0..TOPICS).map(|n| format!("deal.{n}")).collect::<Vec<_>>();
@@ -84,7 +88,9 @@
                 log::info!("reading the group: {fault}");
             }
         }
-        sleep(LOOK).await;
+        // A reading lists every partition, so it grows with the members.
+        let members = shared.world.borrow().members.len();
+        sleep(LOOK.mul_f64((members as f64 / LOOK_MEMBERS).max(1.0))).await;
     }
 }
 
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -25,6 +25,7 @@
 pub mod orders;
 pub mod outbox;
 pub mod run;
+pub mod samples;
 pub mod serve;
 pub mod settings;
 pub mod shared;
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -31,9 +31,6 @@
 /// What a record takes besides its value, at most.
 const OVERHEAD_BYTES: usize = 500;
 
-/// Records to append, and the samples and last events that they hold.
-type Grown = (Vec<(Option<String>, Bytes)>, Vec<(Slot, u64)>);
-
 struct Entry {
     slot: Slot,
     outcome: Outcome,
@@ -67,7 +64,7 @@
         let Some(job) = world.shelves[part].book.jobs.get(&slot.job) else {
             return;
         };
-        let id = job.submission.samples[slot.at].id.clone();
+        let id = job.head.samples[slot.at].id.clone();
         let ending = if dead { Ending::Dead } else { Ending::Whole };
         let versions = if dead { vec![] } else { text.versions.into_iter().collect() };
         let score = text.score.filter(|_| !dead);
@@ -117,8 +114,9 @@
     let first = (shared.store.append)(append).await?.offset;
     for ((entry, (key, text)), offset) in waiting.iter_mut().zip(keyed).zip(first..) {
         let len = text.len();
-        shared.texts.keep(part, offset, text);
-        entry.outcome.text = Some(TextRef { offset, key, len });
+        let at = TextRef { part, offset, key, len };
+        shared.texts.keep(&at, text);
+        entry.outcome.text = Some(at);
         entry.text = None;
     }
     Ok(())
@@ -171,36 +169,58 @@
     taken
 }
 
+/// A text that has grown since it was last kept.
+struct Grown {
+    slot: Slot,
+    sample: String,
+    last: u64,
+    versions: Vec<u64>,
+    text: Bytes,
+}
+
 /// Brings texts that have grown by `least` events or more since they were
 /// last kept to the store.
 pub async fn save_partials(shared: &Rc<Shared>, least: u64) {
     for part in 0..shared.outbox.len() {
-        let (records, saved) = grown(shared, part, least);
-        if records.is_empty() {
+        let grown = grown(shared, part, least);
+        if grown.is_empty() {
             continue;
         }
-        let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
-        match (shared.store.append)(append).await {
-            Ok(_) => {
-                shared.store_did(true);
-                let mut world = shared.world.borrow_mut();
-                for (slot, last) in saved {
-                    if let Some(text) = world.texts.get_mut(&slot) {
-                        text.saved = last;
-                    }
-                }
-            }
-            Err(fault) => {
-                shared.store_did(false);
-                log::info!("{} unfinished texts not kept: {fault}", saved.len());
+        let saved = append_partials(shared, part, &grown).await;
+        shared.store_did(saved.is_ok());
+        if let Err(fault) = saved {
+            log::info!("{} unfinished texts not kept: {fault}", grown.len());
+            continue;
+        }
+        let mut world = shared.world.borrow_mut();
+        for Grown { slot, last, .. } in grown {
+            if let Some(text) = world.texts.get_mut(&slot) {
+                text.saved = last;
             }
         }
     }
 }
 
-fn grown(shared: &Shared, part: usize, least: u64) -> Grown {
+async fn append_partials(shared: &Rc<Shared>, part: usize, grown: &[Grown]) -> Result<(), Fault> {
+    let key = |grown: &Grown| batch::partial_text_key(&grown.slot.job, &grown.sample);
+    let records = grown.iter().map(|grown| (Some(key(grown)), grown.text.clone())).collect();
+    let append = Append { part: Part::new(TEXTS, number(part)), records, expected_end: None };
+    let first = (shared.store.append)(append).await?.offset;
+    let record = |(grown, offset): (&Grown, u64)| {
+        let text = TextRef { part, offset, key: key(grown), len: grown.text.len() };
+        let partial = Partial { last: grown.last, text, versions: grown.versions.clone() };
+        let (key, value) = batch::partial_record(&grown.slot.job, &grown.sample, &partial);
+        (Some(key), value)
+    };
+    let records = grown.iter().zip(first..).map(record).collect();
+    let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
+    (shared.store.append)(append).await.map(|_| ())
+}
+
+fn grown(shared: &Shared, part: usize, least: u64) -> Vec<Grown> {
     let world = shared.world.borrow();
-    let (mut records, mut saved) = (Vec::new(), Vec::new());
+    let store = &shared.settings.store;
+    let mut grown = Vec::new();
     let mut bytes = 0;
     for (slot, text) in &world.texts {
         if shared.part_of(&slot.job) != part || text.last < text.saved + least {
@@ -210,21 +230,21 @@
         let Some(job) = job.filter(|job| !job.ended && !job.done[slot.at]) else {
             continue;
         };
-        let partial = Partial {
-            last: text.last,
-            text: text.data.clone(),
-            versions: text.versions.iter().copied().collect(),
-        };
-        let sample = &job.submission.samples[slot.at].id;
-        let (key, value) = batch::partial_record(&slot.job, sample, &partial);
-        bytes += key.len() + value.len();
-        if bytes > shared.settings.store.call_bytes / 2 {
-            break;
+        let size = text.data.len() + OVERHEAD_BYTES;
+        if size > store.record_bytes {
+            continue;
         }
-        if value.len() + OVERHEAD_BYTES < shared.settings.store.record_bytes {
-            records.push((Some(key), value));
-            saved.push((slot.clone(), text.last));
+        bytes += size;
+        if bytes > store.call_bytes / 2 {
+            break;
         }
+        grown.push(Grown {
+            slot: slot.clone(),
+            sample: job.head.samples[slot.at].id.clone(),
+            last: text.last,
+            versions: text.versions.iter().copied().collect(),
+            text: Bytes::copy_from_slice(text.data.as_bytes()),
+        });
     }
-    (records, saved)
+    grown
 }
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     core::{
-        batch::Partial,
+        batch::{Partial, Sample},
         dispatch::{End, Event, Run, Slot},
         fleet::Announcement,
     },
@@ -20,7 +20,9 @@
         dialect::Piece,
         exchange::{Answer, Error},
         lines::Cutter,
+        samples,
         shared::Shared,
+        texts,
     },
 };
 
@@ -55,13 +57,10 @@
 
 /// Starts a run as a task of its own.
 pub fn start(shared: &Rc<Shared>, run: Run, slot: Slot, target: &str, priority: u8) {
-    recall(shared, &slot);
-    let (said, from) = {
+    let said = {
         let world = shared.world.borrow();
-        let said = world.fleet.targets.get(target).map(|target| target.said.clone());
-        (said, world.texts.get(&slot).map_or(0, |text| text.last))
+        world.fleet.targets.get(target).map(|target| target.said.clone())
     };
-    log::debug!("sample {}/{} starts at {target} after event {from}", slot.job, slot.at);
     let Some(said) = said else {
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
@@ -83,28 +82,31 @@
 }
 
 /// Takes over the text that another instance, or an earlier run of this one,
-/// left in the store.
-fn recall(shared: &Shared, slot: &Slot) {
-    let world = &mut *shared.world.borrow_mut();
-    let Some(job) = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job) else {
+/// left in the store, where it goes further than what is known here.
+async fn recall(shared: &Rc<Shared>, slot: &Slot) {
+    let part = shared.part_of(&slot.job);
+    let Some(partial) = kept(shared, part, slot) else {
         return;
     };
-    let Some(value) = job.partials.get(&slot.at) else {
-        return;
-    };
-    let partial: Partial = match serde_json::from_slice(value) {
-        Ok(partial) => partial,
-        Err(error) => {
-            log::warn!("text of {}/{} cannot be read: {error}", slot.job, slot.at);
+    let data = match texts::fetch(shared, std::slice::from_ref(&partial.text)).await {
+        Ok(mut texts) => texts.pop().unwrap_or_default(),
+        // A longer one has taken its place, or the store is away; then the
+        // sample begins anew, or where this instance knows.
+        Err(fault) => {
+            log::info!("unfinished text of {}/{}: {fault}", slot.job, slot.at);
             return;
         }
     };
+    let Ok(data) = String::from_utf8(data.to_vec()) else {
+        log::error!("unfinished text of {}/{} is not UTF-8", slot.job, slot.at);
+        return;
+    };
+    let mut world = shared.world.borrow_mut();
     let known = world.texts.get(slot).map_or(0, |text| text.last);
-    let allowed = partial.versions.iter().all(|version| *version >= job.submission.min_version);
-    if partial.last > known && allowed {
+    if partial.last > known {
         let text = Text {
             last: partial.last,
-            data: partial.text,
+            data,
             versions: partial.versions.into_iter().collect(),
             score: None,
             saved: partial.last,
@@ -113,6 +115,22 @@
     }
 }
 
+/// What the store keeps of a sample's text, if that is of use here.
+fn kept(shared: &Shared, part: usize, slot: &Slot) -> Option<Partial> {
+    let world = shared.world.borrow();
+    let job = world.shelves[part].book.jobs.get(&slot.job)?;
+    let partial: Partial = match serde_json::from_slice(job.partials.get(&slot.at)?) {
+        Ok(partial) => partial,
+        Err(error) => {
+            log::warn!("unfinished text of {}/{}: {error}", slot.job, slot.at);
+            return None;
+        }
+    };
+    let known = world.texts.get(slot).map_or(0, |text| text.last);
+    let allowed = partial.versions.iter().all(|version| *version >= job.head.min_version);
+    (partial.last > known && allowed).then_some(partial)
+}
+
 async fn go(
     shared: &Rc<Shared>,
     run: Run,
@@ -120,7 +138,11 @@
     target: &Announcement,
     priority: u8,
 ) -> End {
-    let Some(request) = request(shared, slot, target, priority) else {
+    let Some(sample) = samples::get(shared, slot).await else {
+        return End::Unready;
+    };
+    recall(shared, slot).await;
+    let Some(request) = request(shared, slot, &sample, target, priority) else {
         return End::Impossible;
     };
     let answer = match shared.pool.send(target.address, request, RUN_LIMIT).await {
@@ -152,24 +174,26 @@
 fn request(
     shared: &Shared,
     slot: &Slot,
+    sample: &Sample,
     target: &Announcement,
     priority: u8,
 ) -> Option<Request<Full<Bytes>>> {
     let world = shared.world.borrow();
     let job = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job)?;
-    let sample = job.submission.samples.get(slot.at)?;
     let headers = &shared.dialect.headers;
     let mut request = Request::post(sample.path.as_str())
         .header(http::header::HOST, job.head.host.as_str())
         .header(&headers.request_id, sample.id.as_str())
         .header(&headers.target, target.id.as_str())
         .header(&headers.priority, HeaderValue::from(u16::from(priority)));
-    for (name, value) in &sample.headers {
-        request = request.header(name.as_str(), value.as_str());
+    for header in &sample.headers {
+        request = request.header(header.name.as_str(), header.value.as_str());
     }
-    if let Some(text) = world.texts.get(slot).filter(|text| text.last > 0) {
-        request = request.header(&headers.last_event, HeaderValue::from(text.last));
+    let last = world.texts.get(slot).map_or(0, |text| text.last);
+    if last > 0 {
+        request = request.header(&headers.last_event, HeaderValue::from(last));
     }
+    log::debug!("sample {}/{} starts at {} after event {last}", slot.job, slot.at, target.id);
     request.body(Full::new(sample.body.clone())).ok()
 }
 
@@ -186,8 +210,7 @@
         let Some(job) = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job) else {
             return End::Broken;
         };
-        let sample = &job.submission.samples[slot.at];
-        (job.submission.model.clone(), job.submission.min_version, sample.id.clone())
+        (job.head.model.clone(), job.head.min_version, job.head.samples[slot.at].id.clone())
     };
     if answer.header(&headers.request_id) != Some(id.as_str()) {
         return End::Broken;
--- /dev/null
+++ b/crates/hollywell/src/entry/samples.rs
@@ -0,0 +1,127 @@
+//! The requests of samples: kept in the store in bundles, read by whoever
+//! runs one of them.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use prost::Message as _;
+use tokio::time::timeout;
+
+use crate::{
+    core::{
+        batch::{self, Brief, Bundle, Sample, Submission, TextRef},
+        dispatch::Slot,
+    },
+    entry::{
+        shared::{Shared, TEXTS},
+        store::{Append, Fault, Part},
+        texts,
+    },
+};
+
+/// Appends of one bundle where the store does not answer.
+const TRIES: u32 = 3;
+/// Longest time that reading a bundle may take.
+const READ: Duration = Duration::from_secs(2);
+
+/// A sample's request, read from the store if it is not known.
+pub async fn get(shared: &Rc<Shared>, slot: &Slot) -> Option<Sample> {
+    let part = shared.part_of(&slot.job);
+    let (bundle, at, text) = {
+        let world = shared.world.borrow();
+        let head = &world.shelves[part].book.jobs.get(&slot.job)?.head;
+        let brief = head.samples.get(slot.at)?;
+        let known = world.bundles.get(&(slot.job.clone(), brief.bundle));
+        if let Some(bundle) = known {
+            return bundle.samples.get(brief.at).cloned();
+        }
+        (brief.bundle, brief.at, head.bundles.get(brief.bundle)?.clone())
+    };
+    let read = timeout(READ, texts::fetch(shared, std::slice::from_ref(&text))).await;
+    let bytes = match read {
+        Ok(Ok(mut texts)) => texts.pop()?,
+        Ok(Err(fault)) => {
+            log::info!("samples of job {} at {}: {fault}", slot.job, text.offset);
+            return None;
+        }
+        Err(_) => {
+            log::info!("samples of job {} at {}: no answer in time", slot.job, text.offset);
+            return None;
+        }
+    };
+    let decoded = match Bundle::decode(bytes) {
+        Ok(decoded) => Rc::new(decoded),
+        Err(error) => {
+            log::error!("samples of job {} at {}: {error}", slot.job, text.offset);
+            return None;
+        }
+    };
+    let world = &mut *shared.world.borrow_mut();
+    // A job that was ended meanwhile is not remembered.
+    let open = world.shelves[part].book.jobs.get(&slot.job).is_some_and(|job| !job.ended);
+    if open {
+        world.bundles.insert((slot.job.clone(), bundle), decoded.clone());
+    }
+    decoded.samples.get(at).cloned()
+}
+
+/// Brings a submission's samples to the store; where each lies.
+///
+/// # Errors
+///
+/// The store's [`Fault`]. Whatever it did, no job is kept by this.
+pub async fn put(
+    shared: &Rc<Shared>,
+    job: &str,
+    submission: &Submission,
+) -> Result<(Vec<Brief>, Vec<TextRef>), Fault> {
+    let part = u32::try_from(shared.part_of(job)).unwrap_or_default();
+    let store = &shared.settings.store;
+    let (briefs, bundles) = batch::bundle(submission, store.record_bytes / 2);
+    let mut refs = Vec::new();
+    let mut records: Vec<(Option<String>, Bytes)> = Vec::new();
+    let mut bytes = 0;
+    for bundle in &bundles {
+        let value = Bytes::from(bundle.encode_to_vec());
+        if bytes + value.len() > store.call_bytes / 2 {
+            let full = std::mem::take(&mut records);
+            append(shared, part, full, &mut refs).await?;
+            bytes = 0;
+        }
+        bytes += value.len();
+        records.push((Some(batch::bundle_key(job, &shared.unique())), value));
+    }
+    append(shared, part, records, &mut refs).await?;
+    Ok((briefs, refs))
+}
+
+async fn append(
+    shared: &Rc<Shared>,
+    number: u32,
+    records: Vec<(Option<String>, Bytes)>,
+    refs: &mut Vec<TextRef>,
+) -> Result<(), Fault> {
+    if records.is_empty() {
+        return Ok(());
+    }
+    let part = Part::new(TEXTS, number);
+    let append = Append { part, records: records.clone(), expected_end: None };
+    let mut tries = 1;
+    let first = loop {
+        match (shared.store.append)(append.clone()).await {
+            Ok(appended) => break appended.offset,
+            // Records that were appended twice lie there twice; nothing but
+            // the head names them.
+            Err(Fault::Unknown(why)) if tries < TRIES => {
+                log::info!("samples are appended again: {why}");
+                tries += 1;
+            }
+            Err(fault) => return Err(fault),
+        }
+    };
+    let part = usize::try_from(number).unwrap_or_default();
+    for ((key, value), offset) in records.into_iter().zip(first..) {
+        refs.push(TextRef { part, offset, key: key.unwrap_or_default(), len: value.len() });
+    }
+    Ok(())
+}
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -88,6 +88,7 @@
         shelves: (0..parts).map(|_| Shelf::default()).collect(),
         named: std::collections::BTreeMap::new(),
         texts: std::collections::HashMap::new(),
+        bundles: std::collections::HashMap::new(),
         runs: std::collections::HashMap::new(),
         unopened: vec![],
         members: vec![me.clone()],
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -16,7 +16,7 @@
 use crate::{
     control::Clock,
     core::{
-        batch::{Book, Change, Partial, Record},
+        batch::{Book, Bundle, Change, Partial, Record},
         choice::Sights,
         dispatch::{self, Effect, Event, Run, Slot, Work},
         fleet::Fleet,
@@ -76,6 +76,8 @@
     pub named: BTreeMap<String, u64>,
     /// Text of samples that are not listed.
     pub texts: HashMap<Slot, Text>,
+    /// Bundles of samples that this instance runs.
+    pub bundles: HashMap<(String, usize), Rc<Bundle>>,
     /// Runs in flight.
     pub runs: HashMap<Run, AbortHandle>,
     /// Jobs that wait for a configuration that has their route.
@@ -218,7 +220,7 @@
         {
             let shelf = &mut self.world.borrow_mut().shelves[part];
             for record in records.iter().filter(|record| record.offset >= shelf.next) {
-                match shelf.book.apply(record, self.dialect.submission) {
+                match shelf.book.apply(record) {
                     Ok(more) => changes.extend(more),
                     Err(skip) => log::warn!("{skip}"),
                 }
@@ -240,7 +242,11 @@
             Change::Listed(job, at) => self.tell(&Event::Listed(Slot { job, at })),
             Change::Grown(job, at) => self.grown(part, Slot { job, at }),
             Change::Ended(job) | Change::Dropped(job) => {
-                self.world.borrow_mut().unopened.retain(|other| *other != job);
+                {
+                    let mut world = self.world.borrow_mut();
+                    world.unopened.retain(|other| *other != job);
+                    world.bundles.retain(|(other, _), _| *other != job);
+                }
                 self.tell(&Event::Closed(job));
             }
         }
@@ -305,19 +311,19 @@
                 return;
             };
             let age_ms = wall_ms().saturating_sub(job.head.at_ms);
-            let submission = job.submission.clone();
+            let head = job.head.clone();
             let mut work = Work {
                 job: id,
                 part,
                 pool: route.pools.first().map(|(pool, _)| pool.clone()).unwrap_or_default(),
-                model: job.submission.model.clone(),
-                min_version: job.submission.min_version,
+                model: job.head.model.clone(),
+                min_version: job.head.min_version,
                 attempts: route.attempts,
                 keep_until: self.now().after(route.keep_ms.saturating_sub(age_ms)),
                 samples: vec![],
                 done: job.done.clone(),
             };
-            work.samples = carry::items(&mut world.shelves, part, &work.job, &submission);
+            work.samples = carry::items(&mut world.shelves, part, &work.job, &head);
             work
         };
         log::debug!("job {} opened: {} samples", work.job, work.samples.len());
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -88,6 +88,8 @@
     pub from: u64,
     /// How long to wait for a record; zero for not at all.
     pub wait: Duration,
+    /// Most KB of records wanted; the store's own limit if not given.
+    pub most_kb: Option<usize>,
 }
 
 /// Records of a partition.
@@ -152,22 +154,45 @@
 }
 
 impl Client {
-    /// All newest records of a partition below the end that the first page
-    /// names, by offset. Records above it are read from there.
+    /// Reads on in all newest records of a partition, from where an earlier
+    /// attempt failed; returns whether all are read. Starting over after
+    /// each failure was tried: with many instances at a store that refuses
+    /// what exceeds its bandwidth none of them ever got to the end.
     ///
     /// # Errors
     ///
-    /// The first page's [`Fault`].
-    pub async fn newest_all(&self, part: &Part) -> Result<Records, Fault> {
-        let mut page = (self.newest)((part.clone(), None)).await?;
-        let end = page.end;
-        let mut records = page.records;
-        while let Some(after) = page.after {
-            page = (self.newest)((part.clone(), Some(after))).await?;
-            records.append(&mut page.records);
+    /// A page's [`Fault`]; what was read so far stays in `newest`.
+    pub async fn newest_on(&self, part: &Part, newest: &mut Newest) -> Result<(), Fault> {
+        while !newest.done {
+            let page = (self.newest)((part.clone(), newest.after.clone())).await?;
+            newest.end.get_or_insert(page.end);
+            newest.records.extend(page.records);
+            newest.done = page.after.is_none();
+            newest.after = page.after;
         }
+        Ok(())
+    }
+}
+
+/// The newest records of a partition as far as they are read.
+#[derive(Clone, Debug, Default)]
+pub struct Newest {
+    records: Vec<Record>,
+    after: Option<String>,
+    end: Option<u64>,
+    done: bool,
+}
+
+impl Newest {
+    /// All newest records below the end that the first page named, by
+    /// offset. Records above it are to be read from there: pages are no
+    /// snapshot.
+    #[must_use]
+    pub fn into_records(self) -> Records {
+        let end = self.end.unwrap_or_default();
+        let mut records = self.records;
         records.retain(|record| record.offset < end);
         records.sort_by_key(|record| record.offset);
-        Ok(Records { end, records })
+        Records { end, records }
     }
 }
--- a/crates/hollywell/src/entry/texts.rs
+++ b/crates/hollywell/src/entry/texts.rs
@@ -1,5 +1,5 @@
-//! Whole texts of samples: read from the store when a caller asks, a few of
-//! the latest kept.
+//! Texts and bundles of samples: read from the store when they are asked
+//! for, a few of the latest kept.
 
 use std::{
     cell::RefCell,
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 
 use crate::{
-    core::batch::{TextRef, text_prefix},
+    core::batch::TextRef,
     entry::{
         shared::{Shared, TEXTS},
         store::{Fault, Part, Read},
@@ -21,43 +21,60 @@
 /// Most bytes of texts that are kept: a few reads of one caller.
 const KEPT_BYTES: usize = 1 << 20;
 
-/// Texts that were read or written lately, by partition and offset.
+/// What a record takes in a read besides its value, at most.
+const RECORD_BYTES: usize = 300;
+/// Most that one read asks for, in KB.
+const MOST_KB: usize = 1_024;
+
+/// Texts that were read or written lately, by key. A key is written to one
+/// partition only; offsets mean nothing without their partition.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::{core::batch::TextRef, entry::texts::Texts};
+///
+/// let text = |key: &str| TextRef { part: 0, offset: 7, key: key.into(), len: 1 };
+/// let texts = Texts::default();
+/// texts.keep(&text("a"), "A".into());
+/// assert_eq!(texts.get(&text("a")).unwrap(), "A");
+/// // The same offset with another key is another partition's text.
+/// assert!(texts.get(&text("b")).is_none());
+/// ```
 #[derive(Debug, Default)]
 pub struct Texts {
-    kept: RefCell<VecDeque<((usize, u64), Bytes)>>,
+    kept: RefCell<VecDeque<(TextRef, Bytes)>>,
 }
 
 impl Texts {
     /// Keeps a text, and lets the oldest go.
-    pub fn keep(&self, part: usize, offset: u64, text: Bytes) {
+    pub fn keep(&self, at: &TextRef, text: Bytes) {
         let mut kept = self.kept.borrow_mut();
-        kept.push_back(((part, offset), text));
+        kept.push_back((at.clone(), text));
         let mut bytes: usize = kept.iter().map(|(_, text)| text.len()).sum();
         while bytes > KEPT_BYTES {
             bytes -= kept.pop_front().map_or(bytes, |(_, text)| text.len());
         }
     }
 
-    fn get(&self, part: usize, offset: u64) -> Option<Bytes> {
+    /// The text, if it is kept.
+    #[must_use]
+    pub fn get(&self, at: &TextRef) -> Option<Bytes> {
         let kept = self.kept.borrow();
-        kept.iter().find(|(at, _)| *at == (part, offset)).map(|(_, text)| text.clone())
+        kept.iter().find(|(other, _)| other == at).map(|(_, text)| text.clone())
     }
 }
 
-/// The texts that some results of a job name, in their order.
+/// The texts that are wanted, in their order. All lie in one partition.
 ///
 /// # Errors
 ///
 /// The store's [`Fault`]; [`Fault::Malformed`] where a text is not there.
-pub async fn fetch(
-    shared: &Rc<Shared>,
-    part: usize,
-    job: &str,
-    wanted: &[TextRef],
-) -> Result<Vec<Bytes>, Fault> {
+pub async fn fetch(shared: &Rc<Shared>, wanted: &[TextRef]) -> Result<Vec<Bytes>, Fault> {
+    let part = wanted.first().map_or(0, |text| text.part);
     let mut found: BTreeMap<u64, Bytes> = BTreeMap::new();
     for text in wanted {
-        if let Some(kept) = shared.texts.get(part, text.offset) {
+        if let Some(kept) = shared.texts.get(text) {
             found.insert(text.offset, kept);
         }
     }
@@ -66,7 +83,7 @@
             Ok(()) if found.contains_key(&from) => {}
             // The record itself is gone, or the history up to it.
             Ok(()) | Err(Fault::Gone(_)) => {
-                return by_key(shared, part, job, wanted).await;
+                return by_key(shared, part, wanted).await;
             }
             Err(fault) => return Err(fault),
         }
@@ -87,31 +104,31 @@
     found: &mut BTreeMap<u64, Bytes>,
 ) -> Result<(), Fault> {
     let number = u32::try_from(part).unwrap_or_default();
-    let read = Read { part: Part::new(TEXTS, number), from, wait: Duration::ZERO };
+    let missing = wanted.iter().filter(|text| !found.contains_key(&text.offset));
+    let bytes: usize = missing.map(|text| text.len + RECORD_BYTES).sum();
+    let most_kb = Some(bytes.div_ceil(1_024).min(MOST_KB));
+    let read = Read { part: Part::new(TEXTS, number), from, wait: Duration::ZERO, most_kb };
     for record in (shared.store.read)(read).await?.records {
         let is_wanted = |text: &&TextRef| text.offset == record.offset && text.key == record.key;
-        if let (Some(_), Some(value)) = (wanted.iter().find(is_wanted), record.value) {
+        if let (Some(at), Some(value)) = (wanted.iter().find(is_wanted), record.value) {
             // A copy: the record is a part of the whole read.
             let text = Bytes::copy_from_slice(&value);
-            shared.texts.keep(part, record.offset, text.clone());
+            shared.texts.keep(at, text.clone());
             found.insert(record.offset, text);
         }
     }
     Ok(())
 }
 
-/// Reads a job's texts by their keys, which are kept for good.
-async fn by_key(
-    shared: &Rc<Shared>,
-    part: usize,
-    job: &str,
-    wanted: &[TextRef],
-) -> Result<Vec<Bytes>, Fault> {
-    let prefix = text_prefix(job);
+/// Reads texts by their keys, which are kept for good.
+async fn by_key(shared: &Rc<Shared>, part: usize, wanted: &[TextRef]) -> Result<Vec<Bytes>, Fault> {
     let number = u32::try_from(part).unwrap_or_default();
     let mut found: BTreeMap<String, Bytes> = BTreeMap::new();
-    let mut after = Some(prefix.clone());
-    while after.as_ref().is_some_and(|key| key.starts_with(&prefix)) {
+    let first = wanted.iter().map(|text| text.key.as_str()).min().unwrap_or_default();
+    let last = wanted.iter().map(|text| text.key.as_str()).max().unwrap_or_default();
+    // What a key begins with sorts before it.
+    let mut after = first.char_indices().last().map(|(at, _)| first[..at].to_owned());
+    while after.as_ref().is_some_and(|key| key.as_str() < last) {
         let page = (shared.store.newest)((Part::new(TEXTS, number), after)).await?;
         for record in page.records {
             let is_wanted = |text: &&TextRef| text.key == record.key;
