Engines are dealt out by what trainers ask for; kept connections are preferred

Change: in proportion to the tokens of the newest step, noted anew when they change by 30%; a target with an idle connection counts 15 ms less.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -39,6 +39,11 @@
 /// What a full target costs more than an empty one, in milliseconds, for all
 /// that other instances may be sending there at this moment.
 const SPREAD_MS: f64 = 100.0;
+/// What a new connection is taken to cost, in milliseconds: a handshake at
+/// the target, and a price that is worth some events of one sample.
+const CONNECT_COST_MS: f64 = 15.0;
+/// How long an idle connection is expected to be kept, in milliseconds.
+const CONNECTION_MS: u64 = 2_500;
 /// How long a target's word that it has room is believed, in milliseconds.
 const ROOM_MS: u64 = 400;
 /// Share of a target's places up to which it has room for more than an
@@ -72,6 +77,10 @@
     pub broken: u32,
     /// Refusals for lack of room in a row.
     full: u32,
+    /// Connections that are probably open to it.
+    open: u32,
+    /// When a request there last ended.
+    ended_at: Time,
     /// When anything last came from it.
     pub heard_at: Time,
 }
@@ -99,13 +108,29 @@
 
     /// Notes that a request went to a target.
     pub fn sent(&mut self, id: &str) {
-        self.at(id).mine += 1;
+        let sight = self.at(id);
+        sight.mine += 1;
+        sight.open = sight.open.max(sight.mine);
     }
 
     /// Notes that a request at a target ended.
-    pub fn ended(&mut self, id: &str) {
+    pub fn ended(&mut self, now: Time, id: &str) {
         let sight = self.at(id);
         sight.mine = sight.mine.saturating_sub(1);
+        sight.ended_at = now;
+    }
+
+    /// Notes that a request's connection was closed with it.
+    pub fn closed(&mut self, id: &str) {
+        let sight = self.at(id);
+        sight.open = sight.open.saturating_sub(1);
+    }
+
+    /// Whether a connection to a target is probably open and idle.
+    fn has_connection(&self, now: Time, id: &str) -> bool {
+        self.targets.get(id).is_some_and(|sight| {
+            sight.mine < sight.open && now.since(sight.ended_at) < CONNECTION_MS
+        })
     }
 
     /// Notes the load that came with an answer.
@@ -259,7 +284,8 @@
             let run = need.events * pace * cold * (1.0 + SLOT_SLOWS * load);
             // A place comes free each time one of its requests ends.
             let queue = (load + 1.0 - slots).max(0.0) / slots * USUAL_EVENTS * pace;
-            Some(run + queue + load / slots * SPREAD_MS)
+            let connect = if self.has_connection(now, &target.id) { 0.0 } else { CONNECT_COST_MS };
+            Some(run + queue + load / slots * SPREAD_MS + connect)
         };
         let costs = targets.filter_map(|target| Some((cost(target)?, target)));
         let key = |target: &Announcement| {
--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch.rs
@@ -268,6 +268,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct State {
     me: String,
+    now: Time,
     members: Vec<String>,
     jobs: BTreeMap<String, Open>,
     /// Jobs in the order in which they came.
@@ -327,6 +328,7 @@
         sights: &mut Sights,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.now = now;
         match event {
             Event::Tick => self.watch(now, fleet, sights, &mut effects),
             Event::Opened(work) => self.open(work.clone()),
@@ -465,7 +467,10 @@
         let Some(running) = self.runs.remove(&run) else {
             return;
         };
-        sights.ended(&running.target);
+        sights.ended(now, &running.target);
+        if end == End::Broken || end == End::WrongVersion {
+            sights.closed(&running.target);
+        }
         let Some(open) = self.jobs.get_mut(&running.slot.job) else {
             return;
         };
@@ -519,7 +524,8 @@
 
     fn stop(&mut self, run: Run, sights: &mut Sights, effects: &mut Vec<Effect>) {
         if let Some(running) = self.runs.remove(&run) {
-            sights.ended(&running.target);
+            sights.ended(self.now, &running.target);
+            sights.closed(&running.target);
             effects.push(Effect::Cancel(run));
         }
     }
--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -34,20 +34,63 @@
 /// still to come.
 const BEHIND: u64 = 2;
 
+/// What is known of the models: the newest version of each, and how much
+/// text its trainer asks for in a step.
+#[derive(Clone, Debug, Default)]
+pub struct Models {
+    /// Newest versions.
+    pub named: BTreeMap<String, u64>,
+    /// Tokens of a step, as its samples' estimates say.
+    pub tokens: BTreeMap<String, u64>,
+}
+
+/// A trainer's demand must differ by this share of what was noted before it
+/// is noted anew: each change moves engines from one model to another.
+const DEMAND_CHANGE: f64 = 0.3;
+
+impl Models {
+    /// Notes the tokens that a step of a model asks for.
+    pub fn asked(&mut self, model: &str, tokens: u64) {
+        let noted = self.tokens.entry(model.to_owned()).or_insert(tokens);
+        if tokens.abs_diff(*noted) as f64 > *noted as f64 * DEMAND_CHANGE {
+            *noted = tokens;
+        }
+    }
+
+    /// The model, of those that an engine holds, that it keeps up: engines
+    /// are dealt out in proportion to the tokens that are asked for. `place`
+    /// is the engine's place among all, from 0 to 1.
+    fn kept_at(&self, held: &BTreeMap<String, u64>, place: f64) -> Option<&str> {
+        let models: Vec<(&str, f64)> = self
+            .named
+            .keys()
+            .filter(|model| held.contains_key(*model))
+            .map(|model| {
+                (model.as_str(), self.tokens.get(model).copied().unwrap_or(1).max(1) as f64)
+            })
+            .collect();
+        let total: f64 = models.iter().map(|(_, tokens)| tokens).sum();
+        let mut up_to = 0.0;
+        for (model, tokens) in &models {
+            up_to += tokens / total;
+            if place < up_to {
+                return Some(model);
+            }
+        }
+        models.last().map(|(model, _)| *model)
+    }
+}
+
 /// The engines that keep up a model, with the version that each has: of
 /// those that hold several models, every engine keeps up one.
-fn keepers<'a>(
-    fleet: &'a Fleet,
-    named: &BTreeMap<String, u64>,
-    model: &str,
-) -> Vec<(u64, &'a str)> {
+fn keepers<'a>(fleet: &'a Fleet, models: &Models, model: &str) -> Vec<(u64, &'a str)> {
     let holds =
         |target: &&Target| !target.said.draining && target.said.versions.contains_key(model);
+    let all: Vec<&Target> = fleet.targets.values().filter(holds).collect();
     let mut keepers = Vec::new();
-    for (n, target) in fleet.targets.values().filter(holds).enumerate() {
-        let models: Vec<&String> =
-            target.said.versions.keys().filter(|held| named.contains_key(*held)).collect();
-        if models.get(n % models.len().max(1)).is_some_and(|kept| *kept == model) {
+    for (n, target) in all.iter().enumerate() {
+        let place = (n as f64 + 0.5) / all.len() as f64;
+        if models.kept_at(&target.said.versions, place) == Some(model) {
             keepers.push((target.said.versions[model], target.said.id.as_str()));
         }
     }
@@ -57,13 +100,8 @@
 /// The engines of all failure domains that are to load a model's newest
 /// version now, with the version that each has: those that are too far
 /// behind, and as many more as it takes for half to have it.
-fn due<'a>(
-    fleet: &'a Fleet,
-    named: &BTreeMap<String, u64>,
-    model: &str,
-    version: u64,
-) -> Vec<(u64, &'a str)> {
-    let mut keepers = keepers(fleet, named, model);
+fn due<'a>(fleet: &'a Fleet, models: &Models, model: &str, version: u64) -> Vec<(u64, &'a str)> {
+    let mut keepers = keepers(fleet, models, model);
     let half = keepers.len().div_ceil(2);
     let all = keepers.len();
     keepers.retain(|(has, _)| *has < version);
@@ -76,9 +114,9 @@
 
 /// Whether an engine of a failure domain is to load something.
 #[must_use]
-pub fn is_due(domain: &str, named: &BTreeMap<String, u64>, fleet: &Fleet) -> bool {
-    named.iter().any(|(model, version)| {
-        let due = due(fleet, named, model, *version);
+pub fn is_due(domain: &str, models: &Models, fleet: &Fleet) -> bool {
+    models.named.iter().any(|(model, version)| {
+        let due = due(fleet, models, model, *version);
         due.iter().any(|(_, target)| fleet.targets[*target].said.domain == domain)
     })
 }
@@ -108,13 +146,12 @@
 }
 
 impl State {
-    /// The orders to give now. `named` holds the newest version of each
-    /// model; `at_once` bounds how many engines load at the same time.
+    /// The orders to give now. `at_once` bounds how many engines load at the same time.
     pub fn step(
         &mut self,
         now: Time,
         domain: &str,
-        named: &BTreeMap<String, u64>,
+        models: &Models,
         fleet: &Fleet,
         sights: &Sights,
         at_once: usize,
@@ -125,8 +162,8 @@
             has < Some(&order.version) && now.since(order.given_at) < ORDER_MS
         });
         let mut wanted = Vec::new();
-        for (model, version) in named {
-            for (has, target) in due(fleet, named, model, *version) {
+        for (model, version) in &models.named {
+            for (has, target) in due(fleet, models, model, *version) {
                 let said = &fleet.targets[target].said;
                 if said.domain != domain || self.under_way.contains_key(target) {
                     continue;
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -199,7 +199,7 @@
         }
         Ok(Some(Wish::Version { model, version })) => {
             let mut world = shared.world.borrow_mut();
-            let named = world.named.entry(model.clone()).or_insert(version);
+            let named = world.models.named.entry(model.clone()).or_insert(version);
             *named = (*named).max(version);
             log::info!("model {model} is named version {version}");
         }
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -259,7 +259,8 @@
 
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
-        self.shared.world.borrow_mut().sights.ended(self.id);
+        let now = self.shared.now();
+        self.shared.world.borrow_mut().sights.ended(now, self.id);
     }
 }
 
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -92,7 +92,7 @@
         if !office.tenure.is_held() {
             return;
         }
-        office.wanted = roll::is_due(domain, &world.named, &world.fleet);
+        office.wanted = roll::is_due(domain, &world.models, &world.fleet);
         if office.wanted && office.tenure.must_announce() {
             office.urgent.notify_one();
         }
@@ -103,7 +103,7 @@
     let orders = {
         let world = shared.world.borrow();
         let roll = &mut office.borrow_mut().roll;
-        roll.step(now, domain, &world.named, &world.fleet, &world.sights, AT_ONCE)
+        roll.step(now, domain, &world.models, &world.fleet, &world.sights, AT_ONCE)
     };
     for order in orders {
         tokio::task::spawn_local(carry_out(shared.clone(), office.clone(), order));
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -86,7 +86,7 @@
         sights: Sights::default(),
         dispatch: dispatch::State::new(&me),
         shelves: (0..parts).map(|_| Shelf::default()).collect(),
-        named: std::collections::BTreeMap::new(),
+        models: crate::core::roll::Models::default(),
         texts: std::collections::HashMap::new(),
         bundles: std::collections::HashMap::new(),
         runs: std::collections::HashMap::new(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     rc::Rc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -21,6 +21,7 @@
         dispatch::{self, Effect, Event, Run, Slot, Work},
         fleet::Fleet,
         plan::{Plan, Repeat},
+        roll::Models,
         time::Time,
     },
     entry::{
@@ -72,8 +73,8 @@
     pub dispatch: dispatch::State,
     /// Batch jobs, by partition.
     pub shelves: Vec<Shelf>,
-    /// Newest weights of each model.
-    pub named: BTreeMap<String, u64>,
+    /// Newest weights of each model, and how much of it is asked for.
+    pub models: Models,
     /// Text of samples that are not listed.
     pub texts: HashMap<Slot, Text>,
     /// Bundles of samples that this instance runs.
@@ -323,6 +324,8 @@
                 samples: vec![],
                 done: job.done.clone(),
             };
+            let tokens = head.samples.iter().map(|sample| u64::from(sample.tokens)).sum();
+            world.models.asked(&head.model, tokens);
             work.samples = carry::items(&mut world.shelves, part, &work.job, &head);
             work
         };
--- a/crates/hollywell/tests/roll.rs
+++ b/crates/hollywell/tests/roll.rs
@@ -7,7 +7,7 @@
 use hollywell::core::{
     choice::Sights,
     fleet::{Announcement, Fleet},
-    roll::{State, is_due},
+    roll::{Models, State, is_due},
     time::Time,
 };
 
@@ -30,12 +30,13 @@
     fleet
 }
 
-fn named(versions: &[(&str, u64)]) -> BTreeMap<String, u64> {
-    versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect()
+fn named(versions: &[(&str, u64)]) -> Models {
+    let named = versions.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect();
+    Models { named, tokens: BTreeMap::new() }
 }
 
 /// Carries all orders out, one pass after the other; how many there were.
-fn settle(fleet: &mut Fleet, named: &BTreeMap<String, u64>) -> usize {
+fn settle(fleet: &mut Fleet, named: &Models) -> usize {
     let (mut state, sights) = (State::default(), Sights::default());
     let mut count = 0;
     for now in 1..100 {
@@ -97,3 +98,19 @@
     let targets: Vec<&str> = orders.iter().map(|order| order.target.as_str()).collect();
     assert_eq!(targets, ["e2"]);
 }
+
+#[test]
+fn engines_are_dealt_out_by_the_tokens_that_are_asked_for() {
+    let mut fleet = fleet(12, &["large", "small"], 1);
+    let mut models = named(&[("large", 3), ("small", 3)]);
+    models.asked("large", 90_000);
+    models.asked("small", 30_000);
+    settle(&mut fleet, &models);
+    let kept = |model: &str| {
+        fleet.targets.values().filter(|target| target.said.versions[model] == 3).count()
+    };
+    assert_eq!((kept("large"), kept("small")), (9, 3));
+    // A step that is somewhat larger moves no engine.
+    models.asked("small", 36_000);
+    assert!(!is_due("d", &models, &fleet));
+}
