A fifth of a domain's engines load at a time; reads of jobs thin out in large fleets

Cause: one engine at a time loaded in each failure domain, also where it has eleven: on grown fleets a pass took longer than a step, and samples of a step crowded on the few engines that were new enough (14 to 25 at some with 8 places, 1 at others). 84 instances that read each change of four partitions would exceed the store's rate of reads. Change: one in five engines of a failure domain, rounded up, loads at a time; the pause between reads of a partition of jobs grows with the instances. Read as a newcomer: dispatch in two files, one function for appends that are looked for, the settings' reading and the wait for SIGTERM no longer twice.

--- /dev/null
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -0,0 +1,150 @@
+//! Which runs should leave their target, and why.
+//!
+//! Going on elsewhere costs an engine some milliseconds of reading, so a run
+//! is moved readily, but only to where it has a place at once: moved into
+//! another queue it would have gained nothing.
+
+use std::collections::BTreeSet;
+
+use super::{Effect, Leave, Run, Running, Stage, State, TOKENS_AN_EVENT};
+use crate::core::{
+    choice::{Need, Sights},
+    fleet::Fleet,
+    time::Time,
+};
+
+/// Silence of a stream after which its target is taken for broken, in
+/// milliseconds: some thirty times the usual time between events.
+const SILENCE_MS: u64 = 1_200;
+/// Silence after which a stream goes on at a target that has a free place,
+/// in milliseconds, and in times of the target's usual pace. Going on
+/// elsewhere costs an engine some milliseconds of reading.
+const STALL_MS: u64 = 250;
+/// See [`STALL_MS`].
+const STALL_PACES: f64 = 5.0;
+/// Time without any answer after which a queued request goes to a target
+/// that has a free place, in milliseconds.
+const QUEUED_MS: u64 = 400;
+/// Time without any answer after which a target is taken for broken, in
+/// milliseconds. A queue moves on within a median sample's time.
+const QUEUED_MOST_MS: u64 = 4_000;
+/// What a move to a faster target must gain, in milliseconds.
+const MOVE_GAIN_MS: f64 = 250.0;
+/// Events of a run after which its pace is taken into account.
+const MOVE_LEAST_EVENTS: u32 = 6;
+/// Of what a sample has taken so far, the share that it will take on top
+/// where its estimate is used up: lengths have a heavy tail.
+const TAIL_SHARE: f64 = 0.5;
+/// Requests at a target for each of its slots up to which it has a free
+/// place for a run that moves.
+const FREE_LOAD: f64 = 0.85;
+
+impl State {
+    /// Moves runs off targets that are silent, slow, leaving or gone.
+    pub(super) fn watch(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        sights: &mut Sights,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.expect(fleet, sights);
+        let mut runs: Vec<Run> = self.runs.keys().copied().collect();
+        runs.sort();
+        for run in runs {
+            if let Some(why) = self.judge(now, run, fleet, sights) {
+                self.move_away(now, run, why, sights, effects);
+            }
+        }
+        self.give_up(now, effects);
+    }
+
+    /// What the other instances probably have at each engine: as much as
+    /// this one, since groups are dealt out evenly.
+    fn expect(&self, fleet: &Fleet, sights: &mut Sights) {
+        let pools: BTreeSet<&str> = self.jobs.values().map(|o| o.work.pool.as_str()).collect();
+        let targets: usize = pools.iter().map(|pool| fleet.usable(pool).count()).sum();
+        let others = self.members.len().saturating_sub(1) * self.runs.len();
+        sights.expect_others(others as f64 / targets.max(1) as f64);
+    }
+
+    /// Whether a run should leave its target, and why.
+    fn judge(&self, now: Time, run: Run, fleet: &Fleet, sights: &Sights) -> Option<Leave> {
+        let running = self.runs.get(&run)?;
+        let silent_ms = now.since(running.heard_at);
+        let patience_ms = if running.head { SILENCE_MS } else { QUEUED_MOST_MS };
+        if silent_ms > patience_ms {
+            return Some(Leave::Broken);
+        }
+        if !fleet.targets.contains_key(&running.target) {
+            return Some(Leave::Gone);
+        }
+        let pace = sights.pace_of(&running.target);
+        let stall_ms =
+            if running.head { STALL_MS.max((pace * STALL_PACES) as u64) } else { QUEUED_MS };
+        if silent_ms > stall_ms && self.free_place(now, running, fleet, sights).is_some() {
+            return Some(Leave::Stalled);
+        }
+        if running.events < MOVE_LEAST_EVENTS {
+            return None;
+        }
+        let faster = self.free_place(now, running, fleet, sights)?;
+        let gain = self.events_left(running) * (pace - sights.pace_of(&faster));
+        (gain > MOVE_GAIN_MS).then_some(Leave::Slow)
+    }
+
+    /// Another target with a free place that could go on with a run.
+    fn free_place(
+        &self,
+        now: Time,
+        running: &Running,
+        fleet: &Fleet,
+        sights: &Sights,
+    ) -> Option<String> {
+        let work = &self.jobs.get(&running.slot.job)?.work;
+        let events = self.events_left(running);
+        let sharers = self.members.len() as f64;
+        let need = Need { events, most_load: FREE_LOAD, sharers, salt: 0 };
+        let targets = fleet
+            .usable(&work.pool)
+            .map(|target| &target.said)
+            .filter(|said| said.id != running.target)
+            .filter(|said| said.versions.get(&work.model) >= Some(&work.min_version));
+        sights.choose(now, targets, need).map(|target| target.id.clone())
+    }
+
+    /// Events that a run is expected to take still.
+    fn events_left(&self, running: &Running) -> f64 {
+        let Some(open) = self.jobs.get(&running.slot.job) else {
+            return 0.0;
+        };
+        let so_far = f64::from(open.progress[running.slot.at].events + running.events);
+        let estimate = f64::from(open.work.samples[running.slot.at].tokens) / TOKENS_AN_EVENT;
+        (estimate - so_far).max(so_far * TAIL_SHARE).max(1.0)
+    }
+
+    fn move_away(
+        &mut self,
+        now: Time,
+        run: Run,
+        why: Leave,
+        sights: &mut Sights,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(running) = self.runs.get(&run).cloned() else {
+            return;
+        };
+        match why {
+            Leave::Broken => sights.broke(now, &running.target),
+            Leave::Stalled => sights.stalled(now, &running.target),
+            Leave::Gone | Leave::Slow => {}
+        }
+        self.stop(run, sights, effects);
+        if let Some(open) = self.jobs.get_mut(&running.slot.job) {
+            let progress = &mut open.progress[running.slot.at];
+            progress.stage = Stage::Idle;
+            progress.events += running.events;
+        }
+        effects.push(Effect::Moved { slot: running.slot, target: running.target, why });
+    }
+}
--- a/crates/hollywell/src/core/dispatch.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -6,9 +6,13 @@
 //! instances may run one sample for a while after a change; the store's
 //! order decides which result counts ([`crate::core::batch`]).
 //!
+//! The module `leave` judges which runs should leave their target.
+//!
 //! Events go in with the time, effects come out as data. Text never passes
 //! through here: the driver keeps it, the reducer counts events.
 
+mod leave;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
@@ -23,34 +27,9 @@
 /// are sent there. Beyond it a sample waits here, where it can still go to
 /// whichever target has room first.
 const MOST_LOAD: f64 = 1.6;
-/// Silence of a stream after which its target is taken for broken, in
-/// milliseconds: some thirty times the usual time between events.
-const SILENCE_MS: u64 = 1_200;
-/// Silence after which a stream goes on at a target that has a free place,
-/// in milliseconds, and in times of the target's usual pace. Going on
-/// elsewhere costs an engine some milliseconds of reading.
-const STALL_MS: u64 = 250;
-/// See [`STALL_MS`].
-const STALL_PACES: f64 = 5.0;
-/// Time without any answer after which a queued request goes to a target
-/// that has a free place, in milliseconds.
-const QUEUED_MS: u64 = 400;
-/// Time without any answer after which a target is taken for broken, in
-/// milliseconds. A queue moves on within a median sample's time.
-const QUEUED_MOST_MS: u64 = 4_000;
 /// Events by which another instance's text must be ahead for a run to start
 /// anew after it.
 const AHEAD_EVENTS: u32 = 12;
-/// What a move to a faster target must gain, in milliseconds.
-const MOVE_GAIN_MS: f64 = 250.0;
-/// Events of a run after which its pace is taken into account.
-const MOVE_LEAST_EVENTS: u32 = 6;
-/// Of what a sample has taken so far, the share that it will take on top
-/// where its estimate is used up: lengths have a heavy tail.
-const TAIL_SHARE: f64 = 0.5;
-/// Requests at a target for each of its slots up to which it has a free
-/// place for a run that moves.
-const FREE_LOAD: f64 = 0.85;
 /// Tokens in one event, where the platform does not say: only the relation
 /// between run and queue depends on it.
 const TOKENS_AN_EVENT: f64 = 50.0;
@@ -530,108 +509,6 @@
         }
     }
 
-    /// Moves runs off targets that are silent, slow, leaving or gone.
-    fn watch(&mut self, now: Time, fleet: &Fleet, sights: &mut Sights, effects: &mut Vec<Effect>) {
-        self.expect(fleet, sights);
-        let mut runs: Vec<Run> = self.runs.keys().copied().collect();
-        runs.sort();
-        for run in runs {
-            if let Some(why) = self.judge(now, run, fleet, sights) {
-                self.move_away(now, run, why, sights, effects);
-            }
-        }
-        self.give_up(now, effects);
-    }
-
-    /// What the other instances probably have at each engine: as much as
-    /// this one, since groups are dealt out evenly.
-    fn expect(&self, fleet: &Fleet, sights: &mut Sights) {
-        let pools: BTreeSet<&str> = self.jobs.values().map(|o| o.work.pool.as_str()).collect();
-        let targets: usize = pools.iter().map(|pool| fleet.usable(pool).count()).sum();
-        let others = self.members.len().saturating_sub(1) * self.runs.len();
-        sights.expect_others(others as f64 / targets.max(1) as f64);
-    }
-
-    /// Whether a run should leave its target, and why.
-    fn judge(&self, now: Time, run: Run, fleet: &Fleet, sights: &Sights) -> Option<Leave> {
-        let running = self.runs.get(&run)?;
-        let silent_ms = now.since(running.heard_at);
-        let patience_ms = if running.head { SILENCE_MS } else { QUEUED_MOST_MS };
-        if silent_ms > patience_ms {
-            return Some(Leave::Broken);
-        }
-        if !fleet.targets.contains_key(&running.target) {
-            return Some(Leave::Gone);
-        }
-        let pace = sights.pace_of(&running.target);
-        let stall_ms =
-            if running.head { STALL_MS.max((pace * STALL_PACES) as u64) } else { QUEUED_MS };
-        if silent_ms > stall_ms && self.free_place(now, running, fleet, sights).is_some() {
-            return Some(Leave::Stalled);
-        }
-        if running.events < MOVE_LEAST_EVENTS {
-            return None;
-        }
-        let faster = self.free_place(now, running, fleet, sights)?;
-        let gain = self.events_left(running) * (pace - sights.pace_of(&faster));
-        (gain > MOVE_GAIN_MS).then_some(Leave::Slow)
-    }
-
-    /// Another target with a free place that could go on with a run.
-    fn free_place(
-        &self,
-        now: Time,
-        running: &Running,
-        fleet: &Fleet,
-        sights: &Sights,
-    ) -> Option<String> {
-        let work = &self.jobs.get(&running.slot.job)?.work;
-        let events = self.events_left(running);
-        let sharers = self.members.len() as f64;
-        let need = Need { events, most_load: FREE_LOAD, sharers, salt: 0 };
-        let targets = fleet
-            .usable(&work.pool)
-            .map(|target| &target.said)
-            .filter(|said| said.id != running.target)
-            .filter(|said| said.versions.get(&work.model) >= Some(&work.min_version));
-        sights.choose(now, targets, need).map(|target| target.id.clone())
-    }
-
-    /// Events that a run is expected to take still.
-    fn events_left(&self, running: &Running) -> f64 {
-        let Some(open) = self.jobs.get(&running.slot.job) else {
-            return 0.0;
-        };
-        let so_far = f64::from(open.progress[running.slot.at].events + running.events);
-        let estimate = f64::from(open.work.samples[running.slot.at].tokens) / TOKENS_AN_EVENT;
-        (estimate - so_far).max(so_far * TAIL_SHARE).max(1.0)
-    }
-
-    fn move_away(
-        &mut self,
-        now: Time,
-        run: Run,
-        why: Leave,
-        sights: &mut Sights,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(running) = self.runs.get(&run).cloned() else {
-            return;
-        };
-        match why {
-            Leave::Broken => sights.broke(now, &running.target),
-            Leave::Stalled => sights.stalled(now, &running.target),
-            Leave::Gone | Leave::Slow => {}
-        }
-        self.stop(run, sights, effects);
-        if let Some(open) = self.jobs.get_mut(&running.slot.job) {
-            let progress = &mut open.progress[running.slot.at];
-            progress.stage = Stage::Idle;
-            progress.events += running.events;
-        }
-        effects.push(Effect::Moved { slot: running.slot, target: running.target, why });
-    }
-
     fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
         for open in self.jobs.values_mut() {
             if now < open.work.keep_until {
--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -30,6 +30,12 @@
 /// milliseconds: a load takes 0.9 s alone, several at once take longer.
 const ORDER_MS: u64 = 4_000;
 
+/// One in so many of a failure domain's engines loads at a time. Half of the
+/// engines load each version, so a pass takes two and a half loads; the
+/// weights' source is shared, and on the deployments at hand it slows down
+/// when more than about a fifth of the engines load.
+const LOADING_PART: usize = 5;
+
 /// Versions behind the newest at which an engine can serve no step that is
 /// still to come.
 const BEHIND: u64 = 2;
@@ -146,7 +152,7 @@
 }
 
 impl State {
-    /// The orders to give now. `at_once` bounds how many engines load at the same time.
+    /// The orders to give now.
     pub fn step(
         &mut self,
         now: Time,
@@ -154,6 +160,22 @@
         models: &Models,
         fleet: &Fleet,
         sights: &Sights,
+    ) -> Vec<Order> {
+        let engines = fleet
+            .targets
+            .values()
+            .filter(|target| target.said.domain == domain && !target.said.versions.is_empty());
+        let at_once = engines.count().div_ceil(LOADING_PART);
+        self.step_some(now, domain, models, fleet, sights, at_once)
+    }
+
+    fn step_some(
+        &mut self,
+        now: Time,
+        domain: &str,
+        models: &Models,
+        fleet: &Fleet,
+        sights: &Sights,
         at_once: usize,
     ) -> Vec<Order> {
         self.under_way.retain(|id, order| {
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -28,8 +28,13 @@
 /// well within the second that its users are granted.
 const RETRY_MOST: Duration = Duration::from_millis(400);
 /// Least time between reads of a partition of jobs: what one read more costs
-/// against what a result that is known sooner earns.
+/// against what a result that is known sooner earns. It grows with the
+/// number of instances beyond [`JOBS_MEMBERS`], as all share the store's
+/// rate of reads.
 const JOBS_PAUSE: Duration = Duration::from_millis(40);
+/// See [`JOBS_PAUSE`]: 20 instances that read four busy partitions make 2,000
+/// calls a second.
+const JOBS_MEMBERS: f64 = 20.0;
 /// Least time between reads of the targets' announcements. Each heartbeat is
 /// a record; a leaving target must get nothing after two seconds.
 const FLEET_PAUSE: Duration = Duration::from_millis(300);
@@ -47,7 +52,7 @@
 async fn follow(
     shared: Rc<Shared>,
     part: Part,
-    pause: Duration,
+    pause: impl Fn(&Shared) -> Duration,
     keyed: bool,
     take: impl Fn(&Rc<Shared>, Records, bool),
 ) {
@@ -79,7 +84,7 @@
                 retry = RETRY;
                 wait = WAIT;
                 take(&shared, records, anew);
-                sleep_until(started + pause).await;
+                sleep_until(started + pause(&shared)).await;
             }
             Err(Fault::Gone(first)) => {
                 shared.store_did(true);
@@ -104,10 +109,15 @@
     most.mul_f64(rand::random_range(0.5..=1.0))
 }
 
+fn jobs_pause(shared: &Shared) -> Duration {
+    let members = shared.world.borrow().members.len() as f64;
+    JOBS_PAUSE.mul_f64((members / JOBS_MEMBERS).max(1.0))
+}
+
 /// Follows one partition of batch jobs.
 pub async fn jobs(shared: Rc<Shared>, part: usize) {
     let number = u32::try_from(part).unwrap_or_default();
-    follow(shared, Part::new(JOBS, number), JOBS_PAUSE, true, move |shared, records, anew| {
+    follow(shared, Part::new(JOBS, number), jobs_pause, true, move |shared, records, anew| {
         let end = if anew { records.end } else { 0 };
         shared.absorb(part, &records.records, end);
         let now = shared.now();
@@ -119,33 +129,39 @@
 /// Follows the targets' announcements.
 pub async fn fleet(shared: Rc<Shared>) {
     let part = Part::new(shared.dialect.announcements, 0);
-    follow(shared, part, FLEET_PAUSE, true, |shared, records, anew| {
-        let now = shared.now();
-        {
-            let world = &mut *shared.world.borrow_mut();
-            if anew {
-                // Whatever is not among the newest has vanished unseen.
-                let listed = |id: &String| records.records.iter().any(|r| r.key == *id);
-                let ids: Vec<String> = world.fleet.targets.keys().cloned().collect();
-                for id in ids.iter().filter(|id| !listed(id)) {
-                    world.fleet.vanish(now, id);
+    follow(
+        shared,
+        part,
+        |_| FLEET_PAUSE,
+        true,
+        |shared, records, anew| {
+            let now = shared.now();
+            {
+                let world = &mut *shared.world.borrow_mut();
+                if anew {
+                    // Whatever is not among the newest has vanished unseen.
+                    let listed = |id: &String| records.records.iter().any(|r| r.key == *id);
+                    let ids: Vec<String> = world.fleet.targets.keys().cloned().collect();
+                    for id in ids.iter().filter(|id| !listed(id)) {
+                        world.fleet.vanish(now, id);
+                    }
                 }
-            }
-            for record in &records.records {
-                let Some(value) = &record.value else {
-                    log::info!("target {} vanished", record.key);
-                    world.fleet.vanish(now, &record.key);
-                    continue;
-                };
-                match (shared.dialect.announcement)(&record.key, value) {
-                    Ok(said) => world.fleet.announce(now, said),
-                    Err(why) => log::warn!("announcement of {} skipped: {why}", record.key),
+                for record in &records.records {
+                    let Some(value) = &record.value else {
+                        log::info!("target {} vanished", record.key);
+                        world.fleet.vanish(now, &record.key);
+                        continue;
+                    };
+                    match (shared.dialect.announcement)(&record.key, value) {
+                        Ok(said) => world.fleet.announce(now, said),
+                        Err(why) => log::warn!("announcement of {} skipped: {why}", record.key),
+                    }
                 }
+                world.fleet_known = true;
             }
-            world.fleet_known = true;
-        }
-        shared.tell(&crate::core::dispatch::Event::Tick);
-    })
+            shared.tell(&crate::core::dispatch::Event::Tick);
+        },
+    )
     .await;
 }
 
@@ -154,33 +170,45 @@
 /// for it.
 pub async fn loads(shared: Rc<Shared>) {
     let part = Part::new(LOADS, 0);
-    follow(shared, part, LOADS_PAUSE, false, |shared, records, _| {
-        for record in &records.records {
-            let value = record.value.clone().unwrap_or_default();
-            match serde_json::from_slice::<Order>(&value) {
-                Ok(load) => {
-                    let fleet = &mut shared.world.borrow_mut().fleet;
-                    fleet.answered(&load.target, &load.model, load.version);
+    follow(
+        shared,
+        part,
+        |_| LOADS_PAUSE,
+        false,
+        |shared, records, _| {
+            for record in &records.records {
+                let value = record.value.clone().unwrap_or_default();
+                match serde_json::from_slice::<Order>(&value) {
+                    Ok(load) => {
+                        let fleet = &mut shared.world.borrow_mut().fleet;
+                        fleet.answered(&load.target, &load.model, load.version);
+                    }
+                    Err(error) => log::warn!("load at {} skipped: {error}", record.offset),
                 }
-                Err(error) => log::warn!("load at {} skipped: {error}", record.offset),
             }
-        }
-        if !records.records.is_empty() {
-            shared.tell(&crate::core::dispatch::Event::Tick);
-        }
-    })
+            if !records.records.is_empty() {
+                shared.tell(&crate::core::dispatch::Event::Tick);
+            }
+        },
+    )
     .await;
 }
 
 /// Follows the operator's wishes: the configuration and the newest weights.
 pub async fn wishes(shared: Rc<Shared>) {
     let part = Part::new(shared.dialect.wishes, 0);
-    follow(shared, part, WISHES_PAUSE, true, |shared, records, _| {
-        for record in &records.records {
-            wish(shared, record);
-        }
-        shared.open_waiting();
-    })
+    follow(
+        shared,
+        part,
+        |_| WISHES_PAUSE,
+        true,
+        |shared, records, _| {
+            for record in &records.records {
+                wish(shared, record);
+            }
+            shared.open_waiting();
+        },
+    )
     .await;
 }
 
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -101,23 +101,35 @@
     if key.len() + value.len() >= most {
         return Reply::Malformed(format!("{} bytes of a job's head exceed {most}", value.len()));
     }
+    let what = format!("job {job} of {} samples", decoded.samples.len());
+    keep(shared, part, (key, value), &what, |shared| known(shared, part, job)).await
+}
+
+/// Appends one record; where no answer comes, looks whether it is there.
+async fn keep(
+    shared: &Rc<Shared>,
+    part: usize,
+    (key, value): (String, Bytes),
+    what: &str,
+    there: impl Fn(&Shared) -> bool,
+) -> Reply {
     let number = u32::try_from(part).unwrap_or_default();
     let records = vec![(Some(key), value)];
     let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
     match (shared.store.append)(append).await {
         Ok(_) => {
             shared.store_did(true);
-            log::info!("job {job} accepted: {} samples", decoded.samples.len());
+            log::info!("{what} accepted");
             Reply::Done
         }
         Err(Fault::Refused(why)) => {
             shared.store_did(false);
-            log::info!("job {job} refused: {why}");
+            log::info!("{what} refused: {why}");
             Reply::NotDone
         }
         Err(fault) => {
-            log::info!("job {job}: {fault}; looking for it");
-            look_for(shared, part, |shared| known(shared, part, job)).await
+            log::info!("{what}: {fault}; looking for it");
+            look_for(shared, part, there).await
         }
     }
 }
@@ -290,26 +302,8 @@
         Some(true) => return Reply::Done,
         Some(false) => {}
     }
-    let (key, value) = batch::end_record(job);
-    let number = u32::try_from(part).unwrap_or_default();
-    let records = vec![(Some(key), value)];
-    let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
-    match (shared.store.append)(append).await {
-        Ok(_) => {
-            shared.store_did(true);
-            log::info!("job {job} ended");
-            Reply::Done
-        }
-        Err(Fault::Refused(why)) => {
-            shared.store_did(false);
-            log::info!("end of job {job} refused: {why}");
-            Reply::NotDone
-        }
-        Err(fault) => {
-            log::info!("end of job {job}: {fault}; looking for it");
-            look_for(shared, part, |shared| ended(shared) == Some(true)).await
-        }
-    }
+    let what = format!("end of job {job}");
+    keep(shared, part, batch::end_record(job), &what, |shared| ended(shared) == Some(true)).await
 }
 
 /// Sends a finished sample's scoring request until it is scored or has
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -26,8 +26,6 @@
 
 /// The topic of leases, one partition for each failure domain.
 const LEASES: &str = "leases";
-/// Engines of one failure domain that load at once.
-const AT_ONCE: usize = 1;
 /// Pause after a claim that failed.
 const CLAIM_RETRY: Duration = Duration::from_millis(100);
 /// Time between looks at what is to be ordered.
@@ -103,7 +101,7 @@
     let orders = {
         let world = shared.world.borrow();
         let roll = &mut office.borrow_mut().roll;
-        roll.step(now, domain, &world.models, &world.fleet, &world.sights, AT_ONCE)
+        roll.step(now, domain, &world.models, &world.fleet, &world.sights)
     };
     for order in orders {
         tokio::task::spawn_local(carry_out(shared.clone(), office.clone(), order));
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -13,7 +13,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
     sync::{Notify, watch},
     task::LocalSet,
 };
@@ -146,7 +145,7 @@
     spawn(Box::pin(answer_always(shared.clone(), ready, ingress::ready)));
     spawn(Box::pin(answer_always(shared.clone(), metrics, ingress::metrics)));
     spawn(Box::pin(ingress::serve(shared.clone(), front, open.clone())));
-    asked_to_stop().await?;
+    crate::serve::asked_to_stop().await?;
     stop(&shared, &open).await;
     Ok(())
 }
@@ -224,13 +223,3 @@
         });
     }
 }
-
-async fn asked_to_stop() -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use crate::settings::{Fault, Reader};
+use crate::settings::{self, Fault, Reader};
 
 /// All settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,12 +66,7 @@
     ///
     /// Every [`Fault`] found.
     pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            let (line, section, key, value) = Default::default();
-            let allowed = format!("a readable file: {error}");
-            vec![Fault { file: path.to_owned(), line, section, key, value, allowed }]
-        })?;
-        Settings::parse(path, &text)
+        Settings::parse(path, &settings::read(path)?)
     }
 
     /// Checks the text of a settings file; `path` is only named in faults.
--- a/crates/hollywell/src/serve.rs
+++ b/crates/hollywell/src/serve.rs
@@ -106,7 +106,8 @@
     }
 }
 
-async fn asked_to_stop() -> std::io::Result<()> {
+/// Waits for SIGTERM or SIGINT.
+pub(crate) async fn asked_to_stop() -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -130,13 +130,7 @@
     ///
     /// Every [`Fault`] found.
     pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
-        let whole_file = |allowed: String| {
-            let (section, key, value) = Default::default();
-            vec![Fault { file: path.to_owned(), line: 0, section, key, value, allowed }]
-        };
-        let text = fs::read_to_string(path)
-            .map_err(|error| whole_file(format!("a readable file: {error}")))?;
-        Settings::parse(path, &text)
+        Settings::parse(path, &read(path)?)
     }
 
     /// Checks the text of a settings file; `path` is only named in faults.
@@ -167,6 +161,19 @@
     }
 }
 
+/// The text of a settings file.
+///
+/// # Errors
+///
+/// One [`Fault`] of the whole file.
+pub(crate) fn read(path: &Path) -> Result<String, Vec<Fault>> {
+    fs::read_to_string(path).map_err(|error| {
+        let (line, section, key, value) = Default::default();
+        let allowed = format!("a readable file: {error}");
+        vec![Fault { file: path.to_owned(), line, section, key, value, allowed }]
+    })
+}
+
 fn read_all(reader: &mut Reader<'_>) -> Settings {
     let instance = "instance";
     let name = reader.text(instance, "name", None);
--- a/crates/hollywell/tests/roll.rs
+++ b/crates/hollywell/tests/roll.rs
@@ -40,7 +40,7 @@
     let (mut state, sights) = (State::default(), Sights::default());
     let mut count = 0;
     for now in 1..100 {
-        for order in state.step(Time(now), "d", named, fleet, &sights, 1) {
+        for order in state.step(Time(now), "d", named, fleet, &sights) {
             fleet.answered(&order.target, &order.model, order.version);
             count += 1;
         }
@@ -79,12 +79,12 @@
     let fleet = fleet(2, &["m"], 1);
     let named = named(&[("m", 3)]);
     let (mut state, sights) = (State::default(), Sights::default());
-    let first = state.step(Time(10), "d", &named, &fleet, &sights, 1);
+    let first = state.step(Time(10), "d", &named, &fleet, &sights);
     assert_eq!(first.len(), 1);
-    assert!(state.step(Time(500), "d", &named, &fleet, &sights, 1).is_empty());
+    assert!(state.step(Time(500), "d", &named, &fleet, &sights).is_empty());
     state.failed(&first[0].target);
-    assert_eq!(state.step(Time(600), "d", &named, &fleet, &sights, 1).len(), 1);
-    let again = state.step(Time(9_000), "d", &named, &fleet, &sights, 1);
+    assert_eq!(state.step(Time(600), "d", &named, &fleet, &sights).len(), 1);
+    let again = state.step(Time(9_000), "d", &named, &fleet, &sights);
     assert_eq!(again.len(), 1, "an order does not block for good");
 }
 
@@ -94,7 +94,7 @@
     fleet.targets.get_mut("e0").unwrap().said.domain = "elsewhere".into();
     fleet.targets.get_mut("e1").unwrap().said.draining = true;
     let named = named(&[("m", 3)]);
-    let orders = State::default().step(Time(10), "d", &named, &fleet, &Sights::default(), 9);
+    let orders = State::default().step(Time(10), "d", &named, &fleet, &Sights::default());
     let targets: Vec<&str> = orders.iter().map(|order| order.target.as_str()).collect();
     assert_eq!(targets, ["e2"]);
 }
@@ -114,3 +114,13 @@
     models.asked("small", 36_000);
     assert!(!is_due("d", &models, &fleet));
 }
+
+#[test]
+fn a_fifth_of_a_failure_domains_engines_load_at_a_time() {
+    for (engines, expected) in [(2, 1), (5, 1), (6, 2), (11, 3)] {
+        let fleet = fleet(engines, &["m"], 1);
+        let named = named(&[("m", 3)]);
+        let orders = State::default().step(Time(10), "d", &named, &fleet, &Sights::default());
+        assert_eq!(orders.len(), expected, "{engines} engines");
+    }
+}
