--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -229,7 +229,8 @@
 
 /// Keeps up the lease, or waits for its holder to fall silent or give it up.
 async fn hold(shared: Rc<Shared>, part: Part, office: Rc<RefCell<Office>>) {
-    let terms = Terms { term_ms: TERM_MS, apart_ms: shared.settings.times.lease_ms };
+    let apart_ms = u64::try_from(shared.settings.times.lease.as_millis()).unwrap_or(u64::MAX);
+    let terms = Terms { term_ms: TERM_MS, apart_ms };
     let urgent = office.borrow().urgent.clone();
     let mut stop = shared.stop.subscribe();
     while !*stop.borrow() {
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -54,7 +54,7 @@
     /// From SIGTERM until the process is killed.
     pub grace: Duration,
     /// A holder of orders that fell silent for so long has lost them.
-    pub lease_ms: u64,
+    pub lease: Duration,
     /// A job's results are kept for so long after its submission.
     pub status: Duration,
 }
@@ -97,7 +97,10 @@
 }
 
 fn read_all(reader: &mut Reader<'_>) -> Settings {
-    const MOST_MS: u64 = 86_400_000;
+    const SECOND: Duration = Duration::from_secs(1);
+    const MILLISECOND: Duration = Duration::from_millis(1);
+    const MOST_S: f64 = 86_400.0;
+    const MOST_MS: f64 = MOST_S * 1_000.0;
     const MOST_BYTES: u64 = 1 << 30;
     let instance = "instance";
     let domain = reader.text(instance, "domain", None);
@@ -119,12 +122,12 @@
             parts: u32::try_from(parts).unwrap_or(1),
             record_bytes: reader.size(store, "record_bytes", 262_144, 4_096..=MOST_BYTES),
             call_bytes: reader.size(store, "call_bytes", 2_097_152, 4_096..=MOST_BYTES),
-            ttl_min: Duration::from_millis(reader.number(store, "ttl_min_ms", 1_000, 1..=MOST_MS)),
+            ttl_min: reader.time(store, "ttl_min_ms", MILLISECOND, 1_000.0, 1.0..=MOST_MS),
         },
         times: Times {
-            grace: Duration::from_millis(reader.number(times, "grace_ms", 8_000, 100..=MOST_MS)),
-            lease_ms: reader.number(times, "lease_ms", 3_000, 100..=MOST_MS),
-            status: Duration::from_secs(reader.number(times, "status_s", 120, 1..=86_400)),
+            grace: reader.time(times, "grace_s", SECOND, 8.0, 0.1..=MOST_S),
+            lease: reader.time(times, "lease_ms", MILLISECOND, 3_000.0, 100.0..=MOST_MS),
+            status: reader.time(times, "status_s", SECOND, 120.0, 0.1..=MOST_S),
         },
         level: level.parse().unwrap_or(log::LevelFilter::Info),
     }
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -11,7 +11,7 @@
     net::SocketAddr,
     ops::RangeInclusive,
     path::{Path, PathBuf},
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use ini::Ini;
@@ -396,6 +396,28 @@
         })
     }
 
+    /// A time in units of `unit`, which may be a fraction: platforms state
+    /// their bounds as they like.
+    pub(crate) fn time(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        unit: Duration,
+        default: f64,
+        range: RangeInclusive<f64>,
+    ) -> Duration {
+        let Some(value) = self.optional(section, key) else {
+            return unit.mul_f64(default);
+        };
+        let number = value.parse().ok().filter(|number| range.contains(number));
+        let number = number.unwrap_or_else(|| {
+            let allowed = format!("a number from {} to {}", range.start(), range.end());
+            self.fault(section, key, &value, &allowed);
+            default
+        });
+        unit.mul_f64(number)
+    }
+
     pub(crate) fn size(
         &mut self,
         section: &'static str,
--- a/crates/hollywell/tests/settings.rs
+++ b/crates/hollywell/tests/settings.rs
@@ -76,3 +76,28 @@
     let fault = parse_csv(csv.as_bytes()).expect_err("256 is too much");
     assert_eq!(fault, r#"row 3, column priority: "256": allowed is 0 to 255"#);
 }
+
+#[test]
+fn times_of_a_platform_may_be_fractions_and_are_checked() {
+    use std::time::Duration;
+
+    use hollywell::entry::settings::Settings;
+
+    let text = |grace: &str| {
+        format!(
+            "[instance]\nname = a\ndomain = za\nlisten = 127.0.0.1:1\n\
+             ready_listen = 127.0.0.1:2\npeer_listen = 127.0.0.1:3\n\
+             metrics_listen = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n\
+             [times]\ngrace_s = {grace}\nlease_ms = 3000.0\n"
+        )
+    };
+    let parse = |grace: &str| Settings::parse("a.ini".as_ref(), &text(grace));
+    let settings = parse("7.5").expect("fractions are taken");
+    assert_eq!(settings.times.grace, Duration::from_millis(7_500));
+    assert_eq!(settings.times.lease, Duration::from_secs(3));
+    for wrong in ["0", "-1", "NaN", "soon"] {
+        let faults = parse(wrong).expect_err(wrong);
+        assert_eq!(faults[0].key, "grace_s");
+        assert!(faults[0].allowed.contains("from 0.1 to 86400"), "{}", faults[0]);
+    }
+}
