Read once more: state that nobody read, one key and one check for unfinished texts

Cause: reading the whole change again found a field and a method that nothing read (when the store last did well, whether it is away), the key of an unfinished text spelled twice, the check of its versions written twice, two arms that do the same. Change: removed, or one piece for both. Behaviour is as before; no test changed.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -246,10 +246,14 @@
     format!("{job}{SEPARATOR}t{SEPARATOR}{writer}{SEPARATOR}{sample}")
 }
 
+fn partial_key(job: &str, sample: &str) -> String {
+    format!("{job}{SEPARATOR}p{SEPARATOR}{sample}")
+}
+
 /// The record that drops a sample's unfinished text.
 #[must_use]
 pub fn no_partial_record(job: &str, sample: &str) -> (String, Bytes) {
-    (format!("{job}{SEPARATOR}p{SEPARATOR}{sample}"), Bytes::new())
+    (partial_key(job, sample), Bytes::new())
 }
 
 /// The record of a result. `writer` tells incarnations of instances apart.
@@ -271,6 +275,14 @@
     pub versions: Vec<u64>,
 }
 
+impl Partial {
+    /// Whether a job that allows `min_version` and newer may use it.
+    #[must_use]
+    pub fn is_allowed(&self, min_version: u64) -> bool {
+        self.versions.iter().all(|version| *version >= min_version)
+    }
+}
+
 /// The key of an unfinished text; a longer one takes its place.
 #[must_use]
 pub fn partial_text_key(job: &str, sample: &str) -> String {
@@ -280,8 +292,8 @@
 /// The record of a sample's text so far. A later one replaces it.
 #[must_use]
 pub fn partial_record(job: &str, sample: &str, partial: &Partial) -> (String, Bytes) {
-    let key = format!("{job}{SEPARATOR}p{SEPARATOR}{sample}");
-    (key, Bytes::from(serde_json::to_vec(partial).unwrap_or_default()))
+    let value = Bytes::from(serde_json::to_vec(partial).unwrap_or_default());
+    (partial_key(job, sample), value)
 }
 
 /// The record of a job's end.
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -463,8 +463,7 @@
                 progress.stage = Stage::Scoring;
                 effects.push(Effect::Score(running.slot));
             }
-            End::Full => sights.full(now, &running.target),
-            End::Misdirected => sights.full(now, &running.target),
+            End::Full | End::Misdirected => sights.full(now, &running.target),
             End::Unready => progress.not_before = now.after(UNREADY_MS),
             End::Broken => {
                 sights.broke(now, &running.target);
--- a/crates/hollywell/src/entry/carry.rs
+++ b/crates/hollywell/src/entry/carry.rs
@@ -52,7 +52,7 @@
 
 fn is_allowed(text: &Bytes, min_version: u64) -> bool {
     let partial = serde_json::from_slice::<Partial>(text);
-    partial.is_ok_and(|partial| partial.versions.iter().all(|version| *version >= min_version))
+    partial.is_ok_and(|partial| partial.is_allowed(min_version))
 }
 
 fn forget(shelves: &mut [Shelf], head: &Head) {
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -4,7 +4,7 @@
 //! each key, and then on from there. Where records that were not read yet
 //! are gone, it starts over: keyed records are never gone for good.
 
-use std::{cmp::Ordering, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -220,7 +220,7 @@
         Ok(Some(Wish::Plan(plan))) => {
             let mut world = shared.world.borrow_mut();
             let before = world.plan.as_ref().map_or(0, |plan| plan.version);
-            if plan.version.cmp(&before) == Ordering::Greater {
+            if plan.version > before {
                 log::info!("configuration {} in force, was {before}", plan.version);
                 world.plan = Some(Rc::new(plan));
             }
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -127,7 +127,7 @@
         }
     };
     let known = world.texts.get(slot).map_or(0, |text| text.last);
-    let allowed = partial.versions.iter().all(|version| *version >= job.head.min_version);
+    let allowed = partial.is_allowed(job.head.min_version);
     (partial.last > known && allowed).then_some(partial)
 }
 
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     control::Clock,
-    core::{choice::Sights, dispatch, fleet::Fleet, time::Time},
+    core::{choice::Sights, dispatch, fleet::Fleet},
     entry::{
         clean,
         dialect::Dialect,
@@ -92,7 +92,6 @@
         runs: std::collections::HashMap::new(),
         unopened: vec![],
         members: vec![me.clone()],
-        store_ok_at: Time(0),
         store_bad_since: None,
         fleet_known: false,
         stopping: false,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -85,8 +85,6 @@
     pub unopened: Vec<String>,
     /// Live instances.
     pub members: Vec<String>,
-    /// When the store last did what it was asked to.
-    pub store_ok_at: Time,
     /// Since when it has failed, if the last call failed.
     pub store_bad_since: Option<Time>,
     /// Targets were read to the end of their topic.
@@ -155,7 +153,6 @@
         let now = self.now();
         let mut world = self.world.borrow_mut();
         if well {
-            world.store_ok_at = now;
             let since = world.store_bad_since.take();
             world.fleet.store(now, false);
             if since.is_some_and(|since| now.since(since) > AWAY_MS) {
@@ -171,12 +168,6 @@
         world.fleet.store(now, away);
     }
 
-    /// Whether the store can be reached, as far as is known.
-    #[must_use]
-    pub fn store_away(&self) -> bool {
-        self.world.borrow().fleet.store_away
-    }
-
     /// Takes an event in and carries its effects out.
     pub fn tell(self: &Rc<Shared>, event: &Event) {
         let now = self.now();
