An instance that has not read who lives runs nothing; a missing member is believed for a moment

An instance whose clock had gone back took its former run for the later one and dropped itself.

Ruled out: stale jobs (the jobs were fresh), slow engines (the same engines served others well), the rule that a member must be missing from two readings (it was kept, but both readings came within the outage's end).

The group is read at once where a join returns a new generation, so the reading of a quiet group can be rare (0.9 s instead of 0.3 s).

--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -286,10 +286,13 @@
 }
 
 impl State {
-    /// The state of an instance that knows nobody but itself.
+    /// The state of an instance that knows nobody, itself included: it runs
+    /// nothing until it is told who lives. Counting itself alone was tried:
+    /// each instance that started ran all samples of all jobs at once, until
+    /// it had read the members.
     #[must_use]
     pub fn new(me: &str) -> State {
-        State { me: me.to_owned(), members: vec![me.to_owned()], ..State::default() }
+        State { me: me.to_owned(), ..State::default() }
     }
 
     /// Runs in flight.
--- /dev/null
+++ b/crates/hollywell/src/core/roster.rs
@@ -0,0 +1,120 @@
+//! Who else lives, folded from readings of the store's group.
+//!
+//! The store judges who lives, but a single reading is no judgement: while
+//! work is dealt anew a member holds nothing for a moment, and after an
+//! outage of the store each member is missing until its next call. Whoever
+//! took such a reading at its word would run everybody's samples. So a
+//! member that is missing is believed for a moment longer, and for some
+//! seconds after the store came back.
+//!
+//! What it leaves out: how the group is read ([`crate::entry::member`]), and
+//! what members are for ([`crate::core::dispatch`]).
+
+use std::collections::BTreeMap;
+
+use crate::core::{fleet::LAPSE_MS, time::Time};
+
+/// How long a member must be missing from all readings before it is taken
+/// for gone, in milliseconds: longer than the moment in which work is dealt
+/// anew, short against the time to live that it has outlasted already.
+const MISSING_MS: u64 = 200;
+
+/// The live members as one instance believes them to be.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::{roster::Roster, time::Time};
+///
+/// let name = |n: &str| format!("{n}@10.0.0.1:80/1");
+/// let mut roster = Roster::new(&name("a"));
+/// // Nobody is known before the first reading, not even the instance
+/// // itself: alone it would run everything.
+/// assert!(roster.members().is_empty());
+/// roster.read(Time(0), &[name("a"), name("b")], None);
+/// // Missing once is not gone.
+/// roster.read(Time(10), &[name("a")], None);
+/// assert_eq!(roster.members(), [name("a"), name("b")]);
+/// roster.read(Time(400), &[name("a")], None);
+/// assert_eq!(roster.members(), [name("a")]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    me: String,
+    members: Vec<String>,
+    /// Since when members have been missing.
+    missing: BTreeMap<String, Time>,
+    leaving: bool,
+}
+
+impl Roster {
+    /// The roster of an instance that has read nothing yet. A member's name
+    /// is that of the instance and, after a `/`, that of its run; later runs
+    /// sort behind earlier ones.
+    #[must_use]
+    pub fn new(me: &str) -> Roster {
+        Roster { me: me.to_owned(), ..Roster::default() }
+    }
+
+    /// Those that are believed to live, in order.
+    #[must_use]
+    pub fn members(&self) -> &[String] {
+        &self.members
+    }
+
+    /// Whether a member is missing and not yet taken for gone: the next
+    /// reading should come soon.
+    #[must_use]
+    pub fn is_unsettled(&self) -> bool {
+        !self.missing.is_empty()
+    }
+
+    /// Notes that this instance leaves: it no longer counts itself.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes a reading over; returns whether the members changed. `back_at`
+    /// is when the store last came back from an outage.
+    pub fn read(&mut self, now: Time, read: &[String], back_at: Option<Time>) -> bool {
+        let mut members = read.to_vec();
+        if !self.leaving {
+            members.push(self.me.clone());
+        }
+        let recovering = back_at.is_some_and(|at| now.since(at) < LAPSE_MS);
+        let mut missing = BTreeMap::new();
+        for member in self.members.iter().filter(|member| !read.contains(member)) {
+            let since = self.missing.get(member).copied().unwrap_or(now);
+            if *member != self.me && (recovering || now.since(since) < MISSING_MS) {
+                missing.insert(member.clone(), since);
+                members.push(member.clone());
+            }
+        }
+        members.sort();
+        members.dedup();
+        self.supersede(&mut members);
+        missing.retain(|member, _| members.contains(member));
+        self.missing = missing;
+        let changed = members != self.members;
+        self.members = members;
+        changed
+    }
+
+    /// Drops members that another run of the same instance has replaced:
+    /// their time to live has not run out, but their process has ended. This
+    /// instance knows of itself which run is the latest, whatever the time
+    /// of day that named the runs.
+    fn supersede(&self, members: &mut Vec<String>) {
+        let instance = |member: &str| member.rsplit_once('/').map(|(name, _)| name.to_owned());
+        let mine = instance(&self.me);
+        members.retain(|member| *member == self.me || instance(member) != mine);
+        let mut at = 1;
+        while at < members.len() {
+            if instance(&members[at - 1]) == instance(&members[at]) {
+                members.remove(at - 1);
+            } else {
+                at += 1;
+            }
+        }
+    }
+}
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -44,7 +44,7 @@
     for (part, shelf) in world.shelves.iter().enumerate() {
         for (id, job) in &shelf.book.jobs {
             let age_ms = now_ms.saturating_sub(job.head.at_ms);
-            let mine = owner(&world.members, id, "") == Some(shared.me.as_str());
+            let mine = owner(world.roster.members(), id, "") == Some(shared.me.as_str());
             if mine && job.ended && age_ms > status_ms.saturating_add(MARGIN_MS) {
                 old.push((part, id.clone()));
             }
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -110,7 +110,7 @@
 }
 
 fn jobs_pause(shared: &Shared) -> Duration {
-    let members = shared.world.borrow().members.len() as f64;
+    let members = shared.world.borrow().roster.members().len() as f64;
     JOBS_PAUSE.mul_f64((members / JOBS_MEMBERS).max(1.0))
 }
 
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -185,7 +185,7 @@
         let world = shared.world.borrow();
         let plan = world.plan.as_ref().map_or(0, |plan| plan.version);
         meters.plan.set(i64::try_from(plan).unwrap_or(i64::MAX));
-        meters.members.set(gauge(world.members.len()));
+        meters.members.set(gauge(world.roster.members().len()));
         meters.in_flight.set(gauge(world.dispatch.in_flight()));
     }
     meters.connections.set(i64::try_from(shared.pool.opened.get()).unwrap_or(i64::MAX));
--- a/crates/hollywell/src/entry/member.rs
+++ b/crates/hollywell/src/entry/member.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     core::dispatch::Event,
@@ -23,8 +23,10 @@
 /// How long a member lasts without one: a few lost calls must not end it,
 /// and the work of one that died waits for so long.
 const TTL: Duration = Duration::from_millis(1_400);
-/// Time between readings of the members.
-const LOOK: Duration = Duration::from_millis(300);
+/// Time between readings of the members while nothing changes.
+const LOOK: Duration = Duration::from_millis(900);
+/// Least time between readings: a change mostly comes with others.
+const LOOK_LEAST: Duration = Duration::from_millis(100);
 
 /// Members up to which the group is read as often as that; with more, less
 /// often in proportion.
@@ -50,6 +52,9 @@
         match (shared.store.join)(join).await {
             Ok(newest) => {
                 shared.store_did(true);
+                if newest != generation {
+                    shared.regrouped.notify_one();
+                }
                 generation = newest;
             }
             Err(fault) => {
@@ -73,15 +78,14 @@
     (shared.store.leave)((GROUP.to_owned(), shared.me.clone())).await
 }
 
-/// Reads who is in the group.
+/// Reads who is in the group: as often as it takes to notice by itself, and
+/// at once where the group's generation says that something changed.
 pub async fn watch(shared: Rc<Shared>) {
-    let mut missing: Vec<String> = Vec::new();
     loop {
         match (shared.store.members)(GROUP.to_owned()).await {
             Ok(members) => {
                 shared.store_did(true);
-                let now_missing = settle(&shared, members, &missing);
-                missing = now_missing;
+                take(&shared, &members);
             }
             Err(fault) => {
                 shared.store_did(false);
@@ -89,43 +93,28 @@
             }
         }
         // A reading lists every partition, so it grows with the members.
-        let members = shared.world.borrow().members.len();
-        sleep(LOOK.mul_f64((members as f64 / LOOK_MEMBERS).max(1.0))).await;
-    }
-}
-
-/// Takes a reading over. A member that is missing once is kept: partitions
-/// are between two members for a moment while they are dealt anew.
-fn settle(shared: &Rc<Shared>, mut read: Vec<String>, missing: &[String]) -> Vec<String> {
-    let stopping = shared.world.borrow().stopping;
-    if !stopping && !read.contains(&shared.me) {
-        read.push(shared.me.clone());
-    }
-    let before = shared.world.borrow().members.clone();
-    let gone: Vec<String> = before.iter().filter(|m| !read.contains(m)).cloned().collect();
-    read.extend(gone.iter().filter(|m| !missing.contains(m) && **m != shared.me).cloned());
-    read.sort();
-    read.dedup();
-    supersede(&mut read);
-    if read != before {
-        log::info!("instances: {}", read.join(" "));
-        shared.world.borrow_mut().members.clone_from(&read);
-        shared.tell(&Event::Members(read));
+        let (members, unsettled) = {
+            let world = shared.world.borrow();
+            (world.roster.members().len(), world.roster.is_unsettled())
+        };
+        let crowd = (members as f64 / LOOK_MEMBERS).max(1.0);
+        sleep(LOOK_LEAST.mul_f64(crowd)).await;
+        if !unsettled {
+            let _either =
+                timeout((LOOK - LOOK_LEAST).mul_f64(crowd), shared.regrouped.notified()).await;
+        }
     }
-    gone
 }
 
-/// Drops members that another run of the same instance has replaced: their
-/// time to live has not run out, but their process has ended. Members are
-/// sorted, and a later run sorts behind an earlier one.
-fn supersede(members: &mut Vec<String>) {
-    let name = |member: &String| member.rsplit_once('/').map(|(name, _)| name.to_owned());
-    let mut at = 1;
-    while at < members.len() {
-        if name(&members[at - 1]) == name(&members[at]) {
-            members.remove(at - 1);
-        } else {
-            at += 1;
-        }
+fn take(shared: &Rc<Shared>, read: &[String]) {
+    let now = shared.now();
+    let changed = {
+        let world = &mut *shared.world.borrow_mut();
+        let changed = world.roster.read(now, read, world.fleet.store_back_at);
+        changed.then(|| world.roster.members().to_vec())
+    };
+    if let Some(members) = changed {
+        log::info!("instances: {}", members.join(" "));
+        shared.tell(&Event::Members(members));
     }
 }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     control::Clock,
-    core::{choice::Sights, dispatch, fleet::Fleet},
+    core::{choice::Sights, dispatch, fleet::Fleet, roster::Roster},
     entry::{
         clean,
         dialect::Dialect,
@@ -91,7 +91,7 @@
         bundles: std::collections::HashMap::new(),
         runs: std::collections::HashMap::new(),
         unopened: vec![],
-        members: vec![me.clone()],
+        roster: Roster::new(&me),
         store_bad_since: None,
         fleet_known: false,
         stopping: false,
@@ -107,6 +107,7 @@
         writer,
         written: Cell::new(0),
         world: RefCell::new(world),
+        regrouped: Notify::new(),
         listed: (0..parts).map(|_| Notify::new()).collect(),
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         texts: Texts::default(),
@@ -152,7 +153,11 @@
 async fn stop(shared: &Rc<Shared>, open: &ingress::Open) {
     log::info!("stopping: {} requests open", open.count());
     let end = tokio::time::Instant::now() + shared.settings.times.grace.mul_f64(GRACE_SHARE);
-    shared.world.borrow_mut().stopping = true;
+    {
+        let mut world = shared.world.borrow_mut();
+        world.stopping = true;
+        world.roster.leave();
+    }
     shared.stop.send_replace(true);
     outbox::save_partials(shared, 1).await;
     if let Err(fault) = member::leave(shared).await {
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -22,6 +22,7 @@
         fleet::Fleet,
         plan::{Plan, Repeat},
         roll::Models,
+        roster::Roster,
         time::Time,
     },
     entry::{
@@ -84,7 +85,7 @@
     /// Jobs that wait for a configuration that has their route.
     pub unopened: Vec<String>,
     /// Live instances.
-    pub members: Vec<String>,
+    pub roster: Roster,
     /// Since when it has failed, if the last call failed.
     pub store_bad_since: Option<Time>,
     /// Targets were read to the end of their topic.
@@ -116,6 +117,8 @@
     pub meters: Meters,
     /// Mutable state.
     pub world: RefCell<World>,
+    /// Told when the group of instances changed.
+    pub regrouped: Notify,
     /// Told when a partition of jobs changed.
     pub listed: Vec<Notify>,
     /// Results on their way to the store, by partition.
--- a/crates/hollywell/tests/dispatch.rs
+++ b/crates/hollywell/tests/dispatch.rs
@@ -56,7 +56,20 @@
     for target in targets {
         fleet.announce(Time(1), target.clone());
     }
-    World { state: State::new("me"), fleet, sights: Sights::default() }
+    let mut world = World { state: State::new("me"), fleet, sights: Sights::default() };
+    world.state.step(Time(0), &Event::Members(vec!["me".into()]), &world.fleet, &mut world.sights);
+    world
+}
+
+#[test]
+fn an_instance_that_has_not_read_who_lives_runs_nothing() {
+    let mut world = world(&[target("a", 1)]);
+    world.state = State::new("me");
+    let opened = Event::Opened(work("j", &[10, 20]));
+    assert_eq!(world.state.step(Time(1), &opened, &world.fleet, &mut world.sights), []);
+    let members = Event::Members(vec!["me".into()]);
+    let started = world.state.step(Time(2), &members, &world.fleet, &mut world.sights);
+    assert_eq!(started.len(), 2, "{started:?}");
 }
 
 impl World {
