A read that waits is answered when a group is whole; what everybody folds is encoded briefly

Steps that take more than 7 s fall behind. After all machines were off, each instance waited 1.33 s for the newest records of all jobs: 64 instances, 2 MB each, at the store's 80 MB/s.

Ruled out: pace of the engines (49 ms an event, as the sheet says), scoring (60 ms), the pause between reads (mean 64 ms).

Change: Job::completes_after; a read that waits is answered when a group is whole, or all is listed, or its wait is over. Heads, results and notes of unfinished texts are protocol buffers instead of JSON.

Tests: tests/batch.rs, a reader knows when more results complete a group (new), a sample without a group is one.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -16,7 +16,6 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use serde::{Deserialize, Serialize};
 
 /// A request that scores a finished sample.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -95,87 +94,119 @@
     pub samples: Vec<Sample>,
 }
 
-/// How a sample ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Ending {
-    /// Its text is whole and scored.
-    Whole,
-    /// It was given up.
-    Dead,
-}
-
 /// Where a whole text lies in the store.
 ///
 /// Texts have a topic of their own and are written before the result that
 /// names them: every instance folds all results, and reads a text only when
 /// a caller of its own asks for it. With the texts in the results an
 /// instance that started read the texts of all jobs, four seconds' worth.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct TextRef {
     /// The partition of texts: the one with the job's number, or, for a text
     /// that an earlier step left, with that step's.
-    pub part: usize,
+    #[prost(uint32, tag = "1")]
+    pub part: u32,
     /// Offset of its record there.
+    #[prost(uint64, tag = "2")]
     pub offset: u64,
     /// The record's key, for when the history around it is gone.
+    #[prost(string, tag = "3")]
     pub key: String,
     /// Its length, in bytes.
-    pub len: usize,
+    #[prost(uint32, tag = "4")]
+    pub len: u32,
+}
+
+impl TextRef {
+    /// Names a text that was appended.
+    #[must_use]
+    pub fn new(part: u32, offset: u64, key: String, text: &[u8]) -> TextRef {
+        TextRef { part, offset, key, len: u32::try_from(text.len()).unwrap_or(u32::MAX) }
+    }
+
+    /// Its length, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        usize::try_from(self.len).unwrap_or(usize::MAX)
+    }
 }
 
 /// A sample's result, as it lies in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// What every instance folds is encoded as briefly as a library does it: as
+/// JSON the results of a minute were 2 MB, and a fleet that started together
+/// waited 1.3 s for the store to hand them to each.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Outcome {
     /// The sample's id.
+    #[prost(string, tag = "1")]
     pub id: String,
-    /// How it ended.
-    pub ending: Ending,
+    /// It was given up; else its text is whole and scored.
+    #[prost(bool, tag = "2")]
+    pub dead: bool,
     /// Where its text lies; none where it was given up.
+    #[prost(message, optional, tag = "3")]
     pub text: Option<TextRef>,
     /// All versions that generated an event of the text, ascending.
+    #[prost(uint64, repeated, tag = "4")]
     pub versions: Vec<u64>,
     /// The signature of its score.
+    #[prost(string, optional, tag = "5")]
     pub score: Option<String>,
 }
 
 /// What every instance keeps of a sample.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Brief {
     /// Its id.
+    #[prost(string, tag = "1")]
     pub id: String,
     /// Its group.
+    #[prost(string, tag = "2")]
     pub group: String,
     /// Estimate of the number of tokens that it will take.
+    #[prost(uint32, tag = "3")]
     pub tokens: u32,
     /// Position in the job's bundles of the one that it lies in.
-    pub bundle: usize,
+    #[prost(uint32, tag = "4")]
+    pub bundle: u32,
     /// Its position in that bundle.
-    pub at: usize,
+    #[prost(uint32, tag = "5")]
+    pub at: u32,
 }
 
 /// A job as every instance folds it: all but the samples' requests, which
 /// lie in bundles and are read by whoever runs them. With the requests in
 /// the record, 84 instances read each of them 84 times, and the store's
 /// bandwidth was gone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Head {
     /// The host of the route that it came on.
+    #[prost(string, tag = "1")]
     pub host: String,
     /// The path that it was submitted under.
+    #[prost(string, tag = "2")]
     pub path: String,
     /// Time of day at its first acceptance, in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
     pub at_ms: u64,
     /// The trainer's step.
+    #[prost(uint64, tag = "4")]
     pub step: u64,
     /// The model that generates its text.
+    #[prost(string, tag = "5")]
     pub model: String,
     /// The oldest version of the weights that may generate it.
+    #[prost(uint64, tag = "6")]
     pub min_version: u64,
     /// How many whole groups the trainer waits for.
+    #[prost(uint64, tag = "7")]
     pub groups_wanted: u64,
     /// Its samples.
+    #[prost(message, repeated, tag = "8")]
     pub samples: Vec<Brief>,
     /// Where the samples' requests lie.
+    #[prost(message, repeated, tag = "9")]
     pub bundles: Vec<TextRef>,
 }
 
@@ -196,8 +227,13 @@
         open.insert(&sample.group, (bundle, used + bytes));
         let at = bundles[bundle].samples.len();
         bundles[bundle].samples.push(sample.clone());
-        let (id, group) = (sample.id.clone(), sample.group.clone());
-        briefs.push(Brief { id, group, tokens: sample.tokens_hint, bundle, at });
+        briefs.push(Brief {
+            id: sample.id.clone(),
+            group: sample.group.clone(),
+            tokens: sample.tokens_hint,
+            bundle: u32::try_from(bundle).unwrap_or(u32::MAX),
+            at: u32::try_from(at).unwrap_or(u32::MAX),
+        });
     }
     (briefs, bundles)
 }
@@ -231,7 +267,7 @@
 /// The record that makes a submission a job: from then on it is kept.
 #[must_use]
 pub fn head_record(job: &str, head: &Head) -> (String, Bytes) {
-    (format!("{job}{SEPARATOR}s"), Bytes::from(serde_json::to_vec(head).unwrap_or_default()))
+    (format!("{job}{SEPARATOR}s"), Bytes::from(head.encode_to_vec()))
 }
 
 /// The key of a bundle. `writer` tells appends apart.
@@ -260,18 +296,21 @@
 #[must_use]
 pub fn outcome_record(job: &str, writer: &str, outcome: &Outcome) -> (String, Bytes) {
     let key = format!("{job}{SEPARATOR}r{SEPARATOR}{writer}{SEPARATOR}{}", outcome.id);
-    (key, Bytes::from(serde_json::to_vec(outcome).unwrap_or_default()))
+    (key, Bytes::from(outcome.encode_to_vec()))
 }
 
 /// Text of a sample that is not whole yet, kept so that whoever runs the
 /// sample next goes on where this ends.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Partial {
     /// Number of the last event in the text.
+    #[prost(uint64, tag = "1")]
     pub last: u64,
     /// Where the data of all events so far lies.
+    #[prost(message, required, tag = "2")]
     pub text: TextRef,
     /// All versions that generated an event of it, ascending.
+    #[prost(uint64, repeated, tag = "3")]
     pub versions: Vec<u64>,
 }
 
@@ -292,8 +331,7 @@
 /// The record of a sample's text so far. A later one replaces it.
 #[must_use]
 pub fn partial_record(job: &str, sample: &str, partial: &Partial) -> (String, Bytes) {
-    let value = Bytes::from(serde_json::to_vec(partial).unwrap_or_default());
-    (partial_key(job, sample), value)
+    (partial_key(job, sample), Bytes::from(partial.encode_to_vec()))
 }
 
 /// The record of a job's end.
@@ -324,6 +362,10 @@
     pub done: Vec<bool>,
     /// Results in their order.
     pub listed: Vec<Listed>,
+    /// How many samples of each group are not listed.
+    unlisted: HashMap<String, usize>,
+    /// How many results there were each time that a group became whole.
+    whole_at: Vec<usize>,
     /// Newest [`Partial`] of samples that are not listed. They outlive the
     /// job's end for a while: a later step may ask for the same samples.
     pub partials: HashMap<usize, Bytes>,
@@ -423,6 +465,7 @@
                 entry.partials.remove(&index);
                 let (offset, key) = (record.offset, record.key.clone());
                 entry.listed.push(Listed { offset, key, value: value.clone() });
+                entry.count(index);
                 Ok(vec![Change::Listed(job.to_owned(), index)])
             }
             "p" => {
@@ -444,12 +487,24 @@
         if self.jobs.contains_key(job) {
             return Ok(vec![]);
         }
-        let head: Head = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        let head: Head = Head::decode(value.clone()).map_err(|error| error.to_string())?;
         let index: HashMap<String, usize> =
             head.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
         let done = vec![false; head.samples.len()];
-        let (listed, partials, head) = (vec![], HashMap::new(), Rc::new(head));
-        let entry = Job { head, index, done, listed, partials, ended: false };
+        let mut unlisted = HashMap::new();
+        for sample in &head.samples {
+            *unlisted.entry(sample.group.clone()).or_insert(0) += 1;
+        }
+        let entry = Job {
+            head: Rc::new(head),
+            index,
+            done,
+            listed: vec![],
+            unlisted,
+            whole_at: vec![],
+            partials: HashMap::new(),
+            ended: false,
+        };
         self.jobs.insert(job.to_owned(), entry);
         let mut changes = vec![Change::Opened(job.to_owned())];
         for record in self.waiting.remove(job).unwrap_or_default() {
@@ -476,12 +531,35 @@
         }
         for listed in &self.listed {
             own.push(listed.key.clone());
-            let outcome = serde_json::from_slice::<Outcome>(&listed.value).ok();
+            let outcome = Outcome::decode(listed.value.clone()).ok();
             texts.extend(outcome.and_then(|outcome| outcome.text).map(|text| text.key));
         }
         (own, texts)
     }
 
+    /// Counts a sample that was just listed. One without a group is a group
+    /// of its own.
+    fn count(&mut self, index: usize) {
+        let group = &self.head.samples[index].group;
+        let whole = match self.unlisted.get_mut(group) {
+            Some(left) if !group.is_empty() => {
+                *left = left.saturating_sub(1);
+                *left == 0
+            }
+            _ => true,
+        };
+        if whole {
+            self.whole_at.push(self.listed.len());
+        }
+    }
+
+    /// Whether results from a position on complete a group, or are all that
+    /// is to come.
+    #[must_use]
+    pub fn completes_after(&self, after: usize) -> bool {
+        self.is_whole() || self.whole_at.last().is_some_and(|len| *len > after)
+    }
+
     /// Whether every sample is listed.
     #[must_use]
     pub fn is_whole(&self) -> bool {
--- a/crates/hollywell/src/entry/carry.rs
+++ b/crates/hollywell/src/entry/carry.rs
@@ -4,6 +4,7 @@
 //! generated of their text is used where its versions still fit.
 
 use bytes::Bytes;
+use prost::Message as _;
 
 use crate::{
     core::{
@@ -51,7 +52,7 @@
 }
 
 fn is_allowed(text: &Bytes, min_version: u64) -> bool {
-    let partial = serde_json::from_slice::<Partial>(text);
+    let partial = Partial::decode(text.clone());
     partial.is_ok_and(|partial| partial.is_allowed(min_version))
 }
 
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -7,6 +7,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use prost::Message as _;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
@@ -184,14 +185,20 @@
     }
 }
 
-/// Reads a job's results from a position on, waiting for the first of them.
+/// Reads a job's results from a position on, waiting for `hold` at most for
+/// some that complete a group.
+///
+/// Trainers wait for whole groups, and come back half a second after each
+/// answer. With an answer at the first result, the last one that a step
+/// needed often came right after an answer that was of no use.
 pub async fn results(shared: &Rc<Shared>, job: &str, after: usize, hold: Duration) -> Reply {
     let part = shared.part_of(job);
     let until = Instant::now() + hold;
     let listed = |shared: &Shared| {
         let world = shared.world.borrow();
         let job = world.shelves[part].book.jobs.get(job)?;
-        Some((job.listed.len(), job.done.len()))
+        let due = job.completes_after(after) || after >= job.done.len();
+        Some((job.listed.len(), due))
     };
     // A position beyond the fold was read elsewhere, or never existed.
     if listed(shared).is_none_or(|(len, _)| len < after) && !catch_up(shared, part).await {
@@ -199,13 +206,14 @@
     }
     loop {
         let notified = shared.listed[part].notified();
-        let Some((len, total)) = listed(shared) else {
+        let Some((len, due)) = listed(shared) else {
             return Reply::Missing;
         };
-        if len > after || after >= total {
+        let waited = Instant::now() >= until;
+        if due || waited && len > after {
             return page(shared, part, job, after).await;
         }
-        if Instant::now() >= until {
+        if waited {
             // "Nothing yet" is a claim about the store, which may have gone
             // silent since the follower last heard from it.
             return match catch_up(shared, part).await {
@@ -230,6 +238,7 @@
         }
     };
     let next = after + outcomes.len();
+    log::debug!("results of job {job} from {after} to {next} of {total} go out");
     let delivered = |outcome: Outcome| {
         let text = outcome.text.as_ref().and_then(|_| texts.next()).unwrap_or_default();
         Delivered { outcome, text }
@@ -250,14 +259,14 @@
     let mut outcomes: Vec<Outcome> = Vec::new();
     let mut bytes = 0;
     for listed in job.listed.iter().skip(after) {
-        let outcome: Outcome = match serde_json::from_slice(&listed.value) {
+        let outcome: Outcome = match Outcome::decode(listed.value.clone()) {
             Ok(outcome) => outcome,
             Err(error) => {
                 log::error!("result at offset {} cannot be read: {error}", listed.offset);
                 break;
             }
         };
-        bytes += outcome.text.as_ref().map_or(0, |text| text.len) + OVERHEAD_BYTES;
+        bytes += outcome.text.as_ref().map_or(0, TextRef::bytes) + OVERHEAD_BYTES;
         if bytes > PAGE_BYTES && !outcomes.is_empty() {
             break;
         }
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     core::{
-        batch::{self, Ending, Outcome, Partial, TextRef},
+        batch::{self, Outcome, Partial, TextRef},
         dispatch::Slot,
     },
     entry::{
@@ -65,10 +65,9 @@
             return;
         };
         let id = job.head.samples[slot.at].id.clone();
-        let ending = if dead { Ending::Dead } else { Ending::Whole };
         let versions = if dead { vec![] } else { text.versions.into_iter().collect() };
         let score = text.score.filter(|_| !dead);
-        let outcome = Outcome { id, ending, text: None, versions, score };
+        let outcome = Outcome { id, dead, text: None, versions, score };
         let text = (!dead).then(|| Bytes::from(text.data));
         let entry = Entry { slot: slot.clone(), outcome, text };
         shared.outbox[part].queue.borrow_mut().push_back(entry);
@@ -113,8 +112,7 @@
     let append = Append { part: Part::new(TEXTS, number(part)), records, expected_end: None };
     let first = (shared.store.append)(append).await?.offset;
     for ((entry, (key, text)), offset) in waiting.iter_mut().zip(keyed).zip(first..) {
-        let len = text.len();
-        let at = TextRef { part, offset, key, len };
+        let at = TextRef::new(number(part), offset, key, &text);
         shared.texts.keep(&at, text);
         entry.outcome.text = Some(at);
         entry.text = None;
@@ -138,7 +136,12 @@
         }
     }
     let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
-    (shared.store.append)(append).await.map(|_| ())
+    let appended = (shared.store.append)(append).await?;
+    for (Entry { slot, outcome, .. }, offset) in taken.iter().zip(appended.offset..) {
+        let ending = if outcome.dead { "given up" } else { "whole" };
+        log::debug!("sample {}/{} is {ending}: record {offset} or after", slot.job, slot.at);
+    }
+    Ok(())
 }
 
 fn put_back(outbox: &Outbox, taken: Vec<Entry>) {
@@ -207,7 +210,7 @@
     let append = Append { part: Part::new(TEXTS, number(part)), records, expected_end: None };
     let first = (shared.store.append)(append).await?.offset;
     let record = |(grown, offset): (&Grown, u64)| {
-        let text = TextRef { part, offset, key: key(grown), len: grown.text.len() };
+        let text = TextRef::new(number(part), offset, key(grown), &grown.text);
         let partial = Partial { last: grown.last, text, versions: grown.versions.clone() };
         let (key, value) = batch::partial_record(&grown.slot.job, &grown.sample, &partial);
         (Some(key), value)
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
+use prost::Message as _;
 
 use crate::{
     core::{
@@ -119,7 +120,7 @@
 fn kept(shared: &Shared, part: usize, slot: &Slot) -> Option<Partial> {
     let world = shared.world.borrow();
     let job = world.shelves[part].book.jobs.get(&slot.job)?;
-    let partial: Partial = match serde_json::from_slice(job.partials.get(&slot.at)?) {
+    let partial: Partial = match Partial::decode(job.partials.get(&slot.at)?.clone()) {
         Ok(partial) => partial,
         Err(error) => {
             log::warn!("unfinished text of {}/{}: {error}", slot.job, slot.at);
--- a/crates/hollywell/src/entry/samples.rs
+++ b/crates/hollywell/src/entry/samples.rs
@@ -31,11 +31,12 @@
         let world = shared.world.borrow();
         let head = &world.shelves[part].book.jobs.get(&slot.job)?.head;
         let brief = head.samples.get(slot.at)?;
-        let known = world.bundles.get(&(slot.job.clone(), brief.bundle));
+        let (bundle, at) = (brief.bundle as usize, brief.at as usize);
+        let known = world.bundles.get(&(slot.job.clone(), bundle));
         if let Some(bundle) = known {
-            return bundle.samples.get(brief.at).cloned();
+            return bundle.samples.get(at).cloned();
         }
-        (brief.bundle, brief.at, head.bundles.get(brief.bundle)?.clone())
+        (bundle, at, head.bundles.get(bundle)?.clone())
     };
     let read = timeout(READ, texts::fetch(shared, std::slice::from_ref(&text))).await;
     let bytes = match read {
@@ -119,9 +120,8 @@
             Err(fault) => return Err(fault),
         }
     };
-    let part = usize::try_from(number).unwrap_or_default();
     for ((key, value), offset) in records.into_iter().zip(first..) {
-        refs.push(TextRef { part, offset, key: key.unwrap_or_default(), len: value.len() });
+        refs.push(TextRef::new(number, offset, key.unwrap_or_default(), &value));
     }
     Ok(())
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -8,6 +8,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use prost::Message as _;
 use tokio::{
     sync::{Notify, watch},
     task::AbortHandle,
@@ -257,7 +258,7 @@
             }
             let job = world.shelves[part].book.jobs.get(&slot.job);
             let value = job.and_then(|job| job.partials.get(&slot.at));
-            value.and_then(|value| serde_json::from_slice::<Partial>(value).ok()).map(|p| p.last)
+            value.and_then(|value| Partial::decode(value.clone()).ok()).map(|p| p.last)
         };
         if let Some(last) = last.and_then(|last| u32::try_from(last).ok()) {
             self.tell(&Event::Ahead { slot, last });
--- a/crates/hollywell/src/entry/texts.rs
+++ b/crates/hollywell/src/entry/texts.rs
@@ -98,16 +98,15 @@
 /// Reads records from an offset on and takes those that are wanted.
 async fn read(
     shared: &Rc<Shared>,
-    part: usize,
+    part: u32,
     from: u64,
     wanted: &[TextRef],
     found: &mut BTreeMap<u64, Bytes>,
 ) -> Result<(), Fault> {
-    let number = u32::try_from(part).unwrap_or_default();
     let missing = wanted.iter().filter(|text| !found.contains_key(&text.offset));
-    let bytes: usize = missing.map(|text| text.len + RECORD_BYTES).sum();
+    let bytes: usize = missing.map(|text| text.bytes() + RECORD_BYTES).sum();
     let most_kb = Some(bytes.div_ceil(1_024).min(MOST_KB));
-    let read = Read { part: Part::new(TEXTS, number), from, wait: Duration::ZERO, most_kb };
+    let read = Read { part: Part::new(TEXTS, part), from, wait: Duration::ZERO, most_kb };
     for record in (shared.store.read)(read).await?.records {
         let is_wanted = |text: &&TextRef| text.offset == record.offset && text.key == record.key;
         if let (Some(at), Some(value)) = (wanted.iter().find(is_wanted), record.value) {
@@ -121,15 +120,14 @@
 }
 
 /// Reads texts by their keys, which are kept for good.
-async fn by_key(shared: &Rc<Shared>, part: usize, wanted: &[TextRef]) -> Result<Vec<Bytes>, Fault> {
-    let number = u32::try_from(part).unwrap_or_default();
+async fn by_key(shared: &Rc<Shared>, part: u32, wanted: &[TextRef]) -> Result<Vec<Bytes>, Fault> {
     let mut found: BTreeMap<String, Bytes> = BTreeMap::new();
     let first = wanted.iter().map(|text| text.key.as_str()).min().unwrap_or_default();
     let last = wanted.iter().map(|text| text.key.as_str()).max().unwrap_or_default();
     // What a key begins with sorts before it.
     let mut after = first.char_indices().last().map(|(at, _)| first[..at].to_owned());
     while after.as_ref().is_some_and(|key| key.as_str() < last) {
-        let page = (shared.store.newest)((Part::new(TEXTS, number), after)).await?;
+        let page = (shared.store.newest)((Part::new(TEXTS, part), after)).await?;
         for record in page.records {
             let is_wanted = |text: &&TextRef| text.key == record.key;
             if let (Some(_), Some(value)) = (wanted.iter().find(is_wanted), record.value) {
--- a/crates/hollywell/tests/batch.rs
+++ b/crates/hollywell/tests/batch.rs
@@ -8,8 +8,8 @@
 use arbtest::arbtest;
 use bytes::Bytes;
 use hollywell::core::batch::{
-    Book, Change, Ending, Head, Outcome, Partial, Record, Sample, Submission, TextRef, bundle,
-    end_record, head_record, is_id, outcome_record, partial_record,
+    Book, Change, Head, Outcome, Partial, Record, Sample, Submission, TextRef, bundle, end_record,
+    head_record, is_id, outcome_record, partial_record,
 };
 use prost::Message as _;
 
@@ -40,7 +40,7 @@
 
 fn outcome(sample: usize, text: &str) -> Outcome {
     let (id, score) = (format!("s{sample}"), Some(text.to_owned()));
-    Outcome { id, ending: Ending::Whole, text: None, versions: vec![1], score }
+    Outcome { id, dead: false, text: None, versions: vec![1], score }
 }
 
 fn log(records: Vec<(String, Bytes)>) -> Vec<Record> {
@@ -115,6 +115,34 @@
     }
 }
 
+#[test]
+fn a_reader_knows_when_more_results_complete_a_group() {
+    let mut records = submitted(4);
+    for sample in [0, 2, 1, 3] {
+        records.push(outcome_record("j", "a", &outcome(sample, "text")));
+    }
+    let completes = |results: usize, after: usize| {
+        fold(&log(records[..=results].to_vec())).jobs["j"].completes_after(after)
+    };
+    assert!(!completes(2, 0), "two halves of groups are no group");
+    assert!(completes(3, 0), "s0 and s1 are one");
+    assert!(completes(3, 2), "its last sample is yet to be read");
+    assert!(!completes(3, 3), "the reader has it already");
+    assert!(completes(4, 3));
+}
+
+#[test]
+fn a_sample_without_a_group_is_a_group_of_its_own() {
+    let mut submission = submission(3);
+    for sample in &mut submission.samples {
+        sample.group = String::new();
+    }
+    let (samples, _) = bundle(&submission, 4_096);
+    let mut records = vec![head_record("j", &Head { samples, ..Head::default() })];
+    records.push(outcome_record("j", "a", &outcome(1, "text")));
+    assert!(fold(&log(records)).jobs["j"].completes_after(0));
+}
+
 #[test]
 fn the_first_of_two_results_stands_and_the_second_changes_nothing() {
     let mut records = submitted(2);
@@ -138,7 +166,7 @@
     assert!(bundles.iter().all(|bundle| bundle.encoded_len() <= 3_500));
     assert_eq!(bundles.len(), 3, "five of one group need two, three of the other one");
     for (brief, sample) in briefs.iter().zip(&submission.samples) {
-        assert_eq!(bundles[brief.bundle].samples[brief.at], *sample);
+        assert_eq!(bundles[brief.bundle as usize].samples[brief.at as usize], *sample);
     }
 }
 
