--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -40,8 +40,10 @@
 /// that other instances may be sending there at this moment.
 const SPREAD_MS: f64 = 100.0;
 /// What a new connection is taken to cost, in milliseconds: a handshake at
-/// the target, and a price that is worth some events of one sample.
-const CONNECT_COST_MS: f64 = 15.0;
+/// the target, and a price that is worth some events of one sample. It
+/// outweighs what half of a target's places cost ([`SPREAD_MS`]), so that a
+/// small instance keeps to the few targets that it is connected to.
+const CONNECT_COST_MS: f64 = 60.0;
 /// How long an idle connection is expected to be kept, in milliseconds.
 const CONNECTION_MS: u64 = 2_500;
 /// How long a target's word that it has room is believed, in milliseconds.
--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -30,6 +30,10 @@
 const QUEUED_MOST_MS: u64 = 4_000;
 /// What a move to a faster target must gain, in milliseconds.
 const MOVE_GAIN_MS: f64 = 250.0;
+/// How much slower than the other one a target must be for a run to leave
+/// it. Paces of equal engines differ by a twentieth, at times by a tenth;
+/// each move costs a connection.
+const MOVE_SLOWER: f64 = 1.2;
 /// Events of a run after which its pace is taken into account.
 const MOVE_LEAST_EVENTS: u32 = 6;
 /// Of what a sample has taken so far, the share that it will take on top
@@ -89,8 +93,9 @@
             return None;
         }
         let faster = self.free_place(now, running, fleet, sights)?;
-        let gain = self.events_left(running) * (pace - sights.pace_of(&faster));
-        (gain > MOVE_GAIN_MS).then_some(Leave::Slow)
+        let there = sights.pace_of(&faster);
+        let gain = self.events_left(running) * (pace - there);
+        (gain > MOVE_GAIN_MS && pace > there * MOVE_SLOWER).then_some(Leave::Slow)
     }
 
     /// Another target with a free place that could go on with a run.
