--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -44,8 +44,9 @@
 /// outweighs what half of a target's places cost ([`SPREAD_MS`]), so that a
 /// small instance keeps to the few targets that it is connected to.
 const CONNECT_COST_MS: f64 = 60.0;
-/// How long an idle connection is expected to be kept, in milliseconds.
-const CONNECTION_MS: u64 = 2_500;
+/// How long an idle connection is expected to be kept, in milliseconds:
+/// somewhat less than what is used of the 10 s that targets at hand grant.
+const CONNECTION_MS: u64 = 6_000;
 /// How long a target's word that it has room is believed, in milliseconds.
 const ROOM_MS: u64 = 400;
 /// Share of a target's places up to which it has room for more than an
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -151,6 +151,7 @@
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
         self.opened.set(self.opened.get() + 1);
+        log::debug!("connection to {address} opened");
         // A connection that breaks shows at the request that is on it.
         tokio::task::spawn_local(async move {
             let _shown_elsewhere = connection.await;
@@ -267,6 +268,7 @@
             .and_then(|value| value.split("timeout=").nth(1))
             .and_then(|value| value.split([',', ' ']).next()?.parse::<u64>().ok());
         let idle = stated.map_or(IDLE, Duration::from_secs);
+        log::debug!("connection to {} kept, idle {stated:?}", self.address);
         self.pool.keep(self.address, sender, idle.mul_f64(IDLE_SHARE));
     }
 }
