A text that lacks only its end is whole once an engine says so; news of accepted jobs

Sample 38 of the step of 13.35 s was sent to an engine every 70 ms for 12 s, after event 12, and each run ended as broken without a log line. Its text had been kept with all its 12 events, and the run that made them was lost with a cut instance before its end came.

Ruled out: membership (all instances dropped the cut ones by 2.6 s), the store (served), full engines (the answers came in 20 ms).

Change: a version is asked for at an event, not at the head of an answer; two silent ends have log lines. Also: acceptance of a job is news that ends the pause between reads of its partition, and a partition with callers who wait for results is read at the short pause.

--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -6,14 +6,18 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::time::{Instant, sleep, sleep_until};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, sleep_until, timeout_at},
+};
 
 use crate::{
     core::{batch::Record, roll::Order},
     entry::{
         dialect::Wish,
         shared::{JOBS, Shared},
-        store::{Fault, Newest, Part, Read, Records},
+        store::{Append, Fault, Newest, Part, Read, Records},
     },
 };
 
@@ -30,7 +34,8 @@
 /// Least time between reads of a partition of jobs: what one read more costs
 /// against what a result that is known sooner earns. It grows with the
 /// number of instances beyond [`JOBS_MEMBERS`], as all share the store's
-/// rate of reads.
+/// rate of reads, but not where a caller waits for results: few instances
+/// have one, and it is they who hold a step up.
 const JOBS_PAUSE: Duration = Duration::from_millis(40);
 /// See [`JOBS_PAUSE`]: 20 instances that read four busy partitions make 2,000
 /// calls a second.
@@ -38,21 +43,23 @@
 /// Least time between reads of the targets' announcements. Each heartbeat is
 /// a record; a leaving target must get nothing after two seconds.
 const FLEET_PAUSE: Duration = Duration::from_millis(300);
-/// The topic of finished loads.
-pub const LOADS: &str = "loads";
-/// Least time between reads of finished loads.
-const LOADS_PAUSE: Duration = Duration::from_millis(50);
+/// The topic of news that all instances should have sooner than by reading
+/// everything that often.
+const NEWS: &str = "news";
+/// Least time between reads of news.
+const NEWS_PAUSE: Duration = Duration::from_millis(50);
 /// Least time between reads of the operator's wishes.
 const WISHES_PAUSE: Duration = Duration::from_millis(20);
 
 /// Reads a partition for good and hands every batch of records to `take`,
 /// with the partition's end and whether these are all there is from the
-/// beginning. A keyed partition is read from its newest records, another
+/// beginning. Between reads there is a `pause`, which `sooner` ends. A keyed partition is read from its newest records, another
 /// from whatever is left of it.
 async fn follow(
     shared: Rc<Shared>,
     part: Part,
     pause: impl Fn(&Shared) -> Duration,
+    sooner: Option<&Notify>,
     keyed: bool,
     take: impl Fn(&Rc<Shared>, Records, bool),
 ) {
@@ -84,7 +91,11 @@
                 retry = RETRY;
                 wait = WAIT;
                 take(&shared, records, anew);
-                sleep_until(started + pause(&shared)).await;
+                let next = started + pause(&shared);
+                match sooner {
+                    Some(sooner) => drop(timeout_at(next, sooner.notified()).await),
+                    None => sleep_until(next).await,
+                }
             }
             Err(Fault::Gone(first)) => {
                 shared.store_did(true);
@@ -109,7 +120,36 @@
     most.mul_f64(rand::random_range(0.5..=1.0))
 }
 
-fn jobs_pause(shared: &Shared) -> Duration {
+/// A piece of news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// An engine has loaded what it was ordered to. It announces that too,
+    /// but up to a heartbeat later, and a step waits for it.
+    Loaded(Order),
+    /// A job was accepted in a partition: its longest samples decide how
+    /// long the step takes, and should not wait for the next regular read.
+    Accepted {
+        /// The partition.
+        part: usize,
+    },
+}
+
+/// Tells all instances something. Who misses it learns the same from the
+/// records that it is about, a little later.
+pub async fn tell(shared: &Rc<Shared>, news: &News) {
+    let value = serde_json::to_vec(news).unwrap_or_default();
+    let records = vec![(None, value.into())];
+    let append = Append { part: Part::new(NEWS, 0), records, expected_end: None };
+    match (shared.store.append)(append).await {
+        Ok(_) => shared.store_did(true),
+        Err(fault) => log::info!("telling {news:?}: {fault}"),
+    }
+}
+
+fn jobs_pause(shared: &Shared, part: usize) -> Duration {
+    if shared.readers[part].get() > 0 {
+        return JOBS_PAUSE;
+    }
     let members = shared.world.borrow().roster.members().len() as f64;
     JOBS_PAUSE.mul_f64((members / JOBS_MEMBERS).max(1.0))
 }
@@ -117,7 +157,10 @@
 /// Follows one partition of batch jobs.
 pub async fn jobs(shared: Rc<Shared>, part: usize) {
     let number = u32::try_from(part).unwrap_or_default();
-    follow(shared, Part::new(JOBS, number), jobs_pause, true, move |shared, records, anew| {
+    let hurry = shared.clone();
+    let pause = move |shared: &Shared| jobs_pause(shared, part);
+    let sooner = Some(&hurry.accepted[part]);
+    follow(shared, Part::new(JOBS, number), pause, sooner, true, move |shared, records, anew| {
         let end = if anew { records.end } else { 0 };
         shared.absorb(part, &records.records, end);
         let now = shared.now();
@@ -133,6 +176,7 @@
         shared,
         part,
         |_| FLEET_PAUSE,
+        None,
         true,
         |shared, records, anew| {
             let now = shared.now();
@@ -165,25 +209,29 @@
     .await;
 }
 
-/// Follows what holders of the lease say of finished loads. Engines announce
-/// a new version themselves, but up to a heartbeat later, and a step waits
-/// for it.
-pub async fn loads(shared: Rc<Shared>) {
-    let part = Part::new(LOADS, 0);
+/// Follows the news.
+pub async fn news(shared: Rc<Shared>) {
+    let part = Part::new(NEWS, 0);
     follow(
         shared,
         part,
-        |_| LOADS_PAUSE,
+        |_| NEWS_PAUSE,
+        None,
         false,
         |shared, records, _| {
             for record in &records.records {
                 let value = record.value.clone().unwrap_or_default();
-                match serde_json::from_slice::<Order>(&value) {
-                    Ok(load) => {
+                match serde_json::from_slice(&value) {
+                    Ok(News::Loaded(load)) => {
                         let fleet = &mut shared.world.borrow_mut().fleet;
                         fleet.answered(&load.target, &load.model, load.version);
                     }
-                    Err(error) => log::warn!("load at {} skipped: {error}", record.offset),
+                    Ok(News::Accepted { part }) => {
+                        if let Some(accepted) = shared.accepted.get(part) {
+                            accepted.notify_one();
+                        }
+                    }
+                    Err(error) => log::warn!("news at {} skipped: {error}", record.offset),
                 }
             }
             if !records.records.is_empty() {
@@ -201,6 +249,7 @@
         shared,
         part,
         |_| WISHES_PAUSE,
+        None,
         true,
         |shared, records, _| {
             for record in &records.records {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -17,6 +17,7 @@
     },
     entry::{
         dialect::{Delivered, Results},
+        follow::{self, News},
         forward::{self, Plain, Verdict},
         samples,
         shared::{JOBS, Shared, wall_ms},
@@ -103,7 +104,14 @@
         return Reply::Malformed(format!("{} bytes of a job's head exceed {most}", value.len()));
     }
     let what = format!("job {job} of {} samples", decoded.samples.len());
-    keep(shared, part, (key, value), &what, |shared| known(shared, part, job)).await
+    let kept = keep(shared, part, (key, value), &what, |shared| known(shared, part, job)).await;
+    if kept == Reply::Done {
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            follow::tell(&shared, &News::Accepted { part }).await;
+        });
+    }
+    kept
 }
 
 /// Appends one record; where no answer comes, looks whether it is there.
@@ -204,6 +212,7 @@
     if listed(shared).is_none_or(|(len, _)| len < after) && !catch_up(shared, part).await {
         return Reply::Unsure;
     }
+    let _waits = Waits::new(shared, part);
     loop {
         let notified = shared.listed[part].notified();
         let Some((len, due)) = listed(shared) else {
@@ -225,6 +234,27 @@
     }
 }
 
+/// Counts a caller who waits here for results of a partition.
+struct Waits {
+    shared: Rc<Shared>,
+    part: usize,
+}
+
+impl Waits {
+    fn new(shared: &Rc<Shared>, part: usize) -> Waits {
+        let readers = &shared.readers[part];
+        readers.set(readers.get() + 1);
+        Waits { shared: shared.clone(), part }
+    }
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        let readers = &self.shared.readers[self.part];
+        readers.set(readers.get() - 1);
+    }
+}
+
 async fn page(shared: &Rc<Shared>, part: usize, job: &str, after: usize) -> Reply {
     let Some((total, outcomes)) = outcomes(shared, part, job, after) else {
         return Reply::Missing;
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -18,7 +18,7 @@
     },
     entry::{
         dialect::VersionOrder,
-        follow::LOADS,
+        follow::{self, News},
         shared::Shared,
         store::{Append, Fault, Part, Read},
     },
@@ -153,7 +153,7 @@
         if let Some(report) = self::report(&shared, &order.target).await {
             note(&shared, &order, &report);
             if report.versions.get(&order.model).copied() >= Some(order.version) {
-                publish(&shared, &order).await;
+                follow::tell(&shared, &News::Loaded(order)).await;
                 return;
             }
         }
@@ -162,18 +162,6 @@
     office.borrow_mut().roll.failed(&order.target);
 }
 
-/// Tells all instances that an engine has loaded.
-async fn publish(shared: &Rc<Shared>, order: &Order) {
-    let value = Bytes::from(serde_json::to_vec(order).unwrap_or_default());
-    let records = vec![(None, value)];
-    let append = Append { part: Part::new(LOADS, 0), records, expected_end: None };
-    match (shared.store.append)(append).await {
-        Ok(_) => shared.store_did(true),
-        // The engine announces it too, a little later.
-        Err(fault) => log::info!("telling of a load at {}: {fault}", order.target),
-    }
-}
-
 fn note(shared: &Shared, order: &Order, report: &crate::entry::dialect::Report) {
     let mut world = shared.world.borrow_mut();
     for (model, version) in &report.versions {
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -214,14 +214,16 @@
         (job.head.model.clone(), job.head.min_version, job.head.samples[slot.at].id.clone())
     };
     if answer.header(&headers.request_id) != Some(id.as_str()) {
+        log::info!("sample {}/{} at {}: another request's answer", slot.job, slot.at, target.id);
         return End::Broken;
     }
-    let Some(mut version) = answer.header(&headers.version).and_then(|v| v.parse::<u64>().ok())
-    else {
-        return End::Broken;
-    };
-    shared.world.borrow_mut().fleet.answered(&target.id, &model, version);
-    if version < min_version {
+    // Whoever asks for what follows the last event gets an answer that no
+    // version made, without events: the text lacked only its end.
+    let mut version = answer.header(&headers.version).and_then(|v| v.parse::<u64>().ok());
+    if let Some(version) = version {
+        shared.world.borrow_mut().fleet.answered(&target.id, &model, version);
+    }
+    if version.is_some_and(|version| version < min_version) {
         return End::WrongVersion;
     }
     shared.tell(&Event::Head { run });
@@ -230,7 +232,15 @@
         let data = match answer.chunk().await {
             Ok(Some(data)) => data,
             Ok(None) if cutter.is_empty() => return End::Whole,
-            Ok(None) => return End::Broken,
+            Ok(None) => {
+                log::info!(
+                    "sample {}/{} at {}: ends within an event",
+                    slot.job,
+                    slot.at,
+                    target.id
+                );
+                return End::Broken;
+            }
             Err(error) => {
                 log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
                 return End::Broken;
@@ -250,9 +260,13 @@
                 }
             };
             if let Some(newer) = piece.version {
-                version = newer;
-                shared.world.borrow_mut().fleet.answered(&target.id, &model, version);
+                version = Some(newer);
+                shared.world.borrow_mut().fleet.answered(&target.id, &model, newer);
             }
+            let Some(version) = version else {
+                log::info!("sample {}/{} at {}: no version", slot.job, slot.at, target.id);
+                return End::Broken;
+            };
             if version < min_version {
                 return End::WrongVersion;
             }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -109,6 +109,8 @@
         written: Cell::new(0),
         world: RefCell::new(world),
         regrouped: Notify::new(),
+        accepted: (0..parts).map(|_| Notify::new()).collect(),
+        readers: (0..parts).map(|_| Cell::new(0)).collect(),
         listed: (0..parts).map(|_| Notify::new()).collect(),
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         texts: Texts::default(),
@@ -132,7 +134,7 @@
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(follow::wishes(shared.clone())));
     spawn(Box::pin(follow::fleet(shared.clone())));
-    spawn(Box::pin(follow::loads(shared.clone())));
+    spawn(Box::pin(follow::news(shared.clone())));
     for part in 0..shared.listed.len() {
         spawn(Box::pin(follow::jobs(shared.clone(), part)));
     }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -120,6 +120,10 @@
     pub world: RefCell<World>,
     /// Told when the group of instances changed.
     pub regrouped: Notify,
+    /// Told when a job was accepted in a partition of jobs.
+    pub accepted: Vec<Notify>,
+    /// Callers that wait here for results of a partition.
+    pub readers: Vec<Cell<usize>>,
     /// Told when a partition of jobs changed.
     pub listed: Vec<Notify>,
     /// Results on their way to the store, by partition.
