--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -210,6 +210,30 @@
     pub bundles: Vec<TextRef>,
 }
 
+/// How far the times of day of two machines may be apart, in milliseconds:
+/// they differ by little, but may jump by seconds and back.
+pub const CLOCKS_APART_MS: u64 = 10_000;
+
+/// How long from now a job's samples must not be given up yet, in
+/// milliseconds, where they are kept for `keep_ms` from its submission. The
+/// submission was timed by another machine's clock, so the doubt is in the
+/// samples' favour.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::batch::{CLOCKS_APART_MS, keep_for};
+///
+/// assert_eq!(keep_for(40_000, 1_000, 31_000), 10_000 + CLOCKS_APART_MS);
+/// // A clock that jumped ahead by less than that gives nothing up early.
+/// assert!(keep_for(40_000, 1_000, 48_000) > 0);
+/// ```
+#[must_use]
+pub fn keep_for(keep_ms: u64, submitted_ms: u64, now_ms: u64) -> u64 {
+    let age_ms = now_ms.saturating_sub(submitted_ms);
+    keep_ms.saturating_add(CLOCKS_APART_MS).saturating_sub(age_ms)
+}
+
 /// Cuts a submission into bundles of one group each, smaller than
 /// `most_bytes` where one sample is; the head says where each sample went.
 #[must_use]
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    core::dispatch::owner,
+    core::{batch::CLOCKS_APART_MS, dispatch::owner},
     entry::{
         shared::{JOBS, Shared, TEXTS, wall_ms},
         store::{Append, Fault, Part},
@@ -16,9 +16,6 @@
 
 /// Time between looks for jobs to drop.
 const LOOK: Duration = Duration::from_secs(1);
-/// How much longer than it must be kept a job is kept, in milliseconds: the
-/// time of day differs between machines and may jump by seconds.
-const MARGIN_MS: u64 = 10_000;
 /// Records that one call drops.
 const AT_ONCE: usize = 1_000;
 
@@ -45,7 +42,7 @@
         for (id, job) in &shelf.book.jobs {
             let age_ms = now_ms.saturating_sub(job.head.at_ms);
             let mine = owner(world.roster.members(), id, "") == Some(shared.me.as_str());
-            if mine && job.ended && age_ms > status_ms.saturating_add(MARGIN_MS) {
+            if mine && job.ended && age_ms > status_ms.saturating_add(CLOCKS_APART_MS) {
                 old.push((part, id.clone()));
             }
         }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -17,7 +17,7 @@
 use crate::{
     control::Clock,
     core::{
-        batch::{Book, Bundle, Change, Partial, Record},
+        batch::{self, Book, Bundle, Change, Partial, Record},
         choice::Sights,
         dispatch::{self, Effect, Event, Run, Slot, Work},
         fleet::Fleet,
@@ -311,7 +311,7 @@
                 world.unopened.push(id);
                 return;
             };
-            let age_ms = wall_ms().saturating_sub(job.head.at_ms);
+            let keep_ms = batch::keep_for(route.keep_ms, job.head.at_ms, wall_ms());
             let head = job.head.clone();
             let mut work = Work {
                 job: id,
@@ -320,7 +320,7 @@
                 model: job.head.model.clone(),
                 min_version: job.head.min_version,
                 attempts: route.attempts,
-                keep_until: self.now().after(route.keep_ms.saturating_sub(age_ms)),
+                keep_until: self.now().after(keep_ms),
                 samples: vec![],
                 done: job.done.clone(),
             };
--- a/crates/hollywell/tests/batch.rs
+++ b/crates/hollywell/tests/batch.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hollywell::core::batch::{
     Book, Change, Head, Outcome, Partial, Record, Sample, Submission, TextRef, bundle, end_record,
-    head_record, is_id, outcome_record, partial_record,
+    head_record, is_id, keep_for, outcome_record, partial_record,
 };
 use prost::Message as _;
 
@@ -147,6 +147,14 @@
     assert!(worth(7, 12), "more than are wanted are no reason to wait");
 }
 
+#[test]
+fn a_clock_that_is_seconds_ahead_gives_no_sample_up() {
+    // Submitted by a clock 2.4 s behind, looked at by one 2.4 s ahead.
+    let (submitted, kept) = (100_000, 40_000);
+    assert!(keep_for(kept, submitted - 2_400, submitted + kept - 1 + 2_400) > 0);
+    assert_eq!(keep_for(kept, submitted, submitted + kept + 60_000), 0, "but not for good");
+}
+
 #[test]
 fn a_sample_without_a_group_is_a_group_of_its_own() {
     let mut submission = submission(3);
