--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -511,7 +511,7 @@
         if self.jobs.contains_key(job) {
             return Ok(vec![]);
         }
-        let head: Head = Head::decode(value.clone()).map_err(|error| error.to_string())?;
+        let head = Head::decode(value.clone()).map_err(|error| error.to_string())?;
         let index: HashMap<String, usize> =
             head.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
         let done = vec![false; head.samples.len()];
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -6,18 +6,17 @@
 
 use std::{rc::Rc, time::Duration};
 
-use serde::{Deserialize, Serialize};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 use crate::{
-    core::{batch::Record, roll::Order},
+    core::batch::Record,
     entry::{
         dialect::Wish,
         shared::{JOBS, Shared},
-        store::{Append, Fault, Newest, Part, Read, Records},
+        store::{Fault, Newest, Part, Read, Records},
     },
 };
 
@@ -43,19 +42,15 @@
 /// Least time between reads of the targets' announcements. Each heartbeat is
 /// a record; a leaving target must get nothing after two seconds.
 const FLEET_PAUSE: Duration = Duration::from_millis(300);
-/// The topic of news that all instances should have sooner than by reading
-/// everything that often.
-const NEWS: &str = "news";
-/// Least time between reads of news.
-const NEWS_PAUSE: Duration = Duration::from_millis(50);
 /// Least time between reads of the operator's wishes.
 const WISHES_PAUSE: Duration = Duration::from_millis(20);
 
 /// Reads a partition for good and hands every batch of records to `take`,
 /// with the partition's end and whether these are all there is from the
-/// beginning. Between reads there is a `pause`, which `sooner` ends. A keyed partition is read from its newest records, another
-/// from whatever is left of it.
-async fn follow(
+/// beginning. A keyed partition is read from its newest records, another
+/// from whatever is left of it. Between reads there is a `pause`, which
+/// `sooner` ends.
+pub(super) async fn follow(
     shared: Rc<Shared>,
     part: Part,
     pause: impl Fn(&Shared) -> Duration,
@@ -120,32 +115,6 @@
     most.mul_f64(rand::random_range(0.5..=1.0))
 }
 
-/// A piece of news.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum News {
-    /// An engine has loaded what it was ordered to. It announces that too,
-    /// but up to a heartbeat later, and a step waits for it.
-    Loaded(Order),
-    /// A job was accepted in a partition: its longest samples decide how
-    /// long the step takes, and should not wait for the next regular read.
-    Accepted {
-        /// The partition.
-        part: usize,
-    },
-}
-
-/// Tells all instances something. Who misses it learns the same from the
-/// records that it is about, a little later.
-pub async fn tell(shared: &Rc<Shared>, news: &News) {
-    let value = serde_json::to_vec(news).unwrap_or_default();
-    let records = vec![(None, value.into())];
-    let append = Append { part: Part::new(NEWS, 0), records, expected_end: None };
-    match (shared.store.append)(append).await {
-        Ok(_) => shared.store_did(true),
-        Err(fault) => log::info!("telling {news:?}: {fault}"),
-    }
-}
-
 fn jobs_pause(shared: &Shared, part: usize) -> Duration {
     if shared.readers[part].get() > 0 {
         return JOBS_PAUSE;
@@ -209,39 +178,6 @@
     .await;
 }
 
-/// Follows the news.
-pub async fn news(shared: Rc<Shared>) {
-    let part = Part::new(NEWS, 0);
-    follow(
-        shared,
-        part,
-        |_| NEWS_PAUSE,
-        None,
-        false,
-        |shared, records, _| {
-            for record in &records.records {
-                let value = record.value.clone().unwrap_or_default();
-                match serde_json::from_slice(&value) {
-                    Ok(News::Loaded(load)) => {
-                        let fleet = &mut shared.world.borrow_mut().fleet;
-                        fleet.answered(&load.target, &load.model, load.version);
-                    }
-                    Ok(News::Accepted { part }) => {
-                        if let Some(accepted) = shared.accepted.get(part) {
-                            accepted.notify_one();
-                        }
-                    }
-                    Err(error) => log::warn!("news at {} skipped: {error}", record.offset),
-                }
-            }
-            if !records.records.is_empty() {
-                shared.tell(&crate::core::dispatch::Event::Tick);
-            }
-        },
-    )
-    .await;
-}
-
 /// Follows the operator's wishes: the configuration and the newest weights.
 pub async fn wishes(shared: Rc<Shared>) {
     let part = Part::new(shared.dialect.wishes, 0);
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -17,8 +17,8 @@
     },
     entry::{
         dialect::{Delivered, Results},
-        follow::{self, News},
         forward::{self, Plain, Verdict},
+        news::{self, News},
         samples,
         shared::{JOBS, Shared, wall_ms},
         store::{Append, Fault, Part, Read},
@@ -108,7 +108,7 @@
     if kept == Reply::Done {
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
-            follow::tell(&shared, &News::Accepted { part }).await;
+            news::tell(&shared, &News::Accepted { part }).await;
         });
     }
     kept
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -23,6 +23,7 @@
 pub mod lines;
 pub mod member;
 pub mod meters;
+pub mod news;
 pub mod orders;
 pub mod outbox;
 pub mod reload;
--- /dev/null
+++ b/crates/hollywell/src/entry/news.rs
@@ -0,0 +1,82 @@
+//! News: hints that all instances should have sooner than by reading
+//! everything that often.
+//!
+//! Who misses one learns the same a little later, from the records that it is
+//! about. So news is never waited for, kept or sent again.
+
+use std::{rc::Rc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    core::{dispatch::Event, roll::Order},
+    entry::{
+        follow,
+        shared::Shared,
+        store::{Append, Part},
+    },
+};
+
+/// The topic.
+const TOPIC: &str = "news";
+/// Least time between reads.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A piece of news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// An engine has loaded what it was ordered to. It announces that too,
+    /// but up to a heartbeat later, and a step waits for it.
+    Loaded(Order),
+    /// A job was accepted in a partition: its longest samples decide how
+    /// long the step takes, and should not wait for the next regular read.
+    Accepted {
+        /// The partition.
+        part: usize,
+    },
+}
+
+/// Tells all instances something. Who misses it learns the same from the
+/// records that it is about, a little later.
+pub async fn tell(shared: &Rc<Shared>, news: &News) {
+    let value = serde_json::to_vec(news).unwrap_or_default();
+    let records = vec![(None, value.into())];
+    let append = Append { part: Part::new(TOPIC, 0), records, expected_end: None };
+    match (shared.store.append)(append).await {
+        Ok(_) => shared.store_did(true),
+        Err(fault) => log::info!("telling {news:?}: {fault}"),
+    }
+}
+
+/// Follows the news.
+pub async fn serve(shared: Rc<Shared>) {
+    let part = Part::new(TOPIC, 0);
+    follow::follow(
+        shared,
+        part,
+        |_| PAUSE,
+        None,
+        false,
+        |shared, records, _| {
+            for record in &records.records {
+                let value = record.value.clone().unwrap_or_default();
+                match serde_json::from_slice(&value) {
+                    Ok(News::Loaded(load)) => {
+                        let fleet = &mut shared.world.borrow_mut().fleet;
+                        fleet.answered(&load.target, &load.model, load.version);
+                    }
+                    Ok(News::Accepted { part }) => {
+                        if let Some(accepted) = shared.accepted.get(part) {
+                            accepted.notify_one();
+                        }
+                    }
+                    Err(error) => log::warn!("news at {} skipped: {error}", record.offset),
+                }
+            }
+            if !records.records.is_empty() {
+                shared.tell(&Event::Tick);
+            }
+        },
+    )
+    .await;
+}
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -18,7 +18,7 @@
     },
     entry::{
         dialect::VersionOrder,
-        follow::{self, News},
+        news::{self, News},
         shared::Shared,
         store::{Append, Fault, Part, Read},
     },
@@ -153,7 +153,7 @@
         if let Some(report) = self::report(&shared, &order.target).await {
             note(&shared, &order, &report);
             if report.versions.get(&order.model).copied() >= Some(order.version) {
-                follow::tell(&shared, &News::Loaded(order)).await;
+                news::tell(&shared, &News::Loaded(order)).await;
                 return;
             }
         }
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -198,94 +198,109 @@
     request.body(Full::new(sample.body.clone())).ok()
 }
 
+/// What a run needs to know of its sample while events come.
+struct Context<'a> {
+    shared: &'a Rc<Shared>,
+    run: Run,
+    slot: &'a Slot,
+    target: &'a Announcement,
+    model: String,
+    min_version: u64,
+    /// The sample's id.
+    id: String,
+}
+
+impl Context<'_> {
+    /// Notes why a run ends early, for the log.
+    fn broken(&self, why: &dyn std::fmt::Display) -> End {
+        log::info!("sample {}/{} at {}: {why}", self.slot.job, self.slot.at, self.target.id);
+        End::Broken
+    }
+
+    /// Notes that the target has a version of the model.
+    fn saw(&self, version: u64) {
+        self.shared.world.borrow_mut().fleet.answered(&self.target.id, &self.model, version);
+    }
+
+    /// Takes one whole event into the sample's text. `version` is the one
+    /// that made the event before.
+    fn take(&self, event: &[u8], version: &mut Option<u64>) -> Result<(), End> {
+        let text = std::str::from_utf8(event).map_err(|error| self.broken(&error))?;
+        let piece = (self.shared.dialect.piece)(text).map_err(|why| self.broken(&why))?;
+        if let Some(newer) = piece.version {
+            *version = Some(newer);
+            self.saw(newer);
+        }
+        let Some(version) = *version else {
+            return Err(self.broken(&"an event without a version"));
+        };
+        if version < self.min_version {
+            return Err(End::WrongVersion);
+        }
+        {
+            let mut world = self.shared.world.borrow_mut();
+            let text = world.texts.entry(self.slot.clone()).or_default();
+            if piece.id != text.last + 1 {
+                return Err(self.broken(&format!("event {} after {}", piece.id, text.last)));
+            }
+            text.take(&piece, version);
+        }
+        self.shared.tell(&Event::Piece { run: self.run });
+        Ok(())
+    }
+}
+
 async fn stream(
     shared: &Rc<Shared>,
     run: Run,
     slot: &Slot,
     target: &Announcement,
-    mut answer: Answer,
+    answer: Answer,
 ) -> End {
-    let headers = &shared.dialect.headers;
-    let (model, min_version, id) = {
+    let context = {
         let world = shared.world.borrow();
         let Some(job) = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job) else {
             return End::Broken;
         };
-        (job.head.model.clone(), job.head.min_version, job.head.samples[slot.at].id.clone())
+        let (model, min_version) = (job.head.model.clone(), job.head.min_version);
+        let id = job.head.samples[slot.at].id.clone();
+        Context { shared, run, slot, target, model, min_version, id }
     };
-    if answer.header(&headers.request_id) != Some(id.as_str()) {
-        log::info!("sample {}/{} at {}: another request's answer", slot.job, slot.at, target.id);
-        return End::Broken;
+    match events(&context, answer).await {
+        Ok(()) => End::Whole,
+        Err(end) => end,
+    }
+}
+
+/// Takes events in until the answer ends.
+async fn events(context: &Context<'_>, mut answer: Answer) -> Result<(), End> {
+    let headers = &context.shared.dialect.headers;
+    if answer.header(&headers.request_id) != Some(context.id.as_str()) {
+        return Err(context.broken(&"another request's answer"));
     }
     // Whoever asks for what follows the last event gets an answer that no
     // version made, without events: the text lacked only its end.
     let mut version = answer.header(&headers.version).and_then(|v| v.parse::<u64>().ok());
     if let Some(version) = version {
-        shared.world.borrow_mut().fleet.answered(&target.id, &model, version);
+        context.saw(version);
     }
-    if version.is_some_and(|version| version < min_version) {
-        return End::WrongVersion;
+    if version.is_some_and(|version| version < context.min_version) {
+        return Err(End::WrongVersion);
     }
-    shared.tell(&Event::Head { run });
+    context.shared.tell(&Event::Head { run: context.run });
     let mut cutter = Cutter::default();
-    loop {
-        let data = match answer.chunk().await {
-            Ok(Some(data)) => data,
-            Ok(None) if cutter.is_empty() => return End::Whole,
-            Ok(None) => {
-                log::info!(
-                    "sample {}/{} at {}: ends within an event",
-                    slot.job,
-                    slot.at,
-                    target.id
-                );
-                return End::Broken;
-            }
-            Err(error) => {
-                log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
-                return End::Broken;
-            }
-        };
+    while let Some(data) = answer.chunk().await.map_err(|error| context.broken(&error))? {
         cutter.push(&data);
         while let Some(event) = cutter.next() {
-            let piece = match std::str::from_utf8(&event) {
-                Ok(text) => (shared.dialect.piece)(text),
-                Err(_) => Err(String::from("not UTF-8")),
-            };
-            let piece = match piece {
-                Ok(piece) => piece,
-                Err(why) => {
-                    log::info!("sample {}/{} at {}: event: {why}", slot.job, slot.at, target.id);
-                    return End::Broken;
-                }
-            };
-            if let Some(newer) = piece.version {
-                version = Some(newer);
-                shared.world.borrow_mut().fleet.answered(&target.id, &model, newer);
-            }
-            let Some(version) = version else {
-                log::info!("sample {}/{} at {}: no version", slot.job, slot.at, target.id);
-                return End::Broken;
-            };
-            if version < min_version {
-                return End::WrongVersion;
-            }
-            {
-                let mut world = shared.world.borrow_mut();
-                let text = world.texts.entry(slot.clone()).or_default();
-                if piece.id != text.last + 1 {
-                    log::info!(
-                        "sample {}/{}: event {} after {}",
-                        slot.job,
-                        slot.at,
-                        piece.id,
-                        text.last
-                    );
-                    return End::Broken;
-                }
-                text.take(&piece, version);
-            }
-            shared.tell(&Event::Piece { run });
+            context.take(&event, &mut version)?;
         }
     }
+    if !cutter.is_empty() {
+        return Err(context.broken(&"ends within an event"));
+    }
+    let world = context.shared.world.borrow();
+    match world.texts.contains_key(context.slot) {
+        true => Ok(()),
+        false => Err(context.broken(&"ends without any event")),
+    }
 }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -26,7 +26,7 @@
         exchange::Pool,
         follow, ingress, member,
         meters::Meters,
-        orders, outbox, reload,
+        news, orders, outbox, reload,
         settings::{Settings, Store},
         shared::{JOB_PARTS, Shared, Shelf, World},
         store::Client,
@@ -134,7 +134,7 @@
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(follow::wishes(shared.clone())));
     spawn(Box::pin(follow::fleet(shared.clone())));
-    spawn(Box::pin(follow::news(shared.clone())));
+    spawn(Box::pin(news::serve(shared.clone())));
     for part in 0..shared.listed.len() {
         spawn(Box::pin(follow::jobs(shared.clone(), part)));
     }
