Read once more: unfinished texts decoded once, one check of settings, one way to name a partition

Cause: reading the whole change again. The note of an unfinished text was kept as bytes and decoded at three places, two of which passed over a malformed one in silence; both settings modules checked a file with the same seven lines; a partition's position was turned into its number at six places; roll::State::step only counted before it called step_some.

Ruled out: one decode for results too (each instance folds all of them and delivers few); joining the age of jobs in clean.rs with batch::keep_for (it would drop a job a millisecond sooner).

Change: Job::partials holds Partial, and a malformed record is a Skip with a log line at the fold; settings::checked; store::Part::at; step and step_some are one. Nothing else behaves differently, no test was touched.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch.rs
@@ -392,7 +392,7 @@
     whole_at: Vec<usize>,
     /// Newest [`Partial`] of samples that are not listed. They outlive the
     /// job's end for a while: a later step may ask for the same samples.
-    pub partials: HashMap<usize, Bytes>,
+    pub partials: HashMap<usize, Partial>,
     /// It was ended by its trainer.
     pub ended: bool,
 }
@@ -500,7 +500,9 @@
                 if entry.done[index] || entry.ended {
                     return Ok(vec![]);
                 }
-                entry.partials.insert(index, value.clone());
+                let partial = Partial::decode(value.clone());
+                let partial = partial.map_err(|error| skip(&error.to_string()))?;
+                entry.partials.insert(index, partial);
                 Ok(vec![Change::Grown(job.to_owned(), index)])
             }
             _ => Err(skip("unknown kind of record")),
--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -74,8 +74,8 @@
     /// Whether an engine keeps up a model. `place` is the engine's place
     /// among all, from 0 to 1.
     fn is_kept(&self, held: &BTreeMap<String, u64>, place: f64, model: &str) -> bool {
-        let deals = (0..KEPT).map(|deal| (place + deal as f64 / KEPT as f64) % 1.0);
-        deals.into_iter().any(|place| self.dealt_at(held, place) == Some(model))
+        let mut deals = (0..KEPT).map(|deal| (place + deal as f64 / KEPT as f64) % 1.0);
+        deals.any(|place| self.dealt_at(held, place) == Some(model))
     }
 
     /// The model, of those that an engine holds, that is dealt to a place:
@@ -180,18 +180,6 @@
             .values()
             .filter(|target| target.said.domain == domain && !target.said.versions.is_empty());
         let at_once = engines.count().div_ceil(LOADING_PART);
-        self.step_some(now, domain, models, fleet, sights, at_once)
-    }
-
-    fn step_some(
-        &mut self,
-        now: Time,
-        domain: &str,
-        models: &Models,
-        fleet: &Fleet,
-        sights: &Sights,
-        at_once: usize,
-    ) -> Vec<Order> {
         self.under_way.retain(|id, order| {
             let target = fleet.targets.get(id);
             let has = target.and_then(|target| target.said.versions.get(&order.model));
--- a/crates/hollywell/src/entry/carry.rs
+++ b/crates/hollywell/src/entry/carry.rs
@@ -3,9 +3,6 @@
 //! The trainer waits for all of them, so they go first, and what was
 //! generated of their text is used where its versions still fit.
 
-use bytes::Bytes;
-use prost::Message as _;
-
 use crate::{
     core::{
         batch::{Head, Partial},
@@ -26,7 +23,7 @@
     for (at, sample) in head.samples.iter().enumerate() {
         let earlier = earlier(shelves, job, &sample.id);
         let carried = earlier.is_some();
-        let text = earlier.flatten().filter(|text| is_allowed(text, head.min_version));
+        let text = earlier.flatten().filter(|text| text.is_allowed(head.min_version));
         if let (Some(text), Some(job)) = (text, shelves[part].book.jobs.get_mut(job))
             && !job.done[at]
         {
@@ -39,7 +36,7 @@
 }
 
 /// Whether another job has the sample, and what is kept of its text there.
-fn earlier(shelves: &[Shelf], job: &str, sample: &str) -> Option<Option<Bytes>> {
+fn earlier(shelves: &[Shelf], job: &str, sample: &str) -> Option<Option<Partial>> {
     let jobs = shelves.iter().flat_map(|shelf| &shelf.book.jobs);
     let mut found = None;
     for (_, other) in jobs.filter(|(id, _)| *id != job) {
@@ -51,11 +48,6 @@
     found
 }
 
-fn is_allowed(text: &Bytes, min_version: u64) -> bool {
-    let partial = Partial::decode(text.clone());
-    partial.is_ok_and(|partial| partial.is_allowed(min_version))
-}
-
 fn forget(shelves: &mut [Shelf], head: &Head) {
     let jobs = shelves.iter_mut().flat_map(|shelf| shelf.book.jobs.values_mut());
     for job in jobs {
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -62,10 +62,9 @@
     };
     own.reverse();
     for (topic, keys) in [(TEXTS, texts), (JOBS, own)] {
-        let number = u32::try_from(part).unwrap_or_default();
         for some in keys.chunks(AT_ONCE) {
             let records = some.iter().map(|key| (Some(key.clone()), Bytes::new())).collect();
-            let append = Append { part: Part::new(topic, number), records, expected_end: None };
+            let append = Append { part: Part::at(topic, part), records, expected_end: None };
             (shared.store.append)(append).await?;
         }
     }
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -125,11 +125,10 @@
 
 /// Follows one partition of batch jobs.
 pub async fn jobs(shared: Rc<Shared>, part: usize) {
-    let number = u32::try_from(part).unwrap_or_default();
     let hurry = shared.clone();
     let pause = move |shared: &Shared| jobs_pause(shared, part);
     let sooner = Some(&hurry.accepted[part]);
-    follow(shared, Part::new(JOBS, number), pause, sooner, true, move |shared, records, anew| {
+    follow(shared, Part::at(JOBS, part), pause, sooner, true, move |shared, records, anew| {
         let end = if anew { records.end } else { 0 };
         shared.absorb(part, &records.records, end);
         let now = shared.now();
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -122,9 +122,8 @@
     what: &str,
     there: impl Fn(&Shared) -> bool,
 ) -> Reply {
-    let number = u32::try_from(part).unwrap_or_default();
     let records = vec![(Some(key), value)];
-    let append = Append { part: Part::new(JOBS, number), records, expected_end: None };
+    let append = Append { part: Part::at(JOBS, part), records, expected_end: None };
     match (shared.store.append)(append).await {
         Ok(_) => {
             shared.store_did(true);
@@ -163,7 +162,6 @@
 /// Reads a partition to its end, whatever its follower is doing. Returns
 /// whether that went well.
 pub async fn catch_up(shared: &Rc<Shared>, part: usize) -> bool {
-    let number = u32::try_from(part).unwrap_or_default();
     loop {
         let (from, loaded) = {
             let world = shared.world.borrow();
@@ -172,8 +170,7 @@
         if !loaded {
             return false;
         }
-        let read =
-            Read { part: Part::new(JOBS, number), from, wait: Duration::ZERO, most_kb: None };
+        let read = Read { part: Part::at(JOBS, part), from, wait: Duration::ZERO, most_kb: None };
         match (shared.store.read)(read).await {
             Ok(records) => {
                 shared.store_did(true);
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -60,7 +60,7 @@
 pub async fn serve(shared: Rc<Shared>) {
     let domain = shared.settings.domain.clone();
     let number = shared.settings.domains.iter().position(|name| *name == domain);
-    let part = Part::new(LEASES, u32::try_from(number.unwrap_or_default()).unwrap_or_default());
+    let part = Part::at(LEASES, number.unwrap_or_default());
     let office = Rc::new(RefCell::new(Office {
         tenure: Tenure::default(),
         roll: roll::State::default(),
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -109,7 +109,7 @@
     };
     let keyed: Vec<(String, Bytes)> = waiting.iter().map(record).collect();
     let records = keyed.iter().map(|(key, text)| (Some(key.clone()), text.clone())).collect();
-    let append = Append { part: Part::new(TEXTS, number(part)), records, expected_end: None };
+    let append = Append { part: Part::at(TEXTS, part), records, expected_end: None };
     let first = (shared.store.append)(append).await?.offset;
     for ((entry, (key, text)), offset) in waiting.iter_mut().zip(keyed).zip(first..) {
         let at = TextRef::new(number(part), offset, key, &text);
@@ -135,7 +135,7 @@
             records.push((Some(key), nothing));
         }
     }
-    let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
+    let append = Append { part: Part::at(JOBS, part), records, expected_end: None };
     let appended = (shared.store.append)(append).await?;
     for (Entry { slot, outcome, .. }, offset) in taken.iter().zip(appended.offset..) {
         let ending = if outcome.dead { "given up" } else { "whole" };
@@ -207,7 +207,7 @@
 async fn append_partials(shared: &Rc<Shared>, part: usize, grown: &[Grown]) -> Result<(), Fault> {
     let key = |grown: &Grown| batch::partial_text_key(&grown.slot.job, &grown.sample);
     let records = grown.iter().map(|grown| (Some(key(grown)), grown.text.clone())).collect();
-    let append = Append { part: Part::new(TEXTS, number(part)), records, expected_end: None };
+    let append = Append { part: Part::at(TEXTS, part), records, expected_end: None };
     let first = (shared.store.append)(append).await?.offset;
     let record = |(grown, offset): (&Grown, u64)| {
         let text = TextRef::new(number(part), offset, key(grown), &grown.text);
@@ -216,7 +216,7 @@
         (Some(key), value)
     };
     let records = grown.iter().zip(first..).map(record).collect();
-    let append = Append { part: Part::new(JOBS, number(part)), records, expected_end: None };
+    let append = Append { part: Part::at(JOBS, part), records, expected_end: None };
     (shared.store.append)(append).await.map(|_| ())
 }
 
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
-use prost::Message as _;
 
 use crate::{
     core::{
@@ -120,16 +119,10 @@
 fn kept(shared: &Shared, part: usize, slot: &Slot) -> Option<Partial> {
     let world = shared.world.borrow();
     let job = world.shelves[part].book.jobs.get(&slot.job)?;
-    let partial: Partial = match Partial::decode(job.partials.get(&slot.at)?.clone()) {
-        Ok(partial) => partial,
-        Err(error) => {
-            log::warn!("unfinished text of {}/{}: {error}", slot.job, slot.at);
-            return None;
-        }
-    };
+    let partial = job.partials.get(&slot.at)?;
     let known = world.texts.get(slot).map_or(0, |text| text.last);
     let allowed = partial.is_allowed(job.head.min_version);
-    (partial.last > known && allowed).then_some(partial)
+    (partial.last > known && allowed).then(|| partial.clone())
 }
 
 async fn go(
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -86,13 +86,7 @@
     /// assert!(faults.iter().any(|fault| fault.key == "name"));
     /// ```
     pub fn parse(path: &Path, text: &str) -> Result<Settings, Vec<Fault>> {
-        let mut reader = Reader::new(path, text)?;
-        let settings = read_all(&mut reader);
-        reader.check_unknown();
-        match reader.faults.is_empty() {
-            true => Ok(settings),
-            false => Err(reader.faults),
-        }
+        settings::checked(path, text, read_all)
     }
 }
 
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -8,7 +8,6 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use prost::Message as _;
 use tokio::{
     sync::{Notify, watch},
     task::AbortHandle,
@@ -17,7 +16,7 @@
 use crate::{
     control::Clock,
     core::{
-        batch::{self, Book, Bundle, Change, Partial, Record},
+        batch::{self, Book, Bundle, Change, Record},
         choice::Sights,
         dispatch::{self, Effect, Event, Run, Slot, Work},
         fleet::Fleet,
@@ -261,8 +260,7 @@
                 return;
             };
             let job = world.shelves[part].book.jobs.get(&slot.job);
-            let value = job.and_then(|job| job.partials.get(&slot.at));
-            let kept = value.and_then(|value| Partial::decode(value.clone()).ok());
+            let kept = job.and_then(|job| job.partials.get(&slot.at));
             kept.map(|kept| kept.last).filter(|last| *last > own)
         };
         if let Some(last) = kept.and_then(|last| u32::try_from(last).ok()) {
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -57,6 +57,12 @@
     pub fn new(topic: &str, number: u32) -> Part {
         Part { topic: topic.to_owned(), number }
     }
+
+    /// Names a partition by its position in a list of them.
+    #[must_use]
+    pub fn at(topic: &str, position: usize) -> Part {
+        Part::new(topic, u32::try_from(position).unwrap_or_default())
+    }
 }
 
 /// Records to append, all or none.
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -151,13 +151,26 @@
     /// assert_eq!(unknown.line, 4);
     /// ```
     pub fn parse(path: &Path, text: &str) -> Result<Settings, Vec<Fault>> {
-        let mut reader = Reader::new(path, text)?;
-        let settings = read_all(&mut reader);
-        reader.check_unknown();
-        match reader.faults.is_empty() {
-            true => Ok(settings),
-            false => Err(reader.faults),
-        }
+        checked(path, text, read_all)
+    }
+}
+
+/// What `read` makes of a settings file's text.
+///
+/// # Errors
+///
+/// Every [`Fault`] that it found, and the keys that it did not read.
+pub(crate) fn checked<T>(
+    path: &Path,
+    text: &str,
+    read: impl FnOnce(&mut Reader<'_>) -> T,
+) -> Result<T, Vec<Fault>> {
+    let mut reader = Reader::new(path, text)?;
+    let settings = read(&mut reader);
+    reader.check_unknown();
+    match reader.faults.is_empty() {
+        true => Ok(settings),
+        false => Err(reader.faults),
     }
 }
 
