Sight: each append says what it is for; bytes and failures are counted by it

Cause: nothing told what fills the store, nor a full store (507) from one that refuses (503): both were 'refused', and a full store counted as away. Ruled out: counting by the spelling of keys; it would have to be kept in step with them in two places. Change: room::Use on each append, Shared::append as the one way to the store, metrics of bytes by use and of failures by use and kind, Fault::Full.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -38,6 +38,7 @@
 pub mod retry;
 pub mod roll;
 pub mod rollout;
+pub mod room;
 pub mod roster;
 pub mod route;
 pub mod stream;
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    core::{batch::CLOCKS_APART_MS, dispatch::owner},
+    core::{batch::CLOCKS_APART_MS, dispatch::owner, room::Use},
     entry::{
         shared::{JOBS, Shared, TEXTS, wall_ms},
         store::{Append, Fault, Part},
@@ -64,8 +64,8 @@
     for (topic, keys) in [(TEXTS, texts), (JOBS, own)] {
         for some in keys.chunks(AT_ONCE) {
             let records = some.iter().map(|key| (Some(key.clone()), Bytes::new())).collect();
-            let append = Append { part: Part::at(topic, part), records, expected_end: None };
-            (shared.store.append)(append).await?;
+            let (part, purpose) = (Part::at(topic, part), Use::Drop);
+            shared.append(Append { part, records, expected_end: None, purpose }).await?;
         }
     }
     Ok(())
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -14,6 +14,7 @@
     core::{
         batch::{self, Head, Outcome, Sample, Submission, TextRef},
         dispatch::{Event, Slot},
+        room::Use,
     },
     entry::{
         dialect::{Delivered, Results},
@@ -82,7 +83,6 @@
     let (samples, bundles) = match samples::put(shared, job, decoded).await {
         Ok(put) => put,
         Err(fault) => {
-            shared.store_did(false);
             log::info!("job {job} refused, its samples: {fault}");
             return Reply::NotDone;
         }
@@ -104,7 +104,8 @@
         return Reply::Malformed(format!("{} bytes of a job's head exceed {most}", value.len()));
     }
     let what = format!("job {job} of {} samples", decoded.samples.len());
-    let kept = keep(shared, part, (key, value), &what, |shared| known(shared, part, job)).await;
+    let kept =
+        keep(shared, part, Use::Head, (key, value), &what, |shared| known(shared, part, job)).await;
     if kept == Reply::Done {
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
@@ -118,21 +119,20 @@
 async fn keep(
     shared: &Rc<Shared>,
     part: usize,
+    purpose: Use,
     (key, value): (String, Bytes),
     what: &str,
     there: impl Fn(&Shared) -> bool,
 ) -> Reply {
     let records = vec![(Some(key), value)];
-    let append = Append { part: Part::at(JOBS, part), records, expected_end: None };
-    match (shared.store.append)(append).await {
+    let append = Append { part: Part::at(JOBS, part), records, expected_end: None, purpose };
+    match shared.append(append).await {
         Ok(_) => {
-            shared.store_did(true);
             log::info!("{what} accepted");
             Reply::Done
         }
-        Err(Fault::Refused(why)) => {
-            shared.store_did(false);
-            log::info!("{what} refused: {why}");
+        Err(fault) if fault.is_not_done() => {
+            log::info!("{what} refused: {fault}");
             Reply::NotDone
         }
         Err(fault) => {
@@ -339,7 +339,10 @@
         Some(false) => {}
     }
     let what = format!("end of job {job}");
-    keep(shared, part, batch::end_record(job), &what, |shared| ended(shared) == Some(true)).await
+    keep(shared, part, Use::End, batch::end_record(job), &what, |shared| {
+        ended(shared) == Some(true)
+    })
+    .await
 }
 
 /// Sends a finished sample's scoring request until it is scored or has
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -22,6 +22,10 @@
     pub moves: IntCounterVec,
     /// Calls of the store, by whether they went well.
     pub store: IntCounterVec,
+    /// Bytes of keys and values appended, by what for.
+    pub stored: IntCounterVec,
+    /// Appends that failed, by what for and why.
+    pub unstored: IntCounterVec,
     /// Connections opened.
     pub connections: IntGauge,
     /// Runs in flight.
@@ -68,6 +72,16 @@
             runs: counter("hollywell_entry_runs_total", "Ends of samples' runs.", &["end"])?,
             moves: counter("hollywell_entry_moves_total", "Runs that left a target.", &["why"])?,
             store: counter("hollywell_entry_store_total", "Calls of the store.", &["well"])?,
+            stored: counter(
+                "hollywell_entry_appended_bytes_total",
+                "Bytes of keys and values appended to the store.",
+                &["use"],
+            )?,
+            unstored: counter(
+                "hollywell_entry_appends_failed_total",
+                "Appends that failed.",
+                &["use", "why"],
+            )?,
             connections: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
             in_flight: gauge("hollywell_entry_runs_in_flight", "Runs in flight.")?,
             plan: gauge("hollywell_entry_plan_version", "Configuration in force.")?,
--- a/crates/hollywell/src/entry/news.rs
+++ b/crates/hollywell/src/entry/news.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    core::{dispatch::Event, roll::Order},
+    core::{dispatch::Event, roll::Order, room::Use},
     entry::{
         follow,
         shared::Shared,
@@ -41,9 +41,9 @@
 pub async fn tell(shared: &Rc<Shared>, news: &News) {
     let value = serde_json::to_vec(news).unwrap_or_default();
     let records = vec![(None, value.into())];
-    let append = Append { part: Part::new(TOPIC, 0), records, expected_end: None };
-    match (shared.store.append)(append).await {
-        Ok(_) => shared.store_did(true),
+    let (part, purpose) = (Part::new(TOPIC, 0), Use::News);
+    match shared.append(Append { part, records, expected_end: None, purpose }).await {
+        Ok(_) => {}
         Err(fault) => log::info!("telling {news:?}: {fault}"),
     }
 }
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -14,6 +14,7 @@
 use crate::{
     core::{
         roll::{self, Order},
+        room::Use,
         tenure::{Claim, Tenure, Terms},
     },
     entry::{
@@ -285,10 +286,10 @@
     let sent = shared.now();
     let value = Bytes::from(serde_json::to_vec(&claim).unwrap_or_default());
     let expected_end = Some(office.borrow().tenure.end);
-    let append = Append { part: part.clone(), records: vec![(None, value)], expected_end };
-    match (shared.store.append)(append).await {
+    let (to, records) = (part.clone(), vec![(None, value)]);
+    let append = Append { part: to, records, expected_end, purpose: Use::Claim };
+    match shared.append(append).await {
         Ok(appended) => {
-            shared.store_did(true);
             if claim.renews.is_none() {
                 log::info!(
                     "lease of {} granted, fence {}",
@@ -304,7 +305,6 @@
             read(shared, part, office).await;
         }
         Err(fault) => {
-            shared.store_did(false);
             log::info!("claiming the lease: {fault}");
             sleep(CLAIM_RETRY).await;
         }
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -19,6 +19,7 @@
     core::{
         batch::{self, Outcome, Partial, TextRef},
         dispatch::Slot,
+        room::Use,
     },
     entry::{
         shared::{JOBS, Shared, TEXTS},
@@ -88,7 +89,6 @@
         if appended.is_ok() {
             appended = append_results(&shared, part, &taken).await;
         }
-        shared.store_did(appended.is_ok());
         if let Err(fault) = appended {
             log::info!("{} results kept for another append: {fault}", taken.len());
             put_back(&shared.outbox[part], taken);
@@ -109,8 +109,9 @@
     };
     let keyed: Vec<(String, Bytes)> = waiting.iter().map(record).collect();
     let records = keyed.iter().map(|(key, text)| (Some(key.clone()), text.clone())).collect();
-    let append = Append { part: Part::at(TEXTS, part), records, expected_end: None };
-    let first = (shared.store.append)(append).await?.offset;
+    let (at, purpose) = (Part::at(TEXTS, part), Use::Text);
+    let append = Append { part: at, records, expected_end: None, purpose };
+    let first = shared.append(append).await?.offset;
     for ((entry, (key, text)), offset) in waiting.iter_mut().zip(keyed).zip(first..) {
         let at = TextRef::new(number(part), offset, key, &text);
         shared.texts.keep(&at, text);
@@ -135,8 +136,9 @@
             records.push((Some(key), nothing));
         }
     }
-    let append = Append { part: Part::at(JOBS, part), records, expected_end: None };
-    let appended = (shared.store.append)(append).await?;
+    let (at, purpose) = (Part::at(JOBS, part), Use::Outcome);
+    let append = Append { part: at, records, expected_end: None, purpose };
+    let appended = shared.append(append).await?;
     for (Entry { slot, outcome, .. }, offset) in taken.iter().zip(appended.offset..) {
         let ending = if outcome.dead { "given up" } else { "whole" };
         log::debug!("sample {}/{} is {ending}: record {offset} or after", slot.job, slot.at);
@@ -190,7 +192,6 @@
             continue;
         }
         let saved = append_partials(shared, part, &grown).await;
-        shared.store_did(saved.is_ok());
         if let Err(fault) = saved {
             log::info!("{} unfinished texts not kept: {fault}", grown.len());
             continue;
@@ -207,8 +208,9 @@
 async fn append_partials(shared: &Rc<Shared>, part: usize, grown: &[Grown]) -> Result<(), Fault> {
     let key = |grown: &Grown| batch::partial_text_key(&grown.slot.job, &grown.sample);
     let records = grown.iter().map(|grown| (Some(key(grown)), grown.text.clone())).collect();
-    let append = Append { part: Part::at(TEXTS, part), records, expected_end: None };
-    let first = (shared.store.append)(append).await?.offset;
+    let (at, purpose) = (Part::at(TEXTS, part), Use::Unfinished);
+    let append = Append { part: at, records, expected_end: None, purpose };
+    let first = shared.append(append).await?.offset;
     let record = |(grown, offset): (&Grown, u64)| {
         let text = TextRef::new(number(part), offset, key(grown), &grown.text);
         let partial = Partial { last: grown.last, text, versions: grown.versions.clone() };
@@ -216,8 +218,9 @@
         (Some(key), value)
     };
     let records = grown.iter().zip(first..).map(record).collect();
-    let append = Append { part: Part::at(JOBS, part), records, expected_end: None };
-    (shared.store.append)(append).await.map(|_| ())
+    let at = Part::at(JOBS, part);
+    let append = Append { part: at, records, expected_end: None, purpose };
+    shared.append(append).await.map(|_| ())
 }
 
 fn grown(shared: &Shared, part: usize, least: u64) -> Vec<Grown> {
--- a/crates/hollywell/src/entry/samples.rs
+++ b/crates/hollywell/src/entry/samples.rs
@@ -11,6 +11,7 @@
     core::{
         batch::{self, Brief, Bundle, Sample, Submission, TextRef},
         dispatch::Slot,
+        room::Use,
     },
     entry::{
         shared::{Shared, TEXTS},
@@ -106,10 +107,11 @@
         return Ok(());
     }
     let part = Part::new(TEXTS, number);
-    let append = Append { part, records: records.clone(), expected_end: None };
+    let purpose = Use::Requests;
+    let append = Append { part, records: records.clone(), expected_end: None, purpose };
     let mut tries = 1;
     let first = loop {
-        match (shared.store.append)(append.clone()).await {
+        match shared.append(append.clone()).await {
             Ok(appended) => break appended.offset,
             // Records that were appended twice lie there twice; nothing but
             // the head names them.
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -26,8 +26,16 @@
         time::Time,
     },
     entry::{
-        carry, dialect::Dialect, exchange::Pool, jobs, meters::Meters, outbox, run, run::Text,
-        settings::Settings, store::Client, texts::Texts,
+        carry,
+        dialect::Dialect,
+        exchange::Pool,
+        jobs,
+        meters::Meters,
+        outbox, run,
+        run::Text,
+        settings::Settings,
+        store::{Append, Appended, Client, Fault},
+        texts::Texts,
     },
 };
 
@@ -175,6 +183,29 @@
         world.fleet.store(now, away);
     }
 
+    /// Appends records, counts them, and notes whether the store is there.
+    /// All appends go through here.
+    ///
+    /// # Errors
+    ///
+    /// The store's [`Fault`].
+    pub async fn append(&self, append: Append) -> Result<Appended, Fault> {
+        let (purpose, bytes) = (append.purpose.as_str(), append.bytes());
+        let appended = (self.store.append)(append).await;
+        // A store that is full, or has another end, is there all the same.
+        self.store_did(matches!(appended, Ok(_) | Err(Fault::Full | Fault::Moved(_))));
+        match &appended {
+            Ok(_) => {
+                let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+                self.meters.stored.with_label_values(&[purpose]).inc_by(bytes);
+            }
+            Err(fault) => {
+                self.meters.unstored.with_label_values(&[purpose, fault.as_str()]).inc();
+            }
+        }
+        appended
+    }
+
     /// Takes an event in and carries its effects out.
     pub fn tell(self: &Rc<Shared>, event: &Event) {
         let now = self.now();
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 
-use crate::core::batch::Record;
+use crate::core::{batch::Record, room::Use};
 
 /// A future that stays on its thread.
 pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
@@ -18,6 +18,8 @@
 pub enum Fault {
     /// The store did nothing: it said so, or was not reached.
     Refused(String),
+    /// The store has no room for what was to be appended; it did nothing.
+    Full,
     /// No answer came. The call may have been executed, or may be later.
     Unknown(String),
     /// The partition does not end where the caller said; its end.
@@ -32,6 +34,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Refused(why) => write!(f, "the store refused: {why}"),
+            Fault::Full => f.write_str("the store is full"),
             Fault::Unknown(why) => write!(f, "no answer of the store: {why}"),
             Fault::Moved(end) => write!(f, "the partition ends at {end}"),
             Fault::Gone(first) => write!(f, "records before {first} are gone"),
@@ -42,6 +45,27 @@
 
 impl std::error::Error for Fault {}
 
+impl Fault {
+    /// Its kind's name in metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Fault::Refused(_) => "refused",
+            Fault::Full => "full",
+            Fault::Unknown(_) => "unknown",
+            Fault::Moved(_) => "moved",
+            Fault::Gone(_) => "gone",
+            Fault::Malformed(_) => "malformed",
+        }
+    }
+
+    /// Whether the store said, or cannot but, have done nothing.
+    #[must_use]
+    pub const fn is_not_done(&self) -> bool {
+        matches!(self, Fault::Refused(_) | Fault::Full | Fault::Moved(_))
+    }
+}
+
 /// A topic's partition.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Part {
@@ -74,6 +98,17 @@
     pub records: Vec<(Option<String>, Bytes)>,
     /// Append only if the partition ends here.
     pub expected_end: Option<u64>,
+    /// What it is for.
+    pub purpose: Use,
+}
+
+impl Append {
+    /// The bytes of its keys and values.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let key = |key: &Option<String>| key.as_ref().map_or(0, String::len);
+        self.records.iter().map(|(name, value)| key(name) + value.len()).sum()
+    }
 }
 
 /// Where records were appended.
