An end holds without the store: held, told to peers, appended until it is read

A store without room answered it 507; the instance that was asked told the caller 503 and went on running the job, and nobody else learned of it. After a loss of power all of them ran it again. Ruled out: H2 and H3 of docs/incidents/unasked.md (no end was ever accepted). Weighed: spreading ends through the news topic of the store (it is as full as the rest); all telling all (the square of the instances for each end); holding the caller until the store takes it (it is not served by that). Change: core::ending, a reducer: an end that is asked for closes the job here at once, is appended again and again until it is read back, and is told to all peers directly where the first append fails; whoever was told closes it too, appends it more slowly and tells the two that follow it among the members, so that a restart or the loss of the one that was asked changes nothing. entry:: ends carries it out and listens on the peers' address. The caller gets 200 once the store has it, 502 (promises nothing) while it is on its way; 503 said that it never would be. Ends of jobs that are not known here are held as well. All instances losing power while the store takes nothing is not covered by this; the store must never get there.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -26,6 +26,7 @@
 pub mod claim;
 pub mod dispatch;
 pub mod effect;
+pub mod ending;
 pub mod event;
 pub mod fleet;
 pub mod id;
--- /dev/null
+++ b/crates/hollywell/src/entry/ends.rs
@@ -0,0 +1,249 @@
+//! Ends that are not in the store yet: what [`crate::core::ending`] decides
+//! is carried out here, and peers' word is taken in.
+//!
+//! Peers speak HTTP/1.1 with a protocol buffer as the body: one call, rarely
+//! used, over the connections that exist anyway. gRPC, which the project
+//! uses between `serve` instances, would bring a second server into a process
+//! whose memory is priced.
+
+use std::{collections::BTreeSet, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use prost::Message as _;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    core::{
+        batch,
+        ending::{Effect, Event},
+        room::Use,
+    },
+    entry::{
+        jobs::Reply,
+        shared::{JOBS, Shared},
+        store::{Append, Fault, Part},
+    },
+};
+
+/// The path on which peers tell of ends.
+const PATH: &str = "/ends";
+/// Most bytes of a peer's word: some hundred ids.
+const WORD_BYTES: usize = 1 << 20;
+/// Time that telling a peer may take. It is told again where it did not
+/// confirm.
+const TELL: Duration = Duration::from_millis(600);
+/// How long a peer's connection may be idle.
+const IDLE: Duration = Duration::from_secs(15);
+/// How long to wait for an end whose append got no answer to be read.
+const LOOK_FOR: Duration = Duration::from_millis(2_500);
+/// Pause between looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Time between ticks of the reducer while an end is held.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What one peer tells another.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Word {
+    /// Who tells.
+    #[prost(string, tag = "1")]
+    by: String,
+    /// Jobs whose ends were asked for.
+    #[prost(string, repeated, tag = "2")]
+    jobs: Vec<String>,
+}
+
+/// Takes an event in and carries its effects out.
+pub fn tell(shared: &Rc<Shared>, event: &Event) {
+    let now = shared.now();
+    let effects = shared.world.borrow_mut().ending.step(now, event);
+    for effect in effects {
+        match effect {
+            Effect::Close(job) => {
+                log::info!("end of job {job} is held: nothing more of it runs here");
+                shared.close(&job);
+            }
+            Effect::Append(job) => {
+                tokio::task::spawn_local(append(shared.clone(), job));
+            }
+            Effect::Tell { member, jobs } => {
+                tokio::task::spawn_local(tell_peer(shared.clone(), member, jobs));
+            }
+        }
+    }
+}
+
+/// Ends a job for a caller: it stops at once, whatever the store does. The
+/// answer is [`Reply::Done`] only once the store has the end.
+pub async fn ask(shared: &Rc<Shared>, job: &str, known: bool) -> Reply {
+    tell(shared, &Event::Asked { job: job.to_owned(), known });
+    if !known {
+        return Reply::Unknown;
+    }
+    let until = Instant::now() + LOOK_FOR;
+    loop {
+        match progress(shared, job) {
+            Progress::Done => return Reply::Done,
+            // It goes on being tried; the caller is not kept for that.
+            Progress::Refused => return Reply::Unknown,
+            Progress::Open if Instant::now() >= until => return Reply::Unknown,
+            Progress::Open => sleep(LOOK_PAUSE).await,
+        }
+    }
+}
+
+enum Progress {
+    Done,
+    Refused,
+    Open,
+}
+
+fn progress(shared: &Shared, job: &str) -> Progress {
+    let part = shared.part_of(job);
+    let world = shared.world.borrow();
+    let ended = world.shelves[part].book.jobs.get(job).is_none_or(|job| job.ended);
+    if ended || world.ending.is_stored(job) {
+        return Progress::Done;
+    }
+    if world.ending.is_refused(job) { Progress::Refused } else { Progress::Open }
+}
+
+async fn append(shared: Rc<Shared>, job: String) {
+    let part = Part::at(JOBS, shared.part_of(&job));
+    let (key, value) = batch::end_record(&job);
+    let records = vec![(Some(key), value)];
+    let append = Append { part, records, expected_end: None, purpose: Use::End };
+    let event = match shared.append(append).await {
+        Ok(_) => {
+            log::info!("end of job {job} accepted");
+            Event::Stored(job)
+        }
+        Err(fault) => {
+            log::info!("end of job {job} is kept for another append: {fault}");
+            let refused = fault.is_not_done() || matches!(fault, Fault::Malformed(_));
+            Event::Failed { job, refused }
+        }
+    };
+    tell(&shared, &event);
+}
+
+/// A peer's address, which its name carries: `NAME@ADDRESS/RUN`.
+fn address(member: &str) -> Option<SocketAddr> {
+    let (_, rest) = member.split_once('@')?;
+    rest.rsplit_once('/')?.0.parse().ok()
+}
+
+async fn tell_peer(shared: Rc<Shared>, member: String, jobs: Vec<String>) {
+    let Some(address) = address(&member) else {
+        log::warn!("instance {member} has no address in its name");
+        return;
+    };
+    let word = Word { by: shared.me.clone(), jobs };
+    let request = Request::post(PATH)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::from(word.encode_to_vec())));
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!("telling {member} of ends: {error}");
+            return;
+        }
+    };
+    let answer = match shared.pool.send(address, request, TELL).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::info!("telling {member} of {} ends: {error}", word.jobs.len());
+            return;
+        }
+    };
+    let taken = answer.head.status == StatusCode::OK;
+    // Read to its end, so that the connection can be kept.
+    let read = answer.whole(WORD_BYTES, TELL).await;
+    if taken && read.is_ok() {
+        tell(&shared, &Event::Confirmed { member, jobs: word.jobs });
+    }
+}
+
+/// Lets time pass for the ends that are held.
+pub async fn watch(shared: Rc<Shared>) {
+    loop {
+        sleep(TICK).await;
+        let (members, known) = {
+            let world = shared.world.borrow();
+            let known: BTreeSet<String> = world
+                .ending
+                .jobs()
+                .filter(|job| world.shelves[shared.part_of(job)].book.jobs.contains_key(*job))
+                .map(str::to_owned)
+                .collect();
+            if world.ending.jobs().next().is_none() {
+                continue;
+            }
+            (world.roster.members().to_vec(), known)
+        };
+        tell(&shared, &Event::Tick { members, known });
+    }
+}
+
+/// Takes in what peers tell.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("accepting a peer's connection: {error}");
+                sleep(TICK).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(hear(&shared, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("a peer's connection ended: {error}");
+    }
+}
+
+async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let answer = |status| {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = status;
+        response
+    };
+    if request.method() != Method::POST || request.uri().path() != PATH {
+        return answer(StatusCode::NOT_FOUND);
+    }
+    let body = match Limited::new(request.into_body(), WORD_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!("a peer's word was cut short: {error}");
+            return answer(StatusCode::BAD_REQUEST);
+        }
+    };
+    match Word::decode(body) {
+        Ok(Word { by, jobs }) => {
+            log::info!("{by} tells of ends of {}", jobs.join(" "));
+            tell(shared, &Event::Told { by, jobs });
+            answer(StatusCode::OK)
+        }
+        Err(error) => {
+            log::warn!("a peer's word cannot be read: {error}");
+            answer(StatusCode::BAD_REQUEST)
+        }
+    }
+}
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -18,6 +18,7 @@
     },
     entry::{
         dialect::{Delivered, Results},
+        ends,
         forward::{self, Plain, Verdict},
         news::{self, News},
         samples,
@@ -104,8 +105,7 @@
         return Reply::Malformed(format!("{} bytes of a job's head exceed {most}", value.len()));
     }
     let what = format!("job {job} of {} samples", decoded.samples.len());
-    let kept =
-        keep(shared, part, Use::Head, (key, value), &what, |shared| known(shared, part, job)).await;
+    let kept = keep(shared, part, (key, value), &what, |shared| known(shared, part, job)).await;
     if kept == Reply::Done {
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
@@ -115,17 +115,17 @@
     kept
 }
 
-/// Appends one record; where no answer comes, looks whether it is there.
+/// Appends a job's head; where no answer comes, looks whether it is there.
 async fn keep(
     shared: &Rc<Shared>,
     part: usize,
-    purpose: Use,
     (key, value): (String, Bytes),
     what: &str,
     there: impl Fn(&Shared) -> bool,
 ) -> Reply {
     let records = vec![(Some(key), value)];
-    let append = Append { part: Part::at(JOBS, part), records, expected_end: None, purpose };
+    let (at, purpose) = (Part::at(JOBS, part), Use::Head);
+    let append = Append { part: at, records, expected_end: None, purpose };
     match shared.append(append).await {
         Ok(_) => {
             log::info!("{what} accepted");
@@ -323,26 +323,23 @@
     }
 }
 
-/// Ends a job.
+/// Ends a job. It stops at once and at all instances, whatever the store
+/// does ([`ends`]).
 pub async fn end(shared: &Rc<Shared>, job: &str) -> Reply {
-    let part = shared.part_of(job);
-    if !known(shared, part, job) && !catch_up(shared, part).await {
-        return Reply::Unsure;
+    if !batch::is_id(job) {
+        return Reply::Missing;
     }
-    let ended = |shared: &Shared| {
+    let part = shared.part_of(job);
+    let current = known(shared, part, job) || catch_up(shared, part).await;
+    let ended = {
         let world = shared.world.borrow();
         world.shelves[part].book.jobs.get(job).map(|job| job.ended)
     };
-    match ended(shared) {
-        None => return Reply::Missing,
-        Some(true) => return Reply::Done,
-        Some(false) => {}
+    match ended {
+        None if current => Reply::Missing,
+        Some(true) => Reply::Done,
+        known => ends::ask(shared, job, known.is_some()).await,
     }
-    let what = format!("end of job {job}");
-    keep(shared, part, Use::End, batch::end_record(job), &what, |shared| {
-        ended(shared) == Some(true)
-    })
-    .await
 }
 
 /// Sends a finished sample's scoring request until it is scored or has
@@ -354,7 +351,8 @@
         let wanted = {
             let world = shared.world.borrow();
             let job = world.shelves[part].book.jobs.get(&slot.job);
-            job.is_some_and(|job| !job.ended && !job.done[slot.at])
+            let open = job.is_some_and(|job| !job.ended && !job.done[slot.at]);
+            open && !world.ending.holds(&slot.job)
         };
         if !wanted {
             return;
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod carry;
 pub mod clean;
 pub mod dialect;
+pub mod ends;
 pub mod exchange;
 pub mod follow;
 pub mod forward;
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -233,7 +233,8 @@
             continue;
         }
         let job = world.shelves[part].book.jobs.get(&slot.job);
-        let Some(job) = job.filter(|job| !job.ended && !job.done[slot.at]) else {
+        let open = |job: &&batch::Job| !job.ended && !job.done[slot.at];
+        let Some(job) = job.filter(open).filter(|_| !world.ending.holds(&slot.job)) else {
             continue;
         };
         let size = text.data.len() + OVERHEAD_BYTES;
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -19,10 +19,11 @@
 
 use crate::{
     control::Clock,
-    core::{choice::Sights, dispatch, fleet::Fleet, roster::Roster},
+    core::{choice::Sights, dispatch, ending, fleet::Fleet, roster::Roster},
     entry::{
         clean,
         dialect::Dialect,
+        ends,
         exchange::Pool,
         follow, ingress, member,
         meters::Meters,
@@ -86,6 +87,7 @@
         fleet: Fleet::default(),
         sights: Sights::default(),
         dispatch: dispatch::State::new(&me),
+        ending: ending::State::new(&me),
         shelves: (0..parts).map(|_| Shelf::default()).collect(),
         models: crate::core::roll::Models::default(),
         texts: std::collections::HashMap::new(),
@@ -129,6 +131,7 @@
     let front = TcpListener::bind(settings.listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
     let metrics = TcpListener::bind(settings.metrics_listen).await?;
+    let peers = TcpListener::bind(settings.peer_listen).await?;
     log::info!("{} listens on {}, settings {}", shared.me, settings.listen, path.display());
     let open = Rc::new(ingress::Open::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
@@ -142,6 +145,8 @@
     spawn(Box::pin(member::watch(shared.clone())));
     spawn(Box::pin(orders::serve(shared.clone())));
     spawn(Box::pin(clean::serve(shared.clone())));
+    spawn(Box::pin(ends::serve(shared.clone(), peers)));
+    spawn(Box::pin(ends::watch(shared.clone())));
     spawn(Box::pin(reload::serve(shared.clone(), path.to_owned())));
     spawn(Box::pin(tick(shared.clone())));
     spawn(Box::pin(save(shared.clone())));
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -19,6 +19,7 @@
         batch::{self, Book, Bundle, Change, Record},
         choice::Sights,
         dispatch::{self, Effect, Event, Run, Slot, Work},
+        ending,
         fleet::Fleet,
         plan::{Plan, Repeat},
         roll::Models,
@@ -28,6 +29,7 @@
     entry::{
         carry,
         dialect::Dialect,
+        ends,
         exchange::Pool,
         jobs,
         meters::Meters,
@@ -80,6 +82,8 @@
     pub sights: Sights,
     /// What runs where.
     pub dispatch: dispatch::State,
+    /// Ends that are not in the store yet.
+    pub ending: ending::State,
     /// Batch jobs, by partition.
     pub shelves: Vec<Shelf>,
     /// Newest weights of each model, and how much of it is asked for.
@@ -272,16 +276,22 @@
             Change::Listed(job, at) => self.tell(&Event::Listed(Slot { job, at })),
             Change::Grown(job, at) => self.grown(part, Slot { job, at }),
             Change::Ended(job) | Change::Dropped(job) => {
-                {
-                    let mut world = self.world.borrow_mut();
-                    world.unopened.retain(|other| *other != job);
-                    world.bundles.retain(|(other, _), _| *other != job);
-                }
-                self.tell(&Event::Closed(job));
+                self.close(&job);
+                ends::tell(self, &ending::Event::Settled(job));
             }
         }
     }
 
+    /// Runs nothing more of a job, and forgets what only its runs need.
+    pub fn close(self: &Rc<Shared>, job: &str) {
+        {
+            let mut world = self.world.borrow_mut();
+            world.unopened.retain(|other| other != job);
+            world.bundles.retain(|(other, _), _| other != job);
+        }
+        self.tell(&Event::Closed(job.to_owned()));
+    }
+
     /// Tells the reducer how far a sample's kept text goes, where that is
     /// further than this instance's own.
     fn grown(self: &Rc<Shared>, part: usize, slot: Slot) {
@@ -331,7 +341,7 @@
             let Some(job) = world.shelves[part].book.jobs.get(&id) else {
                 return;
             };
-            if job.ended || job.is_whole() {
+            if job.ended || job.is_whole() || world.ending.holds(&id) {
                 return;
             }
             let plan = world.plan.clone();
