The store never fills: drops as soon as nothing needs a record, trimmed logs, jobs by room

Change: - core::batch::Spare: which records of a job nothing needs any more (requests of listed groups, unfinished texts of listed samples, results that came second, jobs that are over by this instance's own clock); entry::clean drops them each second, and appends that nothing names. - core::room: what each append is for decides how full the store may be for it; ends and drops are never kept back. A reader that slept through a trim begins anew and drops what is gone. - core::batch split: records, the fold, what is spare.

--- a/crates/hollywell/src/core/batch.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -9,14 +9,23 @@
 //! costs a call at each change of owner and an owner's results would be lost
 //! with its epoch.)
 //!
+//! This module spells the records; `book` folds them, `spare` says which of
+//! them nothing needs any more.
+//!
 //! What it leaves out: who runs what ([`crate::core::dispatch`]) and the
 //! store itself.
 
-use std::{collections::HashMap, fmt, rc::Rc};
+mod book;
+mod spare;
+
+use std::collections::HashMap;
 
 use bytes::Bytes;
 use prost::Message as _;
 
+pub use book::{Book, Change, Job, Listed, Skip, Written};
+pub use spare::{Keys, Spare, Terms};
+
 /// A request that scores a finished sample.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Scorer {
@@ -124,6 +133,12 @@
         TextRef { part, offset, key, len: u32::try_from(text.len()).unwrap_or(u32::MAX) }
     }
 
+    /// Bytes that it takes in the store, with what is added to each record.
+    #[must_use]
+    pub fn stored(&self, overhead: u64) -> u64 {
+        u64::from(self.len) + self.key.len() as u64 + overhead
+    }
+
     /// Its length, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
@@ -310,12 +325,6 @@
     format!("{job}{SEPARATOR}p{SEPARATOR}{sample}")
 }
 
-/// The record that drops a sample's unfinished text.
-#[must_use]
-pub fn no_partial_record(job: &str, sample: &str) -> (String, Bytes) {
-    (partial_key(job, sample), Bytes::new())
-}
-
 /// The record of a result. `writer` tells incarnations of instances apart.
 #[must_use]
 pub fn outcome_record(job: &str, writer: &str, outcome: &Outcome) -> (String, Bytes) {
@@ -363,241 +372,3 @@
 pub fn end_record(job: &str) -> (String, Bytes) {
     (format!("{job}{SEPARATOR}e"), Bytes::from_static(b"1"))
 }
-
-/// One result at its position.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    /// Offset of its record.
-    pub offset: u64,
-    /// The record's key.
-    pub key: String,
-    /// The record's value, an [`Outcome`].
-    pub value: Bytes,
-}
-
-/// One job.
-#[derive(Debug)]
-pub struct Job {
-    /// Its head.
-    pub head: Rc<Head>,
-    /// Position of each sample in the submission, by id.
-    pub index: HashMap<String, usize>,
-    /// Which samples are listed.
-    pub done: Vec<bool>,
-    /// Results in their order.
-    pub listed: Vec<Listed>,
-    /// How many samples of each group are not listed.
-    unlisted: HashMap<String, usize>,
-    /// How many results there were each time that a group became whole.
-    whole_at: Vec<usize>,
-    /// Newest [`Partial`] of samples that are not listed. They outlive the
-    /// job's end for a while: a later step may ask for the same samples.
-    pub partials: HashMap<usize, Partial>,
-    /// It was ended by its trainer.
-    pub ended: bool,
-}
-
-/// What a record changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// A job can be run.
-    Opened(String),
-    /// A sample of a job is listed.
-    Listed(String, usize),
-    /// More of a sample's text is kept than before.
-    Grown(String, usize),
-    /// A job was ended.
-    Ended(String),
-    /// A job's records were dropped.
-    Dropped(String),
-    /// A record that came before its job's submission makes no sense.
-    Skipped(Skip),
-}
-
-/// A record that cannot be folded; it is skipped.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Skip {
-    /// The record's key.
-    pub key: String,
-    /// What is wrong with it.
-    pub why: String,
-}
-
-impl fmt::Display for Skip {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "record {:?} skipped: {}", self.key, self.why)
-    }
-}
-
-/// All jobs of one partition.
-#[derive(Default)]
-pub struct Book {
-    /// By id.
-    pub jobs: HashMap<String, Job>,
-    /// Results, texts and ends that were read before their job.
-    waiting: HashMap<String, Vec<Record>>,
-}
-
-impl fmt::Debug for Book {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Book").field("jobs", &self.jobs.len()).finish_non_exhaustive()
-    }
-}
-
-impl Book {
-    /// Folds a record. Records must come in the order of their offsets; a
-    /// head may come again.
-    ///
-    /// # Errors
-    ///
-    /// [`Skip`] if the record cannot be understood.
-    pub fn apply(&mut self, record: &Record) -> Result<Vec<Change>, Skip> {
-        let skip = |why: &str| Skip { key: record.key.clone(), why: why.to_owned() };
-        let mut parts = record.key.splitn(4, SEPARATOR);
-        let job = parts.next().unwrap_or_default();
-        let Some(kind) = parts.next() else {
-            return Err(skip("a key has at least two parts"));
-        };
-        let Some(value) = &record.value else {
-            if kind == "s" {
-                self.waiting.remove(job);
-                let known = self.jobs.remove(job).is_some();
-                return Ok(if known { vec![Change::Dropped(job.to_owned())] } else { vec![] });
-            }
-            return Ok(vec![]);
-        };
-        if kind == "s" {
-            return self.open(job, value).map_err(|why| skip(&why));
-        }
-        let Some(entry) = self.jobs.get_mut(job) else {
-            self.waiting.entry(job.to_owned()).or_default().push(record.clone());
-            return Ok(vec![]);
-        };
-        match kind {
-            "e" => {
-                let first = !std::mem::replace(&mut entry.ended, true);
-                Ok(if first { vec![Change::Ended(job.to_owned())] } else { vec![] })
-            }
-            "r" => {
-                let sample = parts.nth(1).unwrap_or_default();
-                let Some(&index) = entry.index.get(sample) else {
-                    return Err(skip("no such sample"));
-                };
-                if std::mem::replace(&mut entry.done[index], true) {
-                    return Ok(vec![]);
-                }
-                entry.partials.remove(&index);
-                let (offset, key) = (record.offset, record.key.clone());
-                entry.listed.push(Listed { offset, key, value: value.clone() });
-                entry.count(index);
-                Ok(vec![Change::Listed(job.to_owned(), index)])
-            }
-            "p" => {
-                let sample = parts.next().unwrap_or_default();
-                let Some(&index) = entry.index.get(sample) else {
-                    return Err(skip("no such sample"));
-                };
-                if entry.done[index] || entry.ended {
-                    return Ok(vec![]);
-                }
-                let partial = Partial::decode(value.clone());
-                let partial = partial.map_err(|error| skip(&error.to_string()))?;
-                entry.partials.insert(index, partial);
-                Ok(vec![Change::Grown(job.to_owned(), index)])
-            }
-            _ => Err(skip("unknown kind of record")),
-        }
-    }
-
-    fn open(&mut self, job: &str, value: &Bytes) -> Result<Vec<Change>, String> {
-        if self.jobs.contains_key(job) {
-            return Ok(vec![]);
-        }
-        let head = Head::decode(value.clone()).map_err(|error| error.to_string())?;
-        let index: HashMap<String, usize> =
-            head.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
-        let done = vec![false; head.samples.len()];
-        let mut unlisted = HashMap::new();
-        for sample in &head.samples {
-            *unlisted.entry(sample.group.clone()).or_insert(0) += 1;
-        }
-        let entry = Job {
-            head: Rc::new(head),
-            index,
-            done,
-            listed: vec![],
-            unlisted,
-            whole_at: vec![],
-            partials: HashMap::new(),
-            ended: false,
-        };
-        self.jobs.insert(job.to_owned(), entry);
-        let mut changes = vec![Change::Opened(job.to_owned())];
-        for record in self.waiting.remove(job).unwrap_or_default() {
-            match self.apply(&record) {
-                Ok(more) => changes.extend(more),
-                Err(skip) => changes.push(Change::Skipped(skip)),
-            }
-        }
-        Ok(changes)
-    }
-}
-
-impl Job {
-    /// The keys of all records of a job: in its own partition, and in the
-    /// partition of texts with the same number. A result that came second
-    /// has a key that nobody remembers; it lies until its topic is emptied.
-    #[must_use]
-    pub fn keys(&self, id: &str) -> (Vec<String>, Vec<String>) {
-        let mut own = vec![head_record(id, &Head::default()).0, end_record(id).0];
-        let mut texts: Vec<String> = self.head.bundles.iter().map(|at| at.key.clone()).collect();
-        for sample in &self.head.samples {
-            own.push(no_partial_record(id, &sample.id).0);
-            texts.push(partial_text_key(id, &sample.id));
-        }
-        for listed in &self.listed {
-            own.push(listed.key.clone());
-            let outcome = Outcome::decode(listed.value.clone()).ok();
-            texts.extend(outcome.and_then(|outcome| outcome.text).map(|text| text.key));
-        }
-        (own, texts)
-    }
-
-    /// Counts a sample that was just listed. One without a group is a group
-    /// of its own.
-    fn count(&mut self, index: usize) {
-        let group = &self.head.samples[index].group;
-        let whole = match self.unlisted.get_mut(group) {
-            Some(left) if !group.is_empty() => {
-                *left = left.saturating_sub(1);
-                *left == 0
-            }
-            _ => true,
-        };
-        if whole {
-            self.whole_at.push(self.listed.len());
-        }
-    }
-
-    /// Whether results from a position on are worth an answer to whoever
-    /// waits for whole groups: they complete half of the groups, of those
-    /// that the trainer waits for, that were missing before; or they are all
-    /// that is to come.
-    #[must_use]
-    pub fn is_worth_reading(&self, after: usize) -> bool {
-        let whole = self.whole_at.len();
-        let before = self.whole_at.partition_point(|len| *len <= after);
-        let wanted = match usize::try_from(self.head.groups_wanted).unwrap_or(usize::MAX) {
-            0 => self.unlisted.len(),
-            wanted => wanted,
-        };
-        let missing = wanted.saturating_sub(before).max(1);
-        self.is_whole() || whole - before >= missing.div_ceil(2)
-    }
-
-    /// Whether every sample is listed.
-    #[must_use]
-    pub fn is_whole(&self) -> bool {
-        self.listed.len() == self.done.len()
-    }
-}
--- /dev/null
+++ b/crates/hollywell/src/core/batch/spare.rs
@@ -0,0 +1,179 @@
+//! Which records of a job nothing needs any more.
+//!
+//! The store keeps keyed records for good and its room is fixed, so each kind
+//! of record is dropped as soon as no promise rests on it:
+//!
+//! | record | needed until |
+//! |---|---|
+//! | requests of a group | all its samples are listed, or the job is ended |
+//! | unfinished text, and the note of it | the sample is listed; after the job's end for [`CARRY_MS`] more, as a later step may go on with it |
+//! | a result that came second, and its text | never |
+//! | all else | the job is ended, and was submitted [`Terms::status_ms`] ago |
+//!
+//! All of it follows from the fold, so any instance can drop; who does is
+//! decided elsewhere. A key that is dropped twice does no harm.
+
+use std::collections::BTreeMap;
+
+use prost::Message as _;
+
+use super::{
+    CLOCKS_APART_MS, Head, Job, Outcome, end_record, head_record, partial_key, partial_text_key,
+};
+use crate::core::time::Time;
+
+/// How long unfinished texts outlive their job's end, in milliseconds:
+/// trainers ask again within seconds or not at all, and what is gone by then
+/// is generated anew.
+const CARRY_MS: u64 = 15_000;
+
+/// What was promised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Results are kept for so long after the submission, in milliseconds.
+    pub status_ms: u64,
+}
+
+/// Keys of records, by where they lie.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Keys {
+    /// In the partition of jobs.
+    pub jobs: Vec<String>,
+    /// In the partition of texts with the same number.
+    pub texts: Vec<String>,
+}
+
+impl Keys {
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.texts.is_empty()
+    }
+}
+
+/// What one instance knows of what was dropped of a job.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::{
+///     batch::{Book, Head, Record, Spare, Terms, end_record, head_record},
+///     time::Time,
+/// };
+///
+/// let mut book = Book::default();
+/// let records = [head_record("j", &Head::default()), end_record("j")];
+/// for (offset, (key, value)) in (0..).zip(records) {
+///     book.apply(&Record { offset, key, value: Some(value) })?;
+/// }
+/// let (job, terms) = (&book.jobs["j"], Terms { status_ms: 120_000 });
+/// let spare = Spare::new(Time(0));
+/// assert!(!spare.is_over(job, Time(119_000), 119_000, terms));
+/// // By this instance's own clock, whatever the time of day is said to be.
+/// assert!(spare.is_over(job, Time(120_001), 0, terms));
+/// # Ok::<(), hollywell::core::batch::Skip>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spare {
+    /// When the job was first seen here.
+    since: Time,
+    /// When its end was first seen here.
+    ended_at: Option<Time>,
+    /// Bundles whose requests were dropped.
+    requests: Vec<bool>,
+    /// Notes of unfinished texts that had come when they were dropped, by
+    /// sample.
+    unfinished: BTreeMap<usize, u32>,
+    /// How many of the results that came second were dropped.
+    seconds: usize,
+}
+
+impl Spare {
+    /// Of a job that is first seen now.
+    #[must_use]
+    pub fn new(now: Time) -> Spare {
+        Spare { since: now, ..Spare::default() }
+    }
+
+    /// Notes what is to be seen of a job now.
+    pub fn look(&mut self, job: &Job, now: Time) {
+        if job.ended {
+            self.ended_at.get_or_insert(now);
+        }
+    }
+
+    /// Whether nothing of a job is needed any more. `wall_ms` is the time of
+    /// day; whoever saw the job's submission needs none, and others allow for
+    /// clocks that are apart.
+    #[must_use]
+    pub fn is_over(&self, job: &Job, now: Time, wall_ms: u64, terms: Terms) -> bool {
+        let told_ms = wall_ms.saturating_sub(job.head.at_ms);
+        let by_clock = told_ms > terms.status_ms.saturating_add(CLOCKS_APART_MS);
+        let by_sight = now.since(self.since) > terms.status_ms;
+        job.ended && (by_clock || by_sight)
+    }
+
+    /// Keys of a job that nothing needs and that were not dropped yet, and
+    /// what is known once they are.
+    #[must_use]
+    pub fn next(&self, id: &str, job: &Job, now: Time) -> (Keys, Spare) {
+        let (mut keys, mut after) = (Keys::default(), self.clone());
+        after.take_requests(job, &mut keys);
+        after.take_unfinished(id, job, now, &mut keys);
+        for (key, text) in job.seconds.iter().skip(self.seconds) {
+            keys.jobs.push(key.clone());
+            keys.texts.extend(text.clone());
+        }
+        after.seconds = job.seconds.len();
+        (keys, after)
+    }
+
+    fn take_requests(&mut self, job: &Job, keys: &mut Keys) {
+        self.requests.resize(job.head.bundles.len(), false);
+        let needed = job.needed_bundles();
+        for (at, bundle) in job.head.bundles.iter().enumerate() {
+            if !needed[at] && !std::mem::replace(&mut self.requests[at], true) {
+                keys.texts.push(bundle.key.clone());
+            }
+        }
+    }
+
+    fn take_unfinished(&mut self, id: &str, job: &Job, now: Time, keys: &mut Keys) {
+        let old = self.ended_at.is_some_and(|at| now.since(at) > CARRY_MS);
+        for (at, notes) in &job.notes {
+            let dropped = self.unfinished.get(at).copied().unwrap_or(0);
+            if dropped < *notes && (job.done[*at] || old) {
+                self.unfinished.insert(*at, *notes);
+                let sample = &job.head.samples[*at].id;
+                keys.jobs.push(partial_key(id, sample));
+                keys.texts.push(partial_text_key(id, sample));
+            }
+        }
+    }
+}
+
+impl Job {
+    /// The keys of all records of a job, the head's last: as long as that is
+    /// there, what is left can be found.
+    #[must_use]
+    pub fn keys(&self, id: &str) -> Keys {
+        let mut keys = Keys::default();
+        keys.texts.extend(self.head.bundles.iter().map(|bundle| bundle.key.clone()));
+        for sample in &self.head.samples {
+            keys.jobs.push(partial_key(id, &sample.id));
+            keys.texts.push(partial_text_key(id, &sample.id));
+        }
+        for listed in &self.listed {
+            keys.jobs.push(listed.key.clone());
+            let outcome = Outcome::decode(listed.value.clone()).ok();
+            keys.texts.extend(outcome.and_then(|outcome| outcome.text).map(|text| text.key));
+        }
+        for (key, text) in &self.seconds {
+            keys.jobs.push(key.clone());
+            keys.texts.extend(text.clone());
+        }
+        keys.jobs.push(end_record(id).0);
+        keys.jobs.push(head_record(id, &Head::default()).0);
+        keys
+    }
+}
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -1,67 +1,167 @@
-//! Drops the records of jobs that nobody may ask for any more. Keyed records
-//! are kept for good by the store, and its room is small.
+//! Drops records that nothing needs any more. Keyed records are kept for good
+//! by the store, and its room is small; what may be dropped is decided in
+//! [`crate::core::batch::Spare`].
+//!
+//! Each job's records are dropped by one instance, the one that its id hashes
+//! to. An instance that takes over drops some again, which does no harm.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::sleep;
 
 use crate::{
-    core::{batch::CLOCKS_APART_MS, dispatch::owner, room::Use},
+    core::{
+        batch::{Keys, Spare, Terms},
+        dispatch::owner,
+        room::Use,
+        time::Time,
+    },
     entry::{
         shared::{JOBS, Shared, TEXTS, wall_ms},
         store::{Append, Fault, Part},
     },
 };
 
-/// Time between looks for jobs to drop.
+/// Time between looks.
 const LOOK: Duration = Duration::from_secs(1);
 /// Records that one call drops.
 const AT_ONCE: usize = 1_000;
+/// How long an append without an answer may still be done, in milliseconds;
+/// the platform says seconds.
+const LATE_MS: u64 = 30_000;
+
+/// Records that were appended, or may have been, and that nothing names.
+#[derive(Debug, Default)]
+pub struct Orphans(RefCell<Vec<Orphan>>);
+
+#[derive(Clone, Debug)]
+struct Orphan {
+    part: usize,
+    key: String,
+    /// Not to be dropped before.
+    due: Time,
+    /// Needed after all if this job names it in its head.
+    job: Option<String>,
+}
+
+impl Orphans {
+    /// Adds texts whose append got no answer; they are appended again under
+    /// other keys.
+    pub fn texts(&self, now: Time, part: usize, keys: impl IntoIterator<Item = String>) {
+        let due = now.after(LATE_MS);
+        let orphan = |key| Orphan { part, key, due, job: None };
+        self.0.borrow_mut().extend(keys.into_iter().map(orphan));
+    }
+
+    /// Adds the requests of a job that was not accepted, as far as is known.
+    pub fn requests(
+        &self,
+        now: Time,
+        part: usize,
+        job: &str,
+        keys: impl IntoIterator<Item = String>,
+    ) {
+        let due = now.after(LATE_MS);
+        let orphan = |key| Orphan { part, key, due, job: Some(job.to_owned()) };
+        self.0.borrow_mut().extend(keys.into_iter().map(orphan));
+    }
+}
+
+/// What one look found to be dropped in one partition.
+#[derive(Default)]
+struct Due {
+    keys: Keys,
+    /// What is known of jobs once it is dropped.
+    after: Vec<(String, Spare)>,
+    over: Vec<String>,
+    orphans: Vec<String>,
+}
 
-/// Drops this instance's share of old jobs until it stops.
+/// Drops this instance's share of what is not needed until it stops.
 pub async fn serve(shared: Rc<Shared>) {
+    let mut spares: HashMap<String, Spare> = HashMap::new();
     loop {
         sleep(LOOK).await;
-        for (part, job) in old(&shared) {
-            match drop_job(&shared, part, &job).await {
-                Ok(()) => log::info!("job {job} dropped"),
-                Err(fault) => log::info!("job {job} is not dropped yet: {fault}"),
+        look(&shared, &mut spares);
+        for part in 0..shared.listed.len() {
+            let due = due(&shared, part, &spares);
+            if due.keys.is_empty() {
+                continue;
+            }
+            match drop_keys(&shared, part, &due.keys).await {
+                Ok(()) => done(&shared, part, due, &mut spares),
+                Err(fault) => {
+                    let count = due.keys.jobs.len() + due.keys.texts.len();
+                    log::info!("{count} records of partition {part} are not dropped yet: {fault}");
+                }
             }
         }
     }
 }
 
-/// Ended jobs that need not be kept any more and fall to this instance.
-fn old(shared: &Shared) -> Vec<(usize, String)> {
+/// Takes over what is to be seen of the jobs.
+fn look(shared: &Shared, spares: &mut HashMap<String, Spare>) {
+    let now = shared.now();
+    let world = shared.world.borrow();
+    let jobs = || world.shelves.iter().flat_map(|shelf| &shelf.book.jobs);
+    for (id, job) in jobs() {
+        spares.entry(id.clone()).or_insert_with(|| Spare::new(now)).look(job, now);
+    }
+    spares.retain(|id, _| world.shelves.iter().any(|shelf| shelf.book.jobs.contains_key(id)));
+}
+
+/// Records of a partition that nothing needs and that fall to this instance.
+fn due(shared: &Shared, part: usize, spares: &HashMap<String, Spare>) -> Due {
     let status_ms = u64::try_from(shared.settings.times.status.as_millis()).unwrap_or(u64::MAX);
-    let now_ms = wall_ms();
+    let (now, wall_ms, terms) = (shared.now(), wall_ms(), Terms { status_ms });
     let world = shared.world.borrow();
-    let mut old = Vec::new();
-    for (part, shelf) in world.shelves.iter().enumerate() {
-        for (id, job) in &shelf.book.jobs {
-            let age_ms = now_ms.saturating_sub(job.head.at_ms);
-            let mine = owner(world.roster.members(), id, "") == Some(shared.me.as_str());
-            if mine && job.ended && age_ms > status_ms.saturating_add(CLOCKS_APART_MS) {
-                old.push((part, id.clone()));
+    let mut due = Due::default();
+    let book = &world.shelves[part].book;
+    for (id, job) in &book.jobs {
+        let mine = owner(world.roster.members(), id, "") == Some(shared.me.as_str());
+        let Some(spare) = spares.get(id).filter(|_| mine) else {
+            continue;
+        };
+        let keys = if spare.is_over(job, now, wall_ms, terms) {
+            due.over.push(id.clone());
+            job.keys(id)
+        } else {
+            let (keys, after) = spare.next(id, job, now);
+            due.after.push((id.clone(), after));
+            keys
+        };
+        due.keys.jobs.extend(keys.jobs);
+        due.keys.texts.extend(keys.texts);
+    }
+    for orphan in shared.orphans.0.borrow().iter() {
+        let named = orphan
+            .job
+            .as_ref()
+            .and_then(|job| book.jobs.get(job))
+            .is_some_and(|job| job.head.bundles.iter().any(|bundle| bundle.key == orphan.key));
+        if orphan.part == part && now >= orphan.due {
+            due.orphans.push(orphan.key.clone());
+            if !named {
+                due.keys.texts.push(orphan.key.clone());
             }
         }
     }
-    old
+    due
+}
+
+fn done(shared: &Shared, part: usize, due: Due, spares: &mut HashMap<String, Spare>) {
+    spares.extend(due.after);
+    let mut orphans = shared.orphans.0.borrow_mut();
+    orphans.retain(|orphan| orphan.part != part || !due.orphans.contains(&orphan.key));
+    for id in due.over {
+        log::info!("job {id} dropped");
+    }
 }
 
-/// Drops a job's texts, then its results, and its head last: as long as that
-/// is there, the next look goes on with what is left.
-async fn drop_job(shared: &Rc<Shared>, part: usize, id: &str) -> Result<(), Fault> {
-    let keys = {
-        let world = shared.world.borrow();
-        world.shelves[part].book.jobs.get(id).map(|job| job.keys(id))
-    };
-    let Some((mut own, texts)) = keys else {
-        return Ok(());
-    };
-    own.reverse();
-    for (topic, keys) in [(TEXTS, texts), (JOBS, own)] {
+/// Drops texts first: what names them is there until they are gone.
+async fn drop_keys(shared: &Rc<Shared>, part: usize, keys: &Keys) -> Result<(), Fault> {
+    for (topic, keys) in [(TEXTS, &keys.texts), (JOBS, &keys.jobs)] {
         for some in keys.chunks(AT_ONCE) {
             let records = some.iter().map(|key| (Some(key.clone()), Bytes::new())).collect();
             let (part, purpose) = (Part::at(topic, part), Use::Drop);
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -130,6 +130,9 @@
     let sooner = Some(&hurry.accepted[part]);
     follow(shared, Part::at(JOBS, part), pause, sooner, true, move |shared, records, anew| {
         let end = if anew { records.end } else { 0 };
+        if anew {
+            shared.drop_missing(part, &records);
+        }
         shared.absorb(part, &records.records, end);
         let now = shared.now();
         shared.world.borrow_mut().shelves[part].read_at = now;
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -36,6 +36,8 @@
 /// When a refused caller is told to come back: long enough for a load figure
 /// or a reading of the store to be renewed, short against a deadline.
 const COME_BACK: &str = "0.15";
+/// Most by which the time to come back is stretched.
+const COME_BACK_SPREAD: f64 = 1.25;
 /// Deadline of a caller that states none and whose route states none.
 const DEADLINE_MS: u64 = 10_000;
 
@@ -288,6 +290,7 @@
         Reply::Done => Response::new(Full::default()),
         Reply::Found(body) => Response::new(Full::new(body)),
         Reply::NotDone | Reply::Unsure => refuse(shared, Kind::StoreAway),
+        Reply::NoRoom(ms) => come_back(refuse(shared, Kind::StoreFull), ms),
         Reply::Unknown => refuse(shared, Kind::OutcomeUnknown),
         Reply::Missing => refuse(shared, Kind::NoRoute),
         Reply::Malformed(why) => {
@@ -312,6 +315,17 @@
     response
 }
 
+/// Tells a caller when to come back, a little spread, so that those who were
+/// refused together do not return together.
+fn come_back(mut response: Reply200, ms: u64) -> Reply200 {
+    let seconds = ms as f64 / 1_000.0 * rand::random_range(1.0..=COME_BACK_SPREAD);
+    match HeaderValue::from_str(&format!("{seconds:.2}")) {
+        Ok(value) => drop(response.headers_mut().insert(header::RETRY_AFTER, value)),
+        Err(error) => log::error!("{seconds} as a header: {error}"),
+    }
+    response
+}
+
 fn number(headers: &http::HeaderMap, name: &http::HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -21,7 +21,7 @@
         ends,
         forward::{self, Plain, Verdict},
         news::{self, News},
-        samples,
+        room, samples,
         shared::{JOBS, Shared, wall_ms},
         store::{Append, Fault, Part, Read},
         texts,
@@ -39,6 +39,9 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// Time that a scoring request is given, in milliseconds.
 const SCORE_MS: u64 = 800;
+/// When to come back after the store itself had no room, in milliseconds:
+/// records are dropped and logs trimmed each second.
+const FULL_MS: u64 = 2_000;
 /// Pause before a scoring request is sent again.
 const SCORE_PAUSE: Duration = Duration::from_millis(30);
 
@@ -49,6 +52,9 @@
     Done,
     /// It was not done and never will be.
     NotDone,
+    /// It was not done, since the store has no room for it, and never will
+    /// be; when to come back, in milliseconds.
+    NoRoom(u64),
     /// It may be done later.
     Unknown,
     /// There is no such job or sample.
@@ -79,10 +85,14 @@
             batch::MAX_ID
         ));
     }
+    if let Err(come_back_ms) = room::admit(shared, decoded) {
+        return no_room(shared, job, come_back_ms);
+    }
     // The samples first: until the head is there, nothing is kept and nothing
     // runs, whatever became of this append.
     let (samples, bundles) = match samples::put(shared, job, decoded).await {
         Ok(put) => put,
+        Err(Fault::Full) => return no_room(shared, job, FULL_MS),
         Err(fault) => {
             log::info!("job {job} refused, its samples: {fault}");
             return Reply::NotDone;
@@ -115,6 +125,12 @@
     kept
 }
 
+fn no_room(shared: &Shared, job: &str, come_back_ms: u64) -> Reply {
+    log::info!("job {job} refused: no room in the store, come back in {come_back_ms} ms");
+    shared.meters.no_room.inc();
+    Reply::NoRoom(come_back_ms)
+}
+
 /// Appends a job's head; where no answer comes, looks whether it is there.
 async fn keep(
     shared: &Rc<Shared>,
@@ -131,6 +147,7 @@
             log::info!("{what} accepted");
             Reply::Done
         }
+        Err(Fault::Full) => Reply::NoRoom(FULL_MS),
         Err(fault) if fault.is_not_done() => {
             log::info!("{what} refused: {fault}");
             Reply::NotDone
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -26,6 +26,10 @@
     pub stored: IntCounterVec,
     /// Appends that failed, by what for and why.
     pub unstored: IntCounterVec,
+    /// Bytes in the store, as far as is known.
+    pub used: IntGauge,
+    /// Jobs rejected for lack of room in the store.
+    pub no_room: IntGauge,
     /// Connections opened.
     pub connections: IntGauge,
     /// Runs in flight.
@@ -82,6 +86,8 @@
                 "Appends that failed.",
                 &["use", "why"],
             )?,
+            used: gauge("hollywell_entry_store_used_bytes", "Bytes in the store, as known.")?,
+            no_room: gauge("hollywell_entry_jobs_without_room", "Jobs rejected for room.")?,
             connections: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
             in_flight: gauge("hollywell_entry_runs_in_flight", "Runs in flight.")?,
             plan: gauge("hollywell_entry_plan_version", "Configuration in force.")?,
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -28,6 +28,7 @@
 pub mod orders;
 pub mod outbox;
 pub mod reload;
+pub mod room;
 pub mod run;
 pub mod samples;
 pub mod serve;
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -29,6 +29,9 @@
 
 /// Pause after a failed append.
 const APPEND_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after an append that a full store refused: logs are trimmed and
+/// records dropped each second.
+const FULL_PAUSE: Duration = Duration::from_secs(1);
 /// What a record takes besides its value, at most.
 const OVERHEAD_BYTES: usize = 500;
 
@@ -92,7 +95,7 @@
         if let Err(fault) = appended {
             log::info!("{} results kept for another append: {fault}", taken.len());
             put_back(&shared.outbox[part], taken);
-            sleep(APPEND_PAUSE).await;
+            sleep(if fault == Fault::Full { FULL_PAUSE } else { APPEND_PAUSE }).await;
         }
     }
 }
@@ -111,7 +114,12 @@
     let records = keyed.iter().map(|(key, text)| (Some(key.clone()), text.clone())).collect();
     let (at, purpose) = (Part::at(TEXTS, part), Use::Text);
     let append = Append { part: at, records, expected_end: None, purpose };
-    let first = shared.append(append).await?.offset;
+    let appended = shared.append(append).await;
+    if matches!(appended, Err(Fault::Unknown(_))) {
+        let keys = keyed.iter().map(|(key, _)| key.clone());
+        shared.orphans.texts(shared.now(), part, keys);
+    }
+    let first = appended?.offset;
     for ((entry, (key, text)), offset) in waiting.iter_mut().zip(keyed).zip(first..) {
         let at = TextRef::new(number(part), offset, key, &text);
         shared.texts.keep(&at, text);
@@ -129,12 +137,6 @@
         // position.
         let (key, value) = batch::outcome_record(&slot.job, &shared.unique(), outcome);
         records.push((Some(key), value));
-        let world = shared.world.borrow();
-        let job = world.shelves[part].book.jobs.get(&slot.job);
-        if job.is_some_and(|job| job.partials.contains_key(&slot.at)) {
-            let (key, nothing) = batch::no_partial_record(&slot.job, &outcome.id);
-            records.push((Some(key), nothing));
-        }
     }
     let (at, purpose) = (Part::at(JOBS, part), Use::Outcome);
     let append = Append { part: at, records, expected_end: None, purpose };
--- a/crates/hollywell/src/entry/samples.rs
+++ b/crates/hollywell/src/entry/samples.rs
@@ -78,13 +78,18 @@
     job: &str,
     submission: &Submission,
 ) -> Result<(Vec<Brief>, Vec<TextRef>), Fault> {
-    let part = u32::try_from(shared.part_of(job)).unwrap_or_default();
+    let part = shared.part_of(job);
     let store = &shared.settings.store;
     let (briefs, bundles) = batch::bundle(submission, store.record_bytes / 2);
+    let keys: Vec<String> =
+        bundles.iter().map(|_| batch::bundle_key(job, &shared.unique())).collect();
+    // Should the caller leave, or the job be refused, nothing names them.
+    shared.orphans.requests(shared.now(), part, job, keys.iter().cloned());
+    let part = u32::try_from(part).unwrap_or_default();
     let mut refs = Vec::new();
     let mut records: Vec<(Option<String>, Bytes)> = Vec::new();
     let mut bytes = 0;
-    for bundle in &bundles {
+    for (bundle, key) in bundles.iter().zip(keys) {
         let value = Bytes::from(bundle.encode_to_vec());
         if bytes + value.len() > store.call_bytes / 2 {
             let full = std::mem::take(&mut records);
@@ -92,7 +97,7 @@
             bytes = 0;
         }
         bytes += value.len();
-        records.push((Some(batch::bundle_key(job, &shared.unique())), value));
+        records.push((Some(key), value));
     }
     append(shared, part, records, &mut refs).await?;
     Ok((briefs, refs))
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     control::Clock,
-    core::{choice::Sights, dispatch, ending, fleet::Fleet, roster::Roster},
+    core::{choice::Sights, dispatch, ending, fleet::Fleet, room, roster::Roster},
     entry::{
         clean,
         dialect::Dialect,
@@ -88,6 +88,7 @@
         sights: Sights::default(),
         dispatch: dispatch::State::new(&me),
         ending: ending::State::new(&me),
+        room: room::State::new(settings.store.room_bytes),
         shelves: (0..parts).map(|_| Shelf::default()).collect(),
         models: crate::core::roll::Models::default(),
         texts: std::collections::HashMap::new(),
@@ -116,6 +117,7 @@
         listed: (0..parts).map(|_| Notify::new()).collect(),
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         texts: Texts::default(),
+        orphans: clean::Orphans::default(),
         stop: watch::channel(false).0,
         settings,
     }))
@@ -147,6 +149,7 @@
     spawn(Box::pin(clean::serve(shared.clone())));
     spawn(Box::pin(ends::serve(shared.clone(), peers)));
     spawn(Box::pin(ends::watch(shared.clone())));
+    spawn(Box::pin(crate::entry::room::serve(shared.clone())));
     spawn(Box::pin(reload::serve(shared.clone(), path.to_owned())));
     spawn(Box::pin(tick(shared.clone())));
     spawn(Box::pin(save(shared.clone())));
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -46,6 +46,8 @@
     pub call_bytes: usize,
     /// Shortest life of a group's member without a call.
     pub ttl_min: Duration,
+    /// Bytes that all topics together may take.
+    pub room_bytes: u64,
 }
 
 /// Times that the platform promises or demands.
@@ -96,6 +98,8 @@
     const MOST_S: f64 = 86_400.0;
     const MOST_MS: f64 = MOST_S * 1_000.0;
     const MOST_BYTES: u64 = 1 << 30;
+    /// The users' store holds 400 MB; as measured, MiB.
+    const ROOM_BYTES: u64 = 400 << 20;
     let instance = "instance";
     let domain = reader.text(instance, "domain", None);
     let levels = ["off", "error", "warn", "info", "debug", "trace"];
@@ -117,6 +121,7 @@
             record_bytes: reader.size(store, "record_bytes", 262_144, 4_096..=MOST_BYTES),
             call_bytes: reader.size(store, "call_bytes", 2_097_152, 4_096..=MOST_BYTES),
             ttl_min: reader.time(store, "ttl_min_ms", MILLISECOND, 1_000.0, 1.0..=MOST_MS),
+            room_bytes: reader.number(store, "room_bytes", ROOM_BYTES, 65_536..=u64::MAX),
         },
         times: Times {
             grace: reader.time(times, "grace_s", SECOND, 8.0, 0.1..=MOST_S),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -16,18 +16,19 @@
 use crate::{
     control::Clock,
     core::{
-        batch::{self, Book, Bundle, Change, Record},
+        batch::{self, Book, Bundle, Change, Record, Written},
         choice::Sights,
         dispatch::{self, Effect, Event, Run, Slot, Work},
         ending,
         fleet::Fleet,
         plan::{Plan, Repeat},
         roll::Models,
+        room,
         roster::Roster,
         time::Time,
     },
     entry::{
-        carry,
+        carry, clean,
         dialect::Dialect,
         ends,
         exchange::Pool,
@@ -36,7 +37,7 @@
         outbox, run,
         run::Text,
         settings::Settings,
-        store::{Append, Appended, Client, Fault},
+        store::{Append, Appended, Client, Fault, Records},
         texts::Texts,
     },
 };
@@ -61,6 +62,8 @@
 pub struct Shelf {
     /// The jobs.
     pub book: Book,
+    /// The logs of jobs and of texts.
+    pub logs: [room::Log; 2],
     /// The offset to read next.
     pub next: u64,
     /// The partition was read from its beginning.
@@ -69,6 +72,18 @@
     pub read_at: Time,
     /// The reducer was told that it is out of date.
     pub stale: bool,
+    /// What was written to the logs when that was last noted.
+    noted: Written,
+}
+
+impl Shelf {
+    /// Notes how much was written to the logs since the last note.
+    fn note(&mut self, now: Time) {
+        let written = self.book.written;
+        let before = std::mem::replace(&mut self.noted, written);
+        self.logs[0].note(now, self.next, written.jobs - before.jobs);
+        self.logs[1].note(now, written.texts_end, written.texts - before.texts);
+    }
 }
 
 /// Mutable state. Borrowed for the length of one step, never across a wait.
@@ -84,6 +99,8 @@
     pub dispatch: dispatch::State,
     /// Ends that are not in the store yet.
     pub ending: ending::State,
+    /// What is known of the store's room.
+    pub room: room::State,
     /// Batch jobs, by partition.
     pub shelves: Vec<Shelf>,
     /// Newest weights of each model, and how much of it is asked for.
@@ -141,6 +158,8 @@
     pub outbox: Vec<outbox::Outbox>,
     /// Whole texts that were read or written lately.
     pub texts: Texts,
+    /// Records that nothing may name.
+    pub orphans: clean::Orphans,
     /// Turns true when the instance stops.
     pub stop: watch::Sender<bool>,
 }
@@ -195,6 +214,11 @@
     /// The store's [`Fault`].
     pub async fn append(&self, append: Append) -> Result<Appended, Fault> {
         let (purpose, bytes) = (append.purpose.as_str(), append.bytes());
+        let allowed = self.world.borrow().room.allows(self.now(), append.purpose);
+        if !allowed {
+            self.meters.unstored.with_label_values(&[purpose, "kept_back"]).inc();
+            return Err(Fault::Full);
+        }
         let appended = (self.store.append)(append).await;
         // A store that is full, or has another end, is there all the same.
         self.store_did(matches!(appended, Ok(_) | Err(Fault::Full | Fault::Moved(_))));
@@ -204,6 +228,10 @@
                 self.meters.stored.with_label_values(&[purpose]).inc_by(bytes);
             }
             Err(fault) => {
+                if *fault == Fault::Full {
+                    let now = self.now();
+                    self.world.borrow_mut().room.refused(now);
+                }
                 self.meters.unstored.with_label_values(&[purpose, fault.as_str()]).inc();
             }
         }
@@ -251,6 +279,7 @@
     /// Folds records of a partition of jobs, skipping those folded before.
     pub fn absorb(self: &Rc<Shared>, part: usize, records: &[Record], end: u64) {
         let mut changes = Vec::new();
+        let now = self.now();
         {
             let shelf = &mut self.world.borrow_mut().shelves[part];
             for record in records.iter().filter(|record| record.offset >= shelf.next) {
@@ -262,6 +291,7 @@
             let last = records.last().map_or(0, |record| record.offset + 1);
             shelf.next = shelf.next.max(end).max(last);
             shelf.loaded = true;
+            shelf.note(now);
         }
         for change in changes {
             self.changed(part, change);
@@ -269,6 +299,21 @@
         self.listed[part].notify_waiters();
     }
 
+    /// Drops jobs that are not among the newest records: theirs were dropped
+    /// while this instance could not read, and the log that told so is gone.
+    pub fn drop_missing(self: &Rc<Shared>, part: usize, newest: &Records) {
+        let read = newest.records.iter().map(|record| record.key.as_str());
+        let keys: HashSet<&str> = read.chain(newest.beyond.iter().map(String::as_str)).collect();
+        let dropped = {
+            let shelf = &mut self.world.borrow_mut().shelves[part];
+            shelf.book.retain(newest.end, |head| keys.contains(head))
+        };
+        for job in dropped {
+            log::info!("job {job} was dropped while nothing was read here");
+            self.changed(part, Change::Dropped(job));
+        }
+    }
+
     fn changed(self: &Rc<Shared>, part: usize, change: Change) {
         match change {
             Change::Opened(job) => self.open(part, job),
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -140,6 +140,9 @@
     pub end: u64,
     /// The records, by offset.
     pub records: Vec<Record>,
+    /// In a reading of newest records: keys whose newest record lies beyond
+    /// the end.
+    pub beyond: Vec<String>,
 }
 
 /// A page of the newest record of each key.
@@ -186,6 +189,10 @@
     pub leave: Call<(String, String), ()>,
     /// The members of a group that hold a partition.
     pub members: Call<String, Vec<String>>,
+    /// Deletes the records of a partition's log before an offset. Of a keyed
+    /// topic the newest record of each key is kept, and can still be read by
+    /// its key.
+    pub trim: Call<(Part, u64), ()>,
 }
 
 impl fmt::Debug for Client {
@@ -231,9 +238,10 @@
     #[must_use]
     pub fn into_records(self) -> Records {
         let end = self.end.unwrap_or_default();
-        let mut records = self.records;
-        records.retain(|record| record.offset < end);
+        let is_below = |record: &Record| record.offset < end;
+        let (mut records, beyond): (Vec<_>, Vec<_>) = self.records.into_iter().partition(is_below);
         records.sort_by_key(|record| record.offset);
-        Records { end, records }
+        let beyond = beyond.into_iter().map(|record| record.key).collect();
+        Records { end, records, beyond }
     }
 }
--- a/crates/hollywell/src/error.rs
+++ b/crates/hollywell/src/error.rs
@@ -70,6 +70,8 @@
     /// The platform's store did not take what must be kept, or cannot be
     /// asked for what is not known here.
     StoreAway,
+    /// The platform's store has no room for what would have to be kept.
+    StoreFull,
     /// A fault of hollywell itself.
     Internal,
 }
@@ -98,7 +100,7 @@
 
 impl Kind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Kind; 19] = [
+    pub const ALL: [Kind; 20] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::NoRoute,
@@ -117,6 +119,7 @@
         Kind::OutcomeUnknown,
         Kind::LogAway,
         Kind::StoreAway,
+        Kind::StoreFull,
         Kind::Internal,
     ];
 
@@ -160,6 +163,7 @@
             Kind::OutcomeUnknown => answer(502, Unknown, Some(5), "no whole answer came back"),
             Kind::LogAway => answer(503, Unknown, Some(5), "the platform's log is away"),
             Kind::StoreAway => answer(503, NotRun, Some(1), "the platform's store is away"),
+            Kind::StoreFull => answer(503, NotRun, Some(2), "the platform's store is full"),
             Kind::Internal => answer(500, Unknown, Some(5), "a fault of hollywell"),
         }
     }
@@ -186,6 +190,7 @@
             Kind::OutcomeUnknown => "outcome_unknown",
             Kind::LogAway => "log_away",
             Kind::StoreAway => "store_away",
+            Kind::StoreFull => "store_full",
             Kind::Internal => "internal",
         }
     }
