Unfinished texts are stored by their growth

Change: a note of an unfinished text names pieces that follow each other; only what came since the last one is appended, under a key of its own. A text begun anew is told apart, so that no piece of another run is joined to it. What an earlier job kept is kept anew. Pieces are dropped with their note once the sample is listed; texts that nothing names are swept when their job is dropped.

--- a/crates/hollywell/src/core/batch/book.rs
+++ b/crates/hollywell/src/core/batch/book.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 
-use super::{Head, Outcome, Partial, Record, SEPARATOR, TextRef, head_record};
+use super::{Head, Outcome, Partial, Record, SEPARATOR, TextRef, head_record, partial_texts};
 use crate::core::room::{LIVE_OVERHEAD, LOG_OVERHEAD};
 
 /// One result at its position.
@@ -41,8 +41,9 @@
     /// Newest [`Partial`] of samples that are not listed. They outlive the
     /// job's end for a while: a later step may ask for the same samples.
     pub partials: HashMap<usize, Partial>,
-    /// How many notes of unfinished texts have come, by sample.
-    pub(super) notes: BTreeMap<usize, u32>,
+    /// Keys of all pieces of unfinished texts that were not dropped, by
+    /// sample.
+    pub(super) pieces: BTreeMap<usize, Vec<String>>,
     /// Keys of results that came second, and of their texts.
     pub(super) seconds: Vec<(String, Option<String>)>,
     /// It was ended by its trainer.
@@ -145,6 +146,9 @@
                 let known = self.jobs.remove(job).is_some();
                 return Ok(if known { vec![Change::Dropped(job.to_owned())] } else { vec![] });
             }
+            if kind == "p" {
+                self.no_partial(job, parts.next().unwrap_or_default());
+            }
             return Ok(vec![]);
         };
         if kind == "s" {
@@ -188,8 +192,10 @@
                 };
                 let partial = Partial::decode(value.clone());
                 let partial = partial.map_err(|error| skip(&error.to_string()))?;
-                self.written.text(&partial.text);
-                *entry.notes.entry(index).or_insert(0) += 1;
+                if let Some(newest) = partial.texts.last() {
+                    self.written.text(newest);
+                }
+                entry.note(job, index, &partial);
                 if entry.done[index] || entry.ended {
                     return Ok(vec![]);
                 }
@@ -200,6 +206,17 @@
         }
     }
 
+    /// Notes that a sample's unfinished text was dropped.
+    fn no_partial(&mut self, job: &str, sample: &str) {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if let Some(index) = job.index.get(sample) {
+            job.pieces.remove(index);
+            job.partials.remove(index);
+        }
+    }
+
     /// Drops jobs whose head's key is not `there`, of those that came before
     /// `end`; their ids.
     pub fn retain(&mut self, end: u64, there: impl Fn(&str) -> bool) -> Vec<String> {
@@ -239,7 +256,7 @@
             unlisted,
             whole_at: vec![],
             partials: HashMap::new(),
-            notes: BTreeMap::new(),
+            pieces: BTreeMap::new(),
             seconds: vec![],
             ended: false,
             offset: record.offset,
@@ -266,7 +283,8 @@
         let requests = self.head.bundles.iter().zip(self.needed_bundles());
         let requests = requests.filter(|(_, needed)| *needed);
         let requests: u64 = requests.map(|(bundle, _)| bundle.stored(LIVE_OVERHEAD)).sum();
-        let unfinished = self.partials.values().map(|partial| partial.text.stored(LIVE_OVERHEAD));
+        let unfinished = self.partials.values().flat_map(|partial| &partial.texts);
+        let unfinished = unfinished.map(|text| text.stored(LIVE_OVERHEAD));
         self.live + self.texts + requests + unfinished.sum::<u64>()
     }
 
@@ -302,6 +320,18 @@
         open.map(|(sample, _)| u64::from(sample.tokens)).sum()
     }
 
+    /// Remembers the pieces of an unfinished text, for when they are to be
+    /// dropped. Two instances that run one sample keep pieces of their own.
+    fn note(&mut self, id: &str, index: usize, partial: &Partial) {
+        let pieces = self.pieces.entry(index).or_default();
+        let own = partial_texts(id);
+        for text in partial.texts.iter().filter(|text| text.key.starts_with(&own)) {
+            if !pieces.contains(&text.key) {
+                pieces.push(text.key.clone());
+            }
+        }
+    }
+
     /// Notes a result that came second; the same record may come again.
     fn second(&mut self, key: &str, outcome: Outcome) {
         let first = self.listed.iter().any(|listed| listed.key == key);
--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -303,6 +303,12 @@
     !id.is_empty() && id.len() <= MAX_ID && !id.contains(SEPARATOR)
 }
 
+/// What all keys of a job begin with, and nothing else; it sorts before them.
+#[must_use]
+pub fn first_key(job: &str) -> String {
+    format!("{job}{SEPARATOR}")
+}
+
 /// The record that makes a submission a job: from then on it is kept.
 #[must_use]
 pub fn head_record(job: &str, head: &Head) -> (String, Bytes) {
@@ -339,15 +345,25 @@
     /// Number of the last event in the text.
     #[prost(uint64, tag = "1")]
     pub last: u64,
-    /// Where the data of all events so far lies.
-    #[prost(message, required, tag = "2")]
-    pub text: TextRef,
+    /// Where the data of all events so far lies: pieces that follow each
+    /// other. Each was stored once; with the whole text stored anew each time
+    /// that it had grown, this was more than half of all that was stored.
+    #[prost(message, repeated, tag = "2")]
+    pub texts: Vec<TextRef>,
     /// All versions that generated an event of it, ascending.
     #[prost(uint64, repeated, tag = "3")]
     pub versions: Vec<u64>,
 }
 
 impl Partial {
+    /// Whether its text was kept for a job, not for an earlier one that had
+    /// the same sample.
+    #[must_use]
+    pub fn is_of(&self, job: &str) -> bool {
+        let own = partial_texts(job);
+        self.texts.iter().all(|text| text.key.starts_with(&own))
+    }
+
     /// Whether a job that allows `min_version` and newer may use it.
     #[must_use]
     pub fn is_allowed(&self, min_version: u64) -> bool {
@@ -355,10 +371,15 @@
     }
 }
 
-/// The key of an unfinished text; a longer one takes its place.
+/// The key of a piece of an unfinished text. `writer` tells appends apart.
 #[must_use]
-pub fn partial_text_key(job: &str, sample: &str) -> String {
-    format!("{job}{SEPARATOR}q{SEPARATOR}{sample}")
+pub fn partial_text_key(job: &str, writer: &str, sample: &str) -> String {
+    format!("{}{writer}{SEPARATOR}{sample}", partial_texts(job))
+}
+
+/// What the keys of all pieces of a job's unfinished texts begin with.
+fn partial_texts(job: &str) -> String {
+    format!("{job}{SEPARATOR}q{SEPARATOR}")
 }
 
 /// The record of a sample's text so far. A later one replaces it.
--- a/crates/hollywell/src/core/batch/spare.rs
+++ b/crates/hollywell/src/core/batch/spare.rs
@@ -13,13 +13,9 @@
 //! All of it follows from the fold, so any instance can drop; who does is
 //! decided elsewhere. A key that is dropped twice does no harm.
 
-use std::collections::BTreeMap;
-
 use prost::Message as _;
 
-use super::{
-    CLOCKS_APART_MS, Head, Job, Outcome, end_record, head_record, partial_key, partial_text_key,
-};
+use super::{CLOCKS_APART_MS, Head, Job, Outcome, end_record, head_record, partial_key};
 use crate::core::time::Time;
 
 /// How long unfinished texts outlive their job's end, in milliseconds:
@@ -81,9 +77,6 @@
     ended_at: Option<Time>,
     /// Bundles whose requests were dropped.
     requests: Vec<bool>,
-    /// Notes of unfinished texts that had come when they were dropped, by
-    /// sample.
-    unfinished: BTreeMap<usize, u32>,
     /// How many of the results that came second were dropped.
     seconds: usize,
 }
@@ -119,7 +112,7 @@
     pub fn next(&self, id: &str, job: &Job, now: Time) -> (Keys, Spare) {
         let (mut keys, mut after) = (Keys::default(), self.clone());
         after.take_requests(job, &mut keys);
-        after.take_unfinished(id, job, now, &mut keys);
+        self.take_unfinished(id, job, now, &mut keys);
         for (key, text) in job.seconds.iter().skip(self.seconds) {
             keys.jobs.push(key.clone());
             keys.texts.extend(text.clone());
@@ -138,16 +131,12 @@
         }
     }
 
-    fn take_unfinished(&mut self, id: &str, job: &Job, now: Time, keys: &mut Keys) {
+    /// The note goes after the pieces, and tells everybody that they went.
+    fn take_unfinished(&self, id: &str, job: &Job, now: Time, keys: &mut Keys) {
         let old = self.ended_at.is_some_and(|at| now.since(at) > CARRY_MS);
-        for (at, notes) in &job.notes {
-            let dropped = self.unfinished.get(at).copied().unwrap_or(0);
-            if dropped < *notes && (job.done[*at] || old) {
-                self.unfinished.insert(*at, *notes);
-                let sample = &job.head.samples[*at].id;
-                keys.jobs.push(partial_key(id, sample));
-                keys.texts.push(partial_text_key(id, sample));
-            }
+        for (at, pieces) in job.pieces.iter().filter(|(at, _)| old || job.done[**at]) {
+            keys.jobs.push(partial_key(id, &job.head.samples[*at].id));
+            keys.texts.extend(pieces.iter().cloned());
         }
     }
 }
@@ -159,9 +148,9 @@
     pub fn keys(&self, id: &str) -> Keys {
         let mut keys = Keys::default();
         keys.texts.extend(self.head.bundles.iter().map(|bundle| bundle.key.clone()));
-        for sample in &self.head.samples {
-            keys.jobs.push(partial_key(id, &sample.id));
-            keys.texts.push(partial_text_key(id, &sample.id));
+        for (at, pieces) in &self.pieces {
+            keys.jobs.push(partial_key(id, &self.head.samples[*at].id));
+            keys.texts.extend(pieces.iter().cloned());
         }
         for listed in &self.listed {
             keys.jobs.push(listed.key.clone());
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     core::{
-        batch::{Keys, Spare, Terms},
+        batch::{self, Keys, Spare, Terms},
         dispatch::owner,
         room::Use,
         time::Time,
@@ -89,7 +89,7 @@
             if due.keys.is_empty() {
                 continue;
             }
-            match drop_keys(&shared, part, &due.keys).await {
+            match drop_due(&shared, part, &due).await {
                 Ok(()) => done(&shared, part, due, &mut spares),
                 Err(fault) => {
                     let count = due.keys.jobs.len() + due.keys.texts.len();
@@ -160,13 +160,37 @@
 }
 
 /// Drops texts first: what names them is there until they are gone.
-async fn drop_keys(shared: &Rc<Shared>, part: usize, keys: &Keys) -> Result<(), Fault> {
-    for (topic, keys) in [(TEXTS, &keys.texts), (JOBS, &keys.jobs)] {
-        for some in keys.chunks(AT_ONCE) {
-            let records = some.iter().map(|key| (Some(key.clone()), Bytes::new())).collect();
-            let (part, purpose) = (Part::at(topic, part), Use::Drop);
-            shared.append(Append { part, records, expected_end: None, purpose }).await?;
-        }
+async fn drop_due(shared: &Rc<Shared>, part: usize, due: &Due) -> Result<(), Fault> {
+    drop_keys(shared, &Part::at(TEXTS, part), &due.keys.texts).await?;
+    for job in &due.over {
+        sweep(shared, &Part::at(TEXTS, part), job).await?;
+    }
+    drop_keys(shared, &Part::at(JOBS, part), &due.keys.jobs).await
+}
+
+/// Drops texts of a job that nothing names: an instance may have ended
+/// between a text's append and that of its result. What is known was dropped
+/// before, so that mostly nothing is left.
+async fn sweep(shared: &Rc<Shared>, part: &Part, job: &str) -> Result<(), Fault> {
+    let first = batch::first_key(job);
+    let mut after = Some(first.clone());
+    while let Some(from) = after {
+        let page = (shared.store.newest)((part.clone(), Some(from))).await?;
+        let all = page.records.len();
+        let keys = page.records.into_iter().map(|record| record.key);
+        let own: Vec<String> = keys.filter(|key| key.starts_with(&first)).collect();
+        // What sorts behind the job's keys belongs to others.
+        after = page.after.filter(|_| own.len() == all);
+        drop_keys(shared, part, &own).await?;
+    }
+    Ok(())
+}
+
+async fn drop_keys(shared: &Rc<Shared>, part: &Part, keys: &[String]) -> Result<(), Fault> {
+    for some in keys.chunks(AT_ONCE) {
+        let records = some.iter().map(|key| (Some(key.clone()), Bytes::new())).collect();
+        let (part, purpose) = (part.clone(), Use::Drop);
+        shared.append(Append { part, records, expected_end: None, purpose }).await?;
     }
     Ok(())
 }
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -182,7 +182,11 @@
     sample: String,
     last: u64,
     versions: Vec<u64>,
-    text: Bytes,
+    /// Where the store has what was kept before.
+    kept: Vec<TextRef>,
+    /// What came since.
+    piece: Bytes,
+    identity: Rc<()>,
 }
 
 /// Brings texts that have grown by `least` events or more since they were
@@ -193,36 +197,63 @@
         if grown.is_empty() {
             continue;
         }
-        let saved = append_partials(shared, part, &grown).await;
-        if let Err(fault) = saved {
-            log::info!("{} unfinished texts not kept: {fault}", grown.len());
-            continue;
-        }
+        let saved = match append_partials(shared, part, &grown).await {
+            Ok(saved) => saved,
+            Err(fault) => {
+                log::info!("{} unfinished texts not kept: {fault}", grown.len());
+                continue;
+            }
+        };
         let mut world = shared.world.borrow_mut();
-        for Grown { slot, last, .. } in grown {
-            if let Some(text) = world.texts.get_mut(&slot) {
-                text.saved = last;
+        for (grown, kept) in grown.into_iter().zip(saved) {
+            let text = world.texts.get_mut(&grown.slot);
+            // A text that was begun anew meanwhile has other data.
+            if let Some(text) = text.filter(|text| Rc::ptr_eq(&text.identity, &grown.identity)) {
+                text.saved = grown.last;
+                text.kept_bytes += grown.piece.len();
+                text.kept = kept;
             }
         }
     }
 }
 
-async fn append_partials(shared: &Rc<Shared>, part: usize, grown: &[Grown]) -> Result<(), Fault> {
-    let key = |grown: &Grown| batch::partial_text_key(&grown.slot.job, &grown.sample);
-    let records = grown.iter().map(|grown| (Some(key(grown)), grown.text.clone())).collect();
+/// Appends what came since texts were last kept, then where all of each
+/// lies; returns that.
+async fn append_partials(
+    shared: &Rc<Shared>,
+    part: usize,
+    grown: &[Grown],
+) -> Result<Vec<Vec<TextRef>>, Fault> {
+    let key =
+        |grown: &Grown| batch::partial_text_key(&grown.slot.job, &shared.unique(), &grown.sample);
+    let keys: Vec<String> = grown.iter().map(key).collect();
+    let records = keys.iter().zip(grown);
+    let records = records.map(|(key, grown)| (Some(key.clone()), grown.piece.clone())).collect();
     let (at, purpose) = (Part::at(TEXTS, part), Use::Unfinished);
     let append = Append { part: at, records, expected_end: None, purpose };
-    let first = shared.append(append).await?.offset;
-    let record = |(grown, offset): (&Grown, u64)| {
-        let text = TextRef::new(number(part), offset, key(grown), &grown.text);
-        let partial = Partial { last: grown.last, text, versions: grown.versions.clone() };
+    let appended = shared.append(append).await;
+    if matches!(appended, Err(Fault::Unknown(_))) {
+        shared.orphans.texts(shared.now(), part, keys.clone());
+    }
+    let first = appended?.offset;
+    let mut kept = Vec::new();
+    let mut records = Vec::new();
+    for ((grown, key), offset) in grown.iter().zip(&keys).zip(first..) {
+        let mut texts = grown.kept.clone();
+        texts.push(TextRef::new(number(part), offset, key.clone(), &grown.piece));
+        let (last, versions) = (grown.last, grown.versions.clone());
+        let partial = Partial { last, texts, versions };
         let (key, value) = batch::partial_record(&grown.slot.job, &grown.sample, &partial);
-        (Some(key), value)
-    };
-    let records = grown.iter().zip(first..).map(record).collect();
+        records.push((Some(key), value));
+        kept.push(partial.texts);
+    }
     let at = Part::at(JOBS, part);
     let append = Append { part: at, records, expected_end: None, purpose };
-    shared.append(append).await.map(|_| ())
+    let noted = shared.append(append).await;
+    if noted.as_ref().is_err_and(Fault::is_not_done) {
+        shared.orphans.texts(shared.now(), part, keys);
+    }
+    noted.map(|_| kept)
 }
 
 fn grown(shared: &Shared, part: usize, least: u64) -> Vec<Grown> {
@@ -239,7 +270,8 @@
         let Some(job) = job.filter(open).filter(|_| !world.ending.holds(&slot.job)) else {
             continue;
         };
-        let size = text.data.len() + OVERHEAD_BYTES;
+        let piece = &text.data.as_bytes()[text.kept_bytes..];
+        let size = piece.len() + OVERHEAD_BYTES;
         if size > store.record_bytes {
             continue;
         }
@@ -252,7 +284,9 @@
             sample: job.head.samples[slot.at].id.clone(),
             last: text.last,
             versions: text.versions.iter().copied().collect(),
-            text: Bytes::copy_from_slice(text.data.as_bytes()),
+            kept: text.kept.clone(),
+            piece: Bytes::copy_from_slice(piece),
+            identity: text.identity.clone(),
         });
     }
     grown
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     core::{
-        batch::{Partial, Sample},
+        batch::{Partial, Sample, TextRef},
         dispatch::{End, Event, Run, Slot},
         fleet::Announcement,
     },
@@ -42,6 +42,12 @@
     pub score: Option<String>,
     /// Number of the last event that the store has.
     pub saved: u64,
+    /// Where the store has the data up to it, and how many bytes that is.
+    pub kept: Vec<TextRef>,
+    /// See `kept`.
+    pub kept_bytes: usize,
+    /// Tells this text from another one of the same sample, begun anew.
+    pub identity: Rc<()>,
 }
 
 impl Text {
@@ -88,8 +94,8 @@
     let Some(partial) = kept(shared, part, slot) else {
         return;
     };
-    let data = match texts::fetch(shared, std::slice::from_ref(&partial.text)).await {
-        Ok(mut texts) => texts.pop().unwrap_or_default(),
+    let data = match texts::fetch(shared, &partial.texts).await {
+        Ok(texts) => texts.concat(),
         // A longer one has taken its place, or the store is away; then the
         // sample begins anew, or where this instance knows.
         Err(fault) => {
@@ -97,19 +103,24 @@
             return;
         }
     };
-    let Ok(data) = String::from_utf8(data.to_vec()) else {
+    let Ok(data) = String::from_utf8(data) else {
         log::error!("unfinished text of {}/{} is not UTF-8", slot.job, slot.at);
         return;
     };
     let mut world = shared.world.borrow_mut();
     let known = world.texts.get(slot).map_or(0, |text| text.last);
     if partial.last > known {
+        // What an earlier job kept goes with that job, and is kept anew.
+        let own = partial.is_of(&slot.job);
         let text = Text {
             last: partial.last,
-            data,
             versions: partial.versions.into_iter().collect(),
             score: None,
-            saved: partial.last,
+            saved: if own { partial.last } else { 0 },
+            kept_bytes: if own { data.len() } else { 0 },
+            kept: if own { partial.texts } else { vec![] },
+            data,
+            identity: Rc::default(),
         };
         world.texts.insert(slot.clone(), text);
     }
--- a/crates/hollywell/tests/batch.rs
+++ b/crates/hollywell/tests/batch.rs
@@ -35,7 +35,7 @@
 
 fn partial() -> Partial {
     let text = TextRef { part: 0, offset: 3, key: "k".into(), len: 1 };
-    Partial { last: 7, text, versions: vec![1] }
+    Partial { last: 7, texts: vec![text], versions: vec![1] }
 }
 
 fn outcome(sample: usize, text: &str) -> Outcome {
--- /dev/null
+++ b/crates/hollywell/tests/spare.rs
@@ -0,0 +1,191 @@
+//! What nothing needs any more is dropped, and nothing else.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use bytes::Bytes;
+use hollywell::core::{
+    batch::{
+        Book, Brief, Head, Keys, Outcome, Partial, Record, Spare, Terms, TextRef, bundle_key,
+        end_record, head_record, outcome_record, partial_record, partial_text_key, text_key,
+    },
+    room::Log,
+    time::Time,
+};
+
+const TERMS: Terms = Terms { status_ms: 120_000 };
+
+/// A log and its fold.
+#[derive(Default)]
+struct World {
+    book: Book,
+    end: u64,
+}
+
+impl World {
+    /// With a job of two groups of two samples, a bundle each.
+    fn new() -> World {
+        let mut world = World::default();
+        let brief = |at: u32| Brief {
+            id: format!("s{at}"),
+            group: format!("g{}", at / 2),
+            tokens: 10,
+            bundle: at / 2,
+            at: at % 2,
+        };
+        let bundles = ["b0", "b1"].map(|writer| text(&bundle_key("j", writer)));
+        let head = Head {
+            at_ms: 1_000,
+            samples: (0..4).map(brief).collect(),
+            bundles: bundles.to_vec(),
+            ..Head::default()
+        };
+        world.append(head_record("j", &head));
+        world
+    }
+
+    fn append(&mut self, (key, value): (String, Bytes)) {
+        let value = (!value.is_empty()).then_some(value);
+        self.book.apply(&Record { offset: self.end, key, value }).unwrap();
+        self.end += 1;
+    }
+
+    fn list(&mut self, writer: &str, sample: usize) {
+        let id = format!("s{sample}");
+        let text = Some(text(&text_key("j", writer, &id)));
+        let outcome = Outcome { id, dead: false, text, versions: vec![1], score: None };
+        self.append(outcome_record("j", writer, &outcome));
+    }
+
+    fn keep(&mut self, writers: &[&str], sample: usize) {
+        let id = format!("s{sample}");
+        let texts = writers.iter().map(|writer| text(&partial_text_key("j", writer, &id)));
+        let partial = Partial { last: 10, texts: texts.collect(), versions: vec![1] };
+        self.append(partial_record("j", &id, &partial));
+    }
+
+    /// Takes what is due and drops it, as one instance does.
+    fn drop_due(&mut self, spare: &mut Spare, now: u64) -> Keys {
+        spare.look(&self.book.jobs["j"], Time(now));
+        let (keys, after) = spare.next("j", &self.book.jobs["j"], Time(now));
+        *spare = after;
+        for key in &keys.jobs {
+            self.append((key.clone(), Bytes::new()));
+        }
+        keys
+    }
+}
+
+fn text(key: &str) -> TextRef {
+    TextRef { part: 0, offset: 7, key: key.to_owned(), len: 100 }
+}
+
+fn piece(writer: &str, sample: usize) -> String {
+    partial_text_key("j", writer, &format!("s{sample}"))
+}
+
+#[test]
+fn requests_go_once_their_group_is_listed() {
+    let (mut world, mut spare) = (World::new(), Spare::new(Time(0)));
+    world.list("w", 0);
+    assert!(world.drop_due(&mut spare, 0).is_empty(), "the other sample is to be run");
+    world.list("w", 1);
+    assert_eq!(world.drop_due(&mut spare, 1).texts, [bundle_key("j", "b0")]);
+    assert!(world.drop_due(&mut spare, 2).is_empty(), "once");
+    world.append(end_record("j"));
+    assert_eq!(world.drop_due(&mut spare, 3).texts, [bundle_key("j", "b1")]);
+}
+
+#[test]
+fn pieces_of_an_unfinished_text_go_once_the_sample_is_listed_whoever_kept_them() {
+    let (mut world, mut spare) = (World::new(), Spare::new(Time(0)));
+    world.keep(&["a.1"], 0);
+    world.keep(&["a.1", "a.2"], 0);
+    world.keep(&["b.1"], 0);
+    world.keep(&["a.3"], 2);
+    assert!(world.drop_due(&mut spare, 0).is_empty());
+    world.list("a.4", 0);
+    let keys = world.drop_due(&mut spare, 1);
+    assert_eq!(keys.texts, ["a.1", "a.2", "b.1"].map(|writer| piece(writer, 0)));
+    assert_eq!(keys.jobs.len(), 1, "the note of them");
+    assert!(world.drop_due(&mut spare, 2).is_empty(), "once");
+    // One that was on its way.
+    world.keep(&["b.1", "b.2"], 0);
+    assert_eq!(world.drop_due(&mut spare, 3).texts.len(), 2);
+    assert!(!world.book.jobs["j"].partials.contains_key(&0));
+    assert!(world.book.jobs["j"].partials.contains_key(&2), "the other sample goes on");
+}
+
+#[test]
+fn unfinished_texts_outlive_their_jobs_end_for_a_later_step_and_no_longer() {
+    let (mut world, mut spare) = (World::new(), Spare::new(Time(0)));
+    world.keep(&["a.1"], 3);
+    world.append(end_record("j"));
+    let keys = world.drop_due(&mut spare, 1_000);
+    assert_eq!(keys.texts, ["b0", "b1"].map(|writer| bundle_key("j", writer)));
+    assert!(world.drop_due(&mut spare, 15_900).is_empty());
+    assert!(world.book.jobs["j"].partials.contains_key(&3));
+    assert_eq!(world.drop_due(&mut spare, 16_100).texts, [piece("a.1", 3)]);
+    assert!(!world.book.jobs["j"].partials.contains_key(&3), "nobody goes on with it");
+}
+
+#[test]
+fn a_second_result_goes_and_the_first_stays() {
+    let (mut world, mut spare) = (World::new(), Spare::new(Time(0)));
+    world.list("a", 0);
+    world.list("b", 0);
+    let keys = world.drop_due(&mut spare, 0);
+    assert_eq!(keys.texts, [text_key("j", "b", "s0")]);
+    assert!(keys.jobs[0].contains("|r|b|"), "{:?}", keys.jobs);
+    assert!(world.drop_due(&mut spare, 1).is_empty());
+    assert_eq!(world.book.jobs["j"].listed.len(), 1);
+}
+
+#[test]
+fn an_open_job_is_never_over_and_an_ended_one_only_after_what_was_promised() {
+    let (mut world, spare) = (World::new(), Spare::new(Time(0)));
+    let late = (Time(10_000_000), 10_000_000);
+    assert!(!spare.is_over(&world.book.jobs["j"], late.0, late.1, TERMS));
+    world.append(end_record("j"));
+    let job = &world.book.jobs["j"];
+    assert!(!spare.is_over(job, Time(119_999), 121_000, TERMS), "clocks may be apart");
+    assert!(spare.is_over(job, Time(119_999), 131_001, TERMS), "or it started since");
+    assert!(spare.is_over(job, Time(120_001), 0, TERMS));
+}
+
+#[test]
+fn everything_of_a_job_that_is_over_is_named_with_its_head_last() {
+    let mut world = World::new();
+    world.list("a", 0);
+    world.list("b", 0);
+    world.keep(&["a.1"], 1);
+    world.append(end_record("j"));
+    let keys = world.book.jobs["j"].keys("j");
+    assert_eq!(keys.jobs.last().unwrap(), &head_record("j", &Head::default()).0);
+    for wanted in [bundle_key("j", "b0"), text_key("j", "a", "s0"), text_key("j", "b", "s0")] {
+        assert!(keys.texts.contains(&wanted), "{wanted}");
+    }
+    assert!(keys.texts.contains(&piece("a.1", 1)));
+}
+
+#[test]
+fn a_log_is_never_trimmed_up_to_what_readers_may_still_want() {
+    let mut log = Log::default();
+    let mut trimmed = 0;
+    for now in (0..200_000).step_by(40) {
+        log.note(Time(now), now / 10, 1_000);
+        let full = now > 150_000;
+        if let Some(before) = log.cut(Time(now), 50_000, full) {
+            let least_ms = if full { 2_000 } else { 10_000 };
+            assert!(before * 10 + least_ms <= now, "at {now} before {before}");
+            assert!(before >= trimmed, "never back");
+            trimmed = before;
+            log.trimmed(before);
+        }
+        if now > 20_000 {
+            // 25 KB a second; 10 s of it may not be trimmed, marks are a
+            // second apart.
+            assert!(log.bytes() <= 25_000 * 12, "{} bytes at {now}", log.bytes());
+        }
+    }
+    assert!(trimmed > 19_000, "{trimmed}");
+}
