What a pause made old starts nothing; a text that two results name stays; a full store's texts are trimmed to their end

Cause: a result whose append got no answer is appended again and names the same text; the drop of what came second dropped that text. Mend: a second result's text goes only if the first names another. Ruled out: trimmed texts (read by their keys, and listed for good). 2. Cause: the age of a partition was looked at each 50 ms, was counted from an answer's arrival, not from its request, and a send that waited for its connection asked nothing. Mend: the age is asked before each event and, last of all, before the send (Pool::send_if); it counts from the request. 3. a_store_found_full_gets_back_to_serving_by_itself: texts that nothing names lie beyond the last that is named, and were never trimmed. Mend: while the store is full, texts are trimmed to their real end. The time to come back was 60 s while logs took the room; now 2 s.

--- a/crates/hollywell/src/core/batch/book.rs
+++ b/crates/hollywell/src/core/batch/book.rs
@@ -338,7 +338,18 @@
         if first || self.seconds.iter().any(|(other, _)| other == key) {
             return;
         }
-        self.seconds.push((key.to_owned(), outcome.text.map(|text| text.key)));
+        // A result that was appended again, since the answer to its append
+        // was lost, names the same text.
+        let named = self.text_of(&outcome.id);
+        let text = outcome.text.map(|text| text.key).filter(|text| named.as_ref() != Some(text));
+        self.seconds.push((key.to_owned(), text));
+    }
+
+    /// The key of a listed sample's text.
+    fn text_of(&self, sample: &str) -> Option<String> {
+        let mut outcomes =
+            self.listed.iter().filter_map(|listed| Outcome::decode(listed.value.clone()).ok());
+        outcomes.find(|outcome| outcome.id == sample)?.text.map(|text| text.key)
     }
 
     /// Counts a sample that was just listed. One without a group is a group
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -47,9 +47,9 @@
 /// How long the store's word that it is full counts, in milliseconds.
 const FULL_MS: u64 = 1_000;
 /// Shortest and longest time that a caller is told to wait for room, in
-/// milliseconds: drops are looked for each second, and a minute is longer
+/// milliseconds: logs are trimmed and drops looked for each second, and a minute is longer
 /// than a trainer waits for a step.
-const COME_BACK_MS: (u64, u64) = (1_000, 60_000);
+const COME_BACK_MS: (u64, u64) = (2_000, 60_000);
 
 /// What an append is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -290,11 +290,11 @@
     /// `next_drop_ms` is when records will be dropped next.
     pub fn admit(&self, now: Time, bytes: u64, next_drop_ms: Option<u64>) -> Result<(), u64> {
         let kept = self.live.saturating_add(self.to_come).saturating_add(bytes);
-        let fits = kept as f64 <= self.room as f64 * LIVE_SHARE;
-        if fits && self.allows(now, Use::Head) {
-            return Ok(());
-        }
         let (least, most) = COME_BACK_MS;
-        Err(next_drop_ms.unwrap_or(least).clamp(least, most))
+        if kept as f64 > self.room as f64 * LIVE_SHARE {
+            return Err(next_drop_ms.unwrap_or(least).clamp(least, most));
+        }
+        // Else it is logs that take the room, which are trimmed each second.
+        if self.allows(now, Use::Head) { Ok(()) } else { Err(least) }
     }
 }
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -35,6 +35,8 @@
 /// A kept connection is not used after this share of the idle time that the
 /// other side granted, so that its closing does not cross a request.
 const IDLE_SHARE: f64 = 0.7;
+/// How long a connection is kept that was made and not used.
+const UNUSED: Duration = Duration::from_secs(1);
 /// Idle time where the other side states none.
 const IDLE: Duration = Duration::from_secs(4);
 
@@ -50,6 +52,8 @@
     Broken(String),
     /// The time was up before a whole answer came.
     TimedOut,
+    /// It was no longer wanted once it could have been sent, and was not.
+    Unwanted,
 }
 
 impl fmt::Display for Error {
@@ -59,6 +63,7 @@
             Error::Stale => f.write_str("a kept connection had ended"),
             Error::Broken(cause) => write!(f, "exchange broke: {cause}"),
             Error::TimedOut => f.write_str("no whole answer in time"),
+            Error::Unwanted => f.write_str("no longer wanted"),
         }
     }
 }
@@ -170,18 +175,40 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Answer, Error> {
-        timeout(limit, self.exchange(address, request)).await.map_err(|_| Error::TimedOut)?
+        self.send_if(address, request, limit, || true).await
+    }
+
+    /// The same if, once there is a connection, the request is still
+    /// `wanted`: making one takes a while, and a process may be paused in it.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; [`Error::Unwanted`] if it was not.
+    pub async fn send_if(
+        self: &Rc<Pool>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        wanted: impl Fn() -> bool,
+    ) -> Result<Answer, Error> {
+        let exchange = self.exchange(address, request, wanted);
+        timeout(limit, exchange).await.map_err(|_| Error::TimedOut)?
     }
 
     async fn exchange(
         self: &Rc<Pool>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        wanted: impl Fn() -> bool,
     ) -> Result<Answer, Error> {
         let (mut sender, kept) = match self.take(address) {
             Some(sender) => (sender, true),
             None => (self.connect(address).await?, false),
         };
+        if !wanted() {
+            self.keep(address, sender, UNUSED);
+            return Err(Error::Unwanted);
+        }
         let response = sender.send_request(request).await.map_err(|error| {
             if error.is_canceled() {
                 Error::NotSent(error.to_string())
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    core::batch::Record,
+    core::{batch::Record, time::Time},
     entry::{
         dialect::Wish,
         shared::{JOBS, Shared},
@@ -45,9 +45,18 @@
 /// Least time between reads of the operator's wishes.
 const WISHES_PAUSE: Duration = Duration::from_millis(20);
 
+/// Where a batch of records comes from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct From {
+    /// These are all there is from the beginning.
+    pub anew: bool,
+    /// When they were asked for: an answer may have lain here unread, and
+    /// says nothing of what happened since.
+    pub asked_at: Time,
+}
+
 /// Reads a partition for good and hands every batch of records to `take`,
-/// with the partition's end and whether these are all there is from the
-/// beginning. A keyed partition is read from its newest records, another
+/// with the partition's end and where they come from. A keyed partition is read from its newest records, another
 /// from whatever is left of it. Between reads there is a `pause`, which
 /// `sooner` ends.
 pub(super) async fn follow(
@@ -56,7 +65,7 @@
     pause: impl Fn(&Shared) -> Duration,
     sooner: Option<&Notify>,
     keyed: bool,
-    take: impl Fn(&Rc<Shared>, Records, bool),
+    take: impl Fn(&Rc<Shared>, Records, From),
 ) {
     let mut from: Option<u64> = (!keyed).then_some(0);
     let mut newest = Newest::default();
@@ -64,6 +73,7 @@
     let mut wait = WAIT;
     loop {
         let started = Instant::now();
+        let asked_at = shared.now();
         let read = match from {
             None => {
                 let read = shared.store.newest_on(&part, &mut newest).await;
@@ -85,7 +95,7 @@
                 from = Some(next);
                 retry = RETRY;
                 wait = WAIT;
-                take(&shared, records, anew);
+                take(&shared, records, From { anew, asked_at });
                 let next = started + pause(&shared);
                 match sooner {
                     Some(sooner) => drop(timeout_at(next, sooner.notified()).await),
@@ -128,14 +138,13 @@
     let hurry = shared.clone();
     let pause = move |shared: &Shared| jobs_pause(shared, part);
     let sooner = Some(&hurry.accepted[part]);
-    follow(shared, Part::at(JOBS, part), pause, sooner, true, move |shared, records, anew| {
-        let end = if anew { records.end } else { 0 };
-        if anew {
+    follow(shared, Part::at(JOBS, part), pause, sooner, true, move |shared, records, from| {
+        let end = if from.anew { records.end } else { 0 };
+        if from.anew {
             shared.drop_missing(part, &records);
         }
         shared.absorb(part, &records.records, end);
-        let now = shared.now();
-        shared.world.borrow_mut().shelves[part].read_at = now;
+        shared.world.borrow_mut().shelves[part].read_at = from.asked_at;
     })
     .await;
 }
@@ -149,11 +158,11 @@
         |_| FLEET_PAUSE,
         None,
         true,
-        |shared, records, anew| {
+        |shared, records, from| {
             let now = shared.now();
             {
                 let world = &mut *shared.world.borrow_mut();
-                if anew {
+                if from.anew {
                     // Whatever is not among the newest has vanished unseen.
                     let listed = |id: &String| records.records.iter().any(|r| r.key == *id);
                     let ids: Vec<String> = world.fleet.targets.keys().cloned().collect();
--- a/crates/hollywell/src/entry/room.rs
+++ b/crates/hollywell/src/entry/room.rs
@@ -14,7 +14,7 @@
     },
     entry::{
         shared::{JOBS, Shared, TEXTS, wall_ms},
-        store::Part,
+        store::{Part, Read},
     },
 };
 
@@ -118,7 +118,7 @@
 /// the same number. All instances reckon with it; one does it.
 async fn trim(shared: &Rc<Shared>, part: usize) {
     for (at, topic) in [JOBS, TEXTS].into_iter().enumerate() {
-        let (cut, mine) = {
+        let (cut, mine, full) = {
             let now = shared.now();
             let world = &mut *shared.world.borrow_mut();
             let most = world.room.log_most(2 * world.shelves.len());
@@ -130,11 +130,12 @@
             if let Some(before) = cut.filter(|_| !mine) {
                 log.trimmed(before);
             }
-            (cut, mine)
+            (cut, mine, full)
         };
         let Some(before) = cut.filter(|_| mine) else {
             continue;
         };
+        let before = if full && topic == TEXTS { end(shared, part, before).await } else { before };
         match (shared.store.trim)((Part::at(topic, part), before)).await {
             Ok(()) => {
                 log::info!("{topic}/{part} trimmed before {before}");
@@ -145,6 +146,22 @@
     }
 }
 
+/// Where a partition of texts ends; `known` if that cannot be read. Nobody
+/// follows it, and texts that nothing names lie beyond the last that is named.
+/// While the store is full nothing is added there, and whoever still wants one
+/// of the texts finds it by its key.
+async fn end(shared: &Rc<Shared>, part: usize, known: u64) -> u64 {
+    let read =
+        Read { part: Part::at(TEXTS, part), from: known, wait: Duration::ZERO, most_kb: Some(1) };
+    match (shared.store.read)(read).await {
+        Ok(records) => records.end.max(known),
+        Err(fault) => {
+            log::info!("the end of {TEXTS}/{part} is not known: {fault}");
+            known
+        }
+    }
+}
+
 /// A log of a partition that nothing was read of yet.
 #[must_use]
 pub fn logs() -> [room::Log; 2] {
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -150,8 +150,11 @@
     let Some(request) = request(shared, slot, &sample, target, priority) else {
         return End::Impossible;
     };
-    let answer = match shared.pool.send(target.address, request, RUN_LIMIT).await {
+    let wanted = || shared.may_send(slot);
+    let sent = shared.pool.send_if(target.address, request, RUN_LIMIT, wanted).await;
+    let answer = match sent {
         Ok(answer) => answer,
+        Err(Error::Unwanted) => return End::Unready,
         Err(Error::Stale) => return End::Misdirected,
         Err(error) => {
             log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -191,7 +191,6 @@
         tokio::time::sleep(TICK).await;
         let now = shared.now();
         shared.world.borrow_mut().fleet.expire(now);
-        shared.check_stale();
         shared.tell(&dispatch::Event::Tick);
         if swept.elapsed() > SWEEP {
             swept = tokio::time::Instant::now();
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -68,7 +68,7 @@
     pub next: u64,
     /// The partition was read from its beginning.
     pub loaded: bool,
-    /// When it was last read to its end.
+    /// When the last read to its end was sent.
     pub read_at: Time,
     /// The reducer was told that it is out of date.
     pub stale: bool,
@@ -77,6 +77,13 @@
 }
 
 impl Shelf {
+    /// Whether what is known of the partition is out of date. While the store
+    /// answers nobody here, nothing can be ended here either, and work that
+    /// is known goes on.
+    fn is_stale(&self, now: Time, fleet: &Fleet) -> bool {
+        !fleet.store_away && now.since(self.read_at) > STALE_MS
+    }
+
     /// Notes how much was written to the logs since the last note.
     fn note(&mut self, now: Time) {
         let written = self.book.written;
@@ -123,6 +130,24 @@
     pub stopping: bool,
 }
 
+impl World {
+    /// Which partitions became out of date or are so no longer. It is asked before each event, not now and then: an instance that
+    /// wakes up from a pause must not act on what it knew before.
+    fn staleness(&mut self, now: Time) -> Vec<Event> {
+        let mut changed = Vec::new();
+        for (part, shelf) in self.shelves.iter_mut().enumerate() {
+            let stale = shelf.is_stale(now, &self.fleet);
+            if std::mem::replace(&mut shelf.stale, stale) != stale {
+                changed.push(Event::Stale { part, stale });
+                if stale {
+                    log::info!("jobs of partition {part} are out of date: nothing of them starts");
+                }
+            }
+        }
+        changed
+    }
+}
+
 /// What all tasks share.
 #[derive(Debug)]
 pub struct Shared {
@@ -243,7 +268,12 @@
         let now = self.now();
         let effects = {
             let world = &mut *self.world.borrow_mut();
-            world.dispatch.step(now, event, &world.fleet, &mut world.sights)
+            let mut effects = Vec::new();
+            for event in world.staleness(now) {
+                effects.extend(world.dispatch.step(now, &event, &world.fleet, &mut world.sights));
+            }
+            effects.extend(world.dispatch.step(now, event, &world.fleet, &mut world.sights));
+            effects
         };
         for effect in effects {
             self.carry_out(effect);
@@ -327,6 +357,19 @@
         }
     }
 
+    /// Whether a sample may be sent to a target at this moment, by what is
+    /// known and how old that is. It is asked last of all before a send:
+    /// between a decision and its send there may be a pause of any length.
+    #[must_use]
+    pub fn may_send(&self, slot: &Slot) -> bool {
+        let now = self.now();
+        let world = self.world.borrow();
+        let shelf = &world.shelves[self.part_of(&slot.job)];
+        let job = shelf.book.jobs.get(&slot.job);
+        let open = job.is_some_and(|job| !job.ended && !job.done[slot.at]);
+        open && !world.ending.holds(&slot.job) && !shelf.is_stale(now, &world.fleet)
+    }
+
     /// Runs nothing more of a job, and forgets what only its runs need.
     pub fn close(self: &Rc<Shared>, job: &str) {
         {
@@ -354,30 +397,6 @@
         }
     }
 
-    /// Tells the reducer which partitions are out of date. While the store
-    /// answers nobody here, nothing can be ended here either, and work that
-    /// is known goes on.
-    pub fn check_stale(self: &Rc<Shared>) {
-        let now = self.now();
-        let mut changed = Vec::new();
-        {
-            let world = &mut *self.world.borrow_mut();
-            let away = world.fleet.store_away;
-            for (part, shelf) in world.shelves.iter_mut().enumerate() {
-                let stale = !away && now.since(shelf.read_at) > STALE_MS;
-                if std::mem::replace(&mut shelf.stale, stale) != stale {
-                    changed.push((part, stale));
-                }
-            }
-        }
-        for (part, stale) in changed {
-            if stale {
-                log::info!("jobs of partition {part} are out of date: nothing of them starts");
-            }
-            self.tell(&Event::Stale { part, stale });
-        }
-    }
-
     /// Hands a job to the reducer, or keeps it until a configuration with
     /// its route is read.
     pub fn open(self: &Rc<Shared>, part: usize, id: String) {
--- a/crates/hollywell/tests/spare.rs
+++ b/crates/hollywell/tests/spare.rs
@@ -140,6 +140,20 @@
     assert_eq!(world.book.jobs["j"].listed.len(), 1);
 }
 
+#[test]
+fn a_text_that_both_results_name_stays() {
+    let (mut world, mut spare) = (World::new(), Spare::new(Time(0)));
+    // The answer to the append of the result was lost, so that it was
+    // appended again; its text lay in the store before.
+    let text = Some(text(&text_key("j", "a", "s0")));
+    let outcome = Outcome { id: "s0".into(), dead: false, text, versions: vec![1], score: None };
+    world.append(outcome_record("j", "a.1", &outcome));
+    world.append(outcome_record("j", "a.2", &outcome));
+    let keys = world.drop_due(&mut spare, 0);
+    assert_eq!(keys.jobs.len(), 1, "the second result");
+    assert!(keys.texts.is_empty(), "{:?}", keys.texts);
+}
+
 #[test]
 fn an_open_job_is_never_over_and_an_ended_one_only_after_what_was_promised() {
     let (mut world, spare) = (World::new(), Spare::new(Time(0)));
