--- a/crates/hollywell/src/core/batch/book.rs
+++ b/crates/hollywell/src/core/batch/book.rs
@@ -49,7 +49,7 @@
     /// It was ended by its trainer.
     pub ended: bool,
     /// Offset of its newest head.
-    offset: u64,
+    pub(super) offset: u64,
     /// Bytes of its head and results in the store.
     live: u64,
     /// Bytes of its whole texts there.
@@ -149,6 +149,10 @@
             if kind == "p" {
                 self.no_partial(job, parts.next().unwrap_or_default());
             }
+            if let Some(waiting) = self.waiting.get_mut(job) {
+                waiting.retain(|other| other.key != record.key);
+            }
+            self.waiting.retain(|_, records| !records.is_empty());
             return Ok(vec![]);
         };
         if kind == "s" {
@@ -233,14 +237,19 @@
     }
 
     fn open(&mut self, job: &str, record: &Record, value: &Bytes) -> Result<Vec<Change>, String> {
+        let mut head = Head::decode(value.clone()).map_err(|error| error.to_string())?;
+        for bundle in &head.bundles {
+            self.written.text(bundle);
+        }
         if let Some(job) = self.jobs.get_mut(job) {
+            // Two instances took the same submission in. The store keeps the
+            // newest head only, so its requests are those that everybody goes
+            // by; the job is as old as its first one.
+            head.at_ms = head.at_ms.min(job.head.at_ms);
+            job.head = Rc::new(head);
             job.offset = record.offset;
             return Ok(vec![]);
         }
-        let head = Head::decode(value.clone()).map_err(|error| error.to_string())?;
-        for bundle in &head.bundles {
-            self.written.text(bundle);
-        }
         let index: HashMap<String, usize> =
             head.samples.iter().enumerate().map(|(at, s)| (s.id.clone(), at)).collect();
         let done = vec![false; head.samples.len()];
--- a/crates/hollywell/src/core/batch/spare.rs
+++ b/crates/hollywell/src/core/batch/spare.rs
@@ -37,13 +37,16 @@
     pub jobs: Vec<String>,
     /// In the partition of texts with the same number.
     pub texts: Vec<String>,
+    /// Ends and heads of jobs that are over, in pairs that go together and
+    /// last: a head without its end would be an open job.
+    pub heads: Vec<[String; 2]>,
 }
 
 impl Keys {
     /// Whether there are none.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty() && self.texts.is_empty()
+        self.jobs.is_empty() && self.texts.is_empty() && self.heads.is_empty()
     }
 }
 
@@ -75,6 +78,8 @@
     since: Time,
     /// When its end was first seen here.
     ended_at: Option<Time>,
+    /// The head that `requests` goes by.
+    head: u64,
     /// Bundles whose requests were dropped.
     requests: Vec<bool>,
     /// How many of the results that came second were dropped.
@@ -122,6 +127,10 @@
     }
 
     fn take_requests(&mut self, job: &Job, keys: &mut Keys) {
+        if self.head != job.offset {
+            self.head = job.offset;
+            self.requests.clear();
+        }
         self.requests.resize(job.head.bundles.len(), false);
         let needed = job.needed_bundles();
         for (at, bundle) in job.head.bundles.iter().enumerate() {
@@ -142,8 +151,8 @@
 }
 
 impl Job {
-    /// The keys of all records of a job, the head's last: as long as that is
-    /// there, what is left can be found.
+    /// The keys of all records of a job. As long as its head is there, what is
+    /// left can be found.
     #[must_use]
     pub fn keys(&self, id: &str) -> Keys {
         let mut keys = Keys::default();
@@ -161,8 +170,7 @@
             keys.jobs.push(key.clone());
             keys.texts.extend(text.clone());
         }
-        keys.jobs.push(end_record(id).0);
-        keys.jobs.push(head_record(id, &Head::default()).0);
+        keys.heads.push([end_record(id).0, head_record(id, &Head::default()).0]);
         keys
     }
 }
--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -27,8 +27,8 @@
 const RETRY_MS: u64 = 150;
 /// See [`RETRY_MS`].
 const RETRY_MOST_MS: u64 = 1_000;
-/// The same for instances that were told, times the number of live ones by
-/// tens: all together they make a few calls a second.
+/// The same for instances that were told, times their rank by tens: all
+/// together they make a few calls a second, and the first ones soon.
 const TOLD_RETRY_MS: u64 = 1_500;
 /// How long an end that was appended may take to be read here before it is
 /// appended again, in milliseconds.
@@ -127,6 +127,15 @@
     confirmed: BTreeSet<String>,
 }
 
+/// How many tens of live instances try to append a job's end before this one.
+fn rank(members: &[String], me: &str, job: &str) -> u64 {
+    const AT_ONCE: usize = 10;
+    let count = members.len().max(1);
+    let first = (xxhash_rust::xxh3::xxh3_64(job.as_bytes()) % count as u64) as usize;
+    let mine = members.iter().position(|member| member == me).unwrap_or(0);
+    ((mine + count - first) % count / AT_ONCE) as u64
+}
+
 /// The reducer's state.
 ///
 /// # Example
@@ -294,9 +303,8 @@
         self.held.retain(|job, held| known.contains(job) || now.since(held.since) < UNKNOWN_MS);
         self.told_at.retain(|member, _| members.contains(member));
         let mut effects = Vec::new();
-        let crowd = members.len() as u64 / 10;
         for (job, held) in &mut self.held {
-            let wait_ms = if held.own { 0 } else { TOLD_RETRY_MS * crowd };
+            let wait_ms = if held.own { 0 } else { TOLD_RETRY_MS * rank(members, &self.me, job) };
             if !held.appending && known.contains(job) && now >= held.append_at.after(wait_ms) {
                 held.appending = true;
                 effects.push(Effect::Append(job.clone()));
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -32,9 +32,7 @@
 /// How long a record stays in its log before the log is trimmed, in
 /// milliseconds: readers are a second behind at most unless they are cut off,
 /// and then they begin anew from the newest records.
-const LEAST_MS: u64 = 10_000;
-/// The same while the store is full.
-const LEAST_FULL_MS: u64 = 2_000;
+pub const LEAST_MS: u64 = 10_000;
 /// Time between two marks of a log, in milliseconds.
 const MARK_MS: u64 = 1_000;
 /// Share of the room that all logs together may take before they are trimmed.
@@ -138,12 +136,10 @@
 /// for second in 0..60 {
 ///     log.note(Time(second * 1_000), second * 10, 1_000);
 /// }
-/// // 60 KB fit in what it may take, but what was there before is not known.
-/// assert_eq!(log.cut(Time(59_000), 100_000, false), Some(0));
-/// log.trimmed(0);
-/// assert_eq!(log.cut(Time(59_000), 100_000, false), None);
+/// // 60 KB fit in what it may take.
+/// assert_eq!(log.cut(Time(59_000), 100_000, None), None);
 /// // 20 KB do not: all but the last of them may go.
-/// assert_eq!(log.cut(Time(59_000), 20_000, false), Some(390));
+/// assert_eq!(log.cut(Time(59_000), 20_000, None), Some(390));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Log {
@@ -151,7 +147,8 @@
     written: u64,
     /// Bytes written when it was last trimmed, or first seen.
     cut: u64,
-    /// It was trimmed, so that what lies in it is known.
+    /// It was trimmed, or seen for as long as records live, so that what lies
+    /// in it is known.
     known: bool,
 }
 
@@ -161,29 +158,47 @@
     pub fn note(&mut self, now: Time, end: u64, bytes: u64) {
         self.written += bytes;
         let due = |last: &Mark| end > last.end && now.since(last.at) >= MARK_MS;
+        if self.marks.is_empty() && !self.known {
+            // What lay there before is not known; it is no news of this.
+            self.cut = self.written;
+        }
         if self.marks.back().is_none_or(due) {
             self.marks.push_back(Mark { at: now, end, written: self.written });
         }
     }
 
-    /// Bytes that it holds, as far as is known.
+    /// Bytes that it holds, as far as is known. What lay in it when it was
+    /// first seen may be as much as it may take, `most`.
     #[must_use]
-    pub fn bytes(&self) -> u64 {
-        self.written - self.cut
+    pub const fn bytes(&self, most: u64) -> u64 {
+        let unknown = if self.known { 0 } else { most };
+        self.written - self.cut + unknown
+    }
+
+    /// Forgets what has expired: records live for `life_ms`.
+    pub fn expire(&mut self, now: Time, life_ms: u64) {
+        let old = |mark: &Mark| now.since(mark.at) > life_ms;
+        while let Some(mark) = self.marks.pop_front_if(|mark| old(mark)) {
+            self.known = true;
+            self.cut = self.cut.max(mark.written);
+        }
     }
 
     /// The offset before which it should be trimmed, if it should be, where
-    /// it may take `most` bytes. What lay in it when it was first seen is not
-    /// known, so it is trimmed up to there once.
+    /// it may take `most` bytes. If the store is `full`, it is trimmed up to
+    /// records of the age given, whatever it holds.
     #[must_use]
-    pub fn cut(&self, now: Time, most: u64, full: bool) -> Option<u64> {
-        let least_ms = if full { LEAST_FULL_MS } else { LEAST_MS };
+    pub fn cut(&self, now: Time, most: u64, full: Option<u64>) -> Option<u64> {
+        let least_ms = full.unwrap_or(LEAST_MS);
         let old = |mark: &&Mark| now.since(mark.at) >= least_ms;
         let enough = |mark: &&Mark| self.written - mark.written <= most;
         let mut olds = self.marks.iter().filter(old);
         let newest = olds.clone().next_back()?;
-        let mark = if full { newest } else { olds.find(enough).unwrap_or(newest) };
-        let due = !self.known || mark.written > self.cut && (full || self.bytes() > most);
+        if full.is_some() {
+            return Some(newest.end);
+        }
+        let mark = olds.find(enough).unwrap_or(newest);
+        let due = mark.written > self.cut && self.written - self.cut > most;
         due.then_some(mark.end)
     }
 
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     core::{
-        batch::{self, Keys, Spare, Terms},
+        batch::{self, Book, Keys, Spare, Terms},
         dispatch::owner,
         room::Use,
         time::Time,
@@ -41,8 +41,19 @@
     key: String,
     /// Not to be dropped before.
     due: Time,
-    /// Needed after all if this job names it in its head.
-    job: Option<String>,
+    /// What would need it after all.
+    unless: Unless,
+}
+
+/// What may need a record that was appended.
+#[derive(Clone, Debug)]
+enum Unless {
+    /// Nothing.
+    Never,
+    /// A job that names it in its head.
+    Named(String),
+    /// A job that is there.
+    There(String),
 }
 
 impl Orphans {
@@ -50,7 +61,7 @@
     /// other keys.
     pub fn texts(&self, now: Time, part: usize, keys: impl IntoIterator<Item = String>) {
         let due = now.after(LATE_MS);
-        let orphan = |key| Orphan { part, key, due, job: None };
+        let orphan = |key| Orphan { part, key, due, unless: Unless::Never };
         self.0.borrow_mut().extend(keys.into_iter().map(orphan));
     }
 
@@ -63,9 +74,26 @@
         keys: impl IntoIterator<Item = String>,
     ) {
         let due = now.after(LATE_MS);
-        let orphan = |key| Orphan { part, key, due, job: Some(job.to_owned()) };
+        let unless = || Unless::Named(job.to_owned());
+        let orphan = |key| Orphan { part, key, due, unless: unless() };
         self.0.borrow_mut().extend(keys.into_iter().map(orphan));
     }
+
+    /// Notes that a job was not accepted and never will be.
+    pub fn refused(&self, now: Time, job: &str) {
+        for orphan in self.0.borrow_mut().iter_mut() {
+            if matches!(&orphan.unless, Unless::Named(other) if other == job) {
+                orphan.due = now;
+            }
+        }
+    }
+
+    /// Adds the end of a job that is not known, and may be accepted late.
+    pub fn end(&self, now: Time, part: usize, job: &str) {
+        let (due, unless) = (now.after(LATE_MS), Unless::There(job.to_owned()));
+        let key = batch::end_record(job).0;
+        self.0.borrow_mut().push(Orphan { part, key, due, unless });
+    }
 }
 
 /// What one look found to be dropped in one partition.
@@ -119,37 +147,50 @@
     let mut due = Due::default();
     let book = &world.shelves[part].book;
     for (id, job) in &book.jobs {
-        let mine = owner(world.roster.members(), id, "") == Some(shared.me.as_str());
-        let Some(spare) = spares.get(id).filter(|_| mine) else {
+        let Some(spare) = spares.get(id) else {
             continue;
         };
+        let mut after_drop = None;
         let keys = if spare.is_over(job, now, wall_ms, terms) {
-            due.over.push(id.clone());
             job.keys(id)
         } else {
             let (keys, after) = spare.next(id, job, now);
-            due.after.push((id.clone(), after));
+            after_drop = Some(after);
             keys
         };
+        // Asked last: it takes a hash for each instance.
+        if keys.is_empty() || owner(world.roster.members(), id, "") != Some(shared.me.as_str()) {
+            continue;
+        }
+        match after_drop {
+            Some(after) => due.after.push((id.clone(), after)),
+            None => due.over.push(id.clone()),
+        }
         due.keys.jobs.extend(keys.jobs);
         due.keys.texts.extend(keys.texts);
+        due.keys.heads.extend(keys.heads);
     }
-    for orphan in shared.orphans.0.borrow().iter() {
-        let named = orphan
-            .job
-            .as_ref()
-            .and_then(|job| book.jobs.get(job))
-            .is_some_and(|job| job.head.bundles.iter().any(|bundle| bundle.key == orphan.key));
-        if orphan.part == part && now >= orphan.due {
-            due.orphans.push(orphan.key.clone());
-            if !named {
-                due.keys.texts.push(orphan.key.clone());
-            }
+    // What was read before it is due says nothing.
+    let read_at = world.shelves[part].read_at;
+    let orphans = shared.orphans.0.borrow();
+    for orphan in orphans.iter().filter(|orphan| orphan.part == part && read_at >= orphan.due) {
+        due.orphans.push(orphan.key.clone());
+        let key = orphan.key.clone();
+        match &orphan.unless {
+            Unless::Named(job) if is_named(book, job, &key) => {}
+            Unless::There(job) if book.jobs.contains_key(job) => {}
+            Unless::There(_) => due.keys.jobs.push(key),
+            Unless::Never | Unless::Named(_) => due.keys.texts.push(key),
         }
     }
     due
 }
 
+fn is_named(book: &Book, job: &str, key: &str) -> bool {
+    let job = book.jobs.get(job);
+    job.is_some_and(|job| job.head.bundles.iter().any(|bundle| bundle.key == key))
+}
+
 fn done(shared: &Shared, part: usize, due: Due, spares: &mut HashMap<String, Spare>) {
     spares.extend(due.after);
     let mut orphans = shared.orphans.0.borrow_mut();
@@ -165,7 +206,12 @@
     for job in &due.over {
         sweep(shared, &Part::at(TEXTS, part), job).await?;
     }
-    drop_keys(shared, &Part::at(JOBS, part), &due.keys.jobs).await
+    let jobs = Part::at(JOBS, part);
+    drop_keys(shared, &jobs, &due.keys.jobs).await?;
+    for some in due.keys.heads.chunks(AT_ONCE / 2) {
+        drop_keys(shared, &jobs, some.as_flattened()).await?;
+    }
+    Ok(())
 }
 
 /// Drops texts of a job that nothing names: an instance may have ended
--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -29,7 +29,7 @@
     entry::{
         jobs::Reply,
         shared::{JOBS, Shared},
-        store::{Append, Fault, Part},
+        store::{Append, Appended, Fault, Part},
     },
 };
 
@@ -105,22 +105,44 @@
     Open,
 }
 
+/// Whether a job's end was read.
+fn is_ended(shared: &Shared, job: &str) -> bool {
+    let world = shared.world.borrow();
+    let job = world.shelves[shared.part_of(job)].book.jobs.get(job);
+    job.is_some_and(|job| job.ended)
+}
+
 fn progress(shared: &Shared, job: &str) -> Progress {
-    let part = shared.part_of(job);
     let world = shared.world.borrow();
-    let ended = world.shelves[part].book.jobs.get(job).is_none_or(|job| job.ended);
-    if ended || world.ending.is_stored(job) {
+    let known = world.shelves[shared.part_of(job)].book.jobs.get(job);
+    if known.is_none_or(|job| job.ended) || world.ending.is_stored(job) {
         return Progress::Done;
     }
     if world.ending.is_refused(job) { Progress::Refused } else { Progress::Open }
 }
 
-async fn append(shared: Rc<Shared>, job: String) {
-    let part = Part::at(JOBS, shared.part_of(&job));
-    let (key, value) = batch::end_record(&job);
+/// Leaves the end of a job that does not exist in the store, for when its
+/// head is appended late: whoever was told nothing about its submission may
+/// ask for its end first. It is dropped if the job does not come.
+pub fn leave(shared: &Rc<Shared>, job: &str) {
+    shared.orphans.end(shared.now(), shared.part_of(job), job);
+    let (shared, job) = (shared.clone(), job.to_owned());
+    tokio::task::spawn_local(async move {
+        if let Err(fault) = append_end(&shared, &job).await {
+            log::info!("end of job {job}, which is not known, is not kept: {fault}");
+        }
+    });
+}
+
+async fn append_end(shared: &Shared, job: &str) -> Result<Appended, Fault> {
+    let part = Part::at(JOBS, shared.part_of(job));
+    let (key, value) = batch::end_record(job);
     let records = vec![(Some(key), value)];
-    let append = Append { part, records, expected_end: None, purpose: Use::End };
-    let event = match shared.append(append).await {
+    shared.append(Append { part, records, expected_end: None, purpose: Use::End }).await
+}
+
+async fn append(shared: Rc<Shared>, job: String) {
+    let event = match append_end(&shared, &job).await {
         Ok(_) => {
             log::info!("end of job {job} accepted");
             Event::Stored(job)
@@ -188,6 +210,9 @@
             }
             (world.roster.members().to_vec(), known)
         };
+        for job in known.iter().filter(|job| is_ended(&shared, job)) {
+            tell(&shared, &Event::Settled(job.clone()));
+        }
         tell(&shared, &Event::Tick { members, known });
     }
 }
@@ -238,7 +263,9 @@
     match Word::decode(body) {
         Ok(Word { by, jobs }) => {
             log::info!("{by} tells of ends of {}", jobs.join(" "));
-            tell(shared, &Event::Told { by, jobs });
+            let (_read, open): (Vec<_>, Vec<_>) =
+                jobs.into_iter().partition(|job| is_ended(shared, job));
+            tell(shared, &Event::Told { by, jobs: open });
             answer(StatusCode::OK)
         }
         Err(error) => {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -85,6 +85,11 @@
             batch::MAX_ID
         ));
     }
+    // Another instance may just have accepted it.
+    let _what_is_known_will_do = catch_up(shared, part).await;
+    if known(shared, part, job) {
+        return Reply::Done;
+    }
     if let Err(come_back_ms) = room::admit(shared, decoded) {
         return no_room(shared, job, come_back_ms);
     }
@@ -94,6 +99,9 @@
         Ok(put) => put,
         Err(Fault::Full) => return no_room(shared, job, FULL_MS),
         Err(fault) => {
+            if fault.is_not_done() {
+                shared.orphans.refused(shared.now(), job);
+            }
             log::info!("job {job} refused, its samples: {fault}");
             return Reply::NotDone;
         }
@@ -116,6 +124,9 @@
     }
     let what = format!("job {job} of {} samples", decoded.samples.len());
     let kept = keep(shared, part, (key, value), &what, |shared| known(shared, part, job)).await;
+    if matches!(kept, Reply::NotDone | Reply::NoRoom(_)) {
+        shared.orphans.refused(shared.now(), job);
+    }
     if kept == Reply::Done {
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
@@ -128,6 +139,7 @@
 fn no_room(shared: &Shared, job: &str, come_back_ms: u64) -> Reply {
     log::info!("job {job} refused: no room in the store, come back in {come_back_ms} ms");
     shared.meters.no_room.inc();
+    shared.orphans.refused(shared.now(), job);
     Reply::NoRoom(come_back_ms)
 }
 
@@ -353,7 +365,10 @@
         world.shelves[part].book.jobs.get(job).map(|job| job.ended)
     };
     match ended {
-        None if current => Reply::Missing,
+        None if current => {
+            ends::leave(shared, job);
+            Reply::Missing
+        }
         Some(true) => Reply::Done,
         known => ends::ask(shared, job, known.is_some()).await,
     }
@@ -399,6 +414,11 @@
             body: scorer.body.clone(),
             deadline: shared.now().after(SCORE_MS),
         };
+        // Reading the request may have taken long.
+        if !shared.may_send(&slot) {
+            sleep(SCORE_PAUSE).await;
+            continue;
+        }
         tries += 1;
         match forward::run(&shared, &route, &plain, tries).await {
             Verdict::Answered(answer) if answer.status.is_success() => {
--- a/crates/hollywell/src/entry/news.rs
+++ b/crates/hollywell/src/entry/news.rs
@@ -11,7 +11,7 @@
 use crate::{
     core::{dispatch::Event, roll::Order, room::Use},
     entry::{
-        follow,
+        follow, room,
         shared::Shared,
         store::{Append, Part},
     },
@@ -28,6 +28,15 @@
     /// An engine has loaded what it was ordered to. It announces that too,
     /// but up to a heartbeat later, and a step waits for it.
     Loaded(Order),
+    /// A log was trimmed.
+    Trimmed {
+        /// The number of its partition.
+        part: usize,
+        /// It is one of texts, not of jobs.
+        texts: bool,
+        /// Before which offset.
+        before: u64,
+    },
     /// A job was accepted in a partition: its longest samples decide how
     /// long the step takes, and should not wait for the next regular read.
     Accepted {
@@ -65,6 +74,9 @@
                         let fleet = &mut shared.world.borrow_mut().fleet;
                         fleet.answered(&load.target, &load.model, load.version);
                     }
+                    Ok(News::Trimmed { part, texts, before }) => {
+                        room::trimmed(shared, part, usize::from(texts), before);
+                    }
                     Ok(News::Accepted { part }) => {
                         if let Some(accepted) = shared.accepted.get(part) {
                             accepted.notify_one();
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -22,6 +22,7 @@
         room::Use,
     },
     entry::{
+        run::Text,
         shared::{JOBS, Shared, TEXTS},
         store::{Append, Fault, Part},
     },
@@ -207,8 +208,13 @@
         let mut world = shared.world.borrow_mut();
         for (grown, kept) in grown.into_iter().zip(saved) {
             let text = world.texts.get_mut(&grown.slot);
-            // A text that was begun anew meanwhile has other data.
-            if let Some(text) = text.filter(|text| Rc::ptr_eq(&text.identity, &grown.identity)) {
+            // A text that was begun anew meanwhile has other data, and one
+            // that was kept meanwhile, as a stopping instance does beside the
+            // regular saves, goes on from there.
+            let same = |text: &&mut Text| {
+                Rc::ptr_eq(&text.identity, &grown.identity) && text.kept == grown.kept
+            };
+            if let Some(text) = text.filter(same) {
                 text.saved = grown.last;
                 text.kept_bytes += grown.piece.len();
                 text.kept = kept;
--- a/crates/hollywell/src/entry/room.rs
+++ b/crates/hollywell/src/entry/room.rs
@@ -13,6 +13,7 @@
         room::{self, LIVE_OVERHEAD, LOG_OVERHEAD, Use},
     },
     entry::{
+        news::{self, News},
         shared::{JOBS, Shared, TEXTS, wall_ms},
         store::{Part, Read},
     },
@@ -20,6 +21,11 @@
 
 /// Time between looks.
 const LOOK: Duration = Duration::from_secs(1);
+/// Age up to which texts are trimmed while the store is full, in milliseconds:
+/// a text is read by whoever was asked for it right after it was listed.
+const FULL_TEXTS_MS: u64 = 2_000;
+/// How many instances trim a log, on the average, where its owner seems not to.
+const HELPERS: f64 = 2.0;
 /// Bytes of text for each token that a sample is estimated at, before any
 /// was seen. Texts of the users' sites have seven.
 const BYTES_A_TOKEN: f64 = 8.0;
@@ -55,14 +61,19 @@
 /// Adds up what the store holds, and what accepted jobs will add.
 fn look(shared: &Shared) {
     let ratio = bytes_a_token(shared);
+    let now = shared.now();
+    let life_ms = u64::try_from(shared.settings.store.retention.as_millis()).unwrap_or(u64::MAX);
     let world = &mut *shared.world.borrow_mut();
+    for log in world.shelves.iter_mut().flat_map(|shelf| &mut shelf.logs) {
+        log.expire(now, life_ms);
+    }
     let jobs = || world.shelves.iter().flat_map(|shelf| shelf.book.jobs.values());
     let live = jobs().map(crate::core::batch::Job::bytes).sum();
     let tokens: u64 = jobs().map(crate::core::batch::Job::tokens_to_come).sum();
     let samples = jobs().filter(|job| !job.ended).map(|job| job.done.len() - job.listed.len());
     let outcomes = samples.sum::<usize>() as u64 * OUTCOME_BYTES;
-    let logs = world.shelves.iter().map(|shelf| shelf.logs[0].bytes() + shelf.logs[1].bytes());
-    let logs = logs.sum();
+    let most = world.room.log_most(2 * world.shelves.len());
+    let logs = world.shelves.iter().flat_map(|shelf| &shelf.logs).map(|log| log.bytes(most)).sum();
     world.room.seen(live, logs, (tokens as f64 * ratio) as u64 + outcomes);
     shared.meters.used.set(i64::try_from(world.room.used()).unwrap_or(i64::MAX));
 }
@@ -115,37 +126,53 @@
 }
 
 /// Trims the logs of a partition of jobs and of the partition of texts with
-/// the same number. All instances reckon with it; one does it.
+/// the same number, and tells the others: nobody marks as trimmed what was
+/// not. One instance does it as a rule; where that one seems not to, and while
+/// the store is full, any that finds it due.
 async fn trim(shared: &Rc<Shared>, part: usize) {
     for (at, topic) in [JOBS, TEXTS].into_iter().enumerate() {
-        let (cut, mine, full) = {
-            let now = shared.now();
-            let world = &mut *shared.world.borrow_mut();
-            let most = world.room.log_most(2 * world.shelves.len());
-            let full = world.room.is_full(now);
-            let deal = format!("trim {part}");
-            let mine = owner(world.roster.members(), &deal, "") == Some(shared.me.as_str());
-            let log = &mut world.shelves[part].logs[at];
-            let cut = log.cut(now, most, full);
-            if let Some(before) = cut.filter(|_| !mine) {
-                log.trimmed(before);
-            }
-            (cut, mine, full)
-        };
-        let Some(before) = cut.filter(|_| mine) else {
+        let Some((before, full)) = due(shared, part, at) else {
             continue;
         };
         let before = if full && topic == TEXTS { end(shared, part, before).await } else { before };
         match (shared.store.trim)((Part::at(topic, part), before)).await {
             Ok(()) => {
                 log::info!("{topic}/{part} trimmed before {before}");
-                shared.world.borrow_mut().shelves[part].logs[at].trimmed(before);
+                trimmed(shared, part, at, before);
+                news::tell(shared, &News::Trimmed { part, texts: topic == TEXTS, before }).await;
             }
             Err(fault) => log::info!("{topic}/{part} is not trimmed yet: {fault}"),
         }
     }
 }
 
+/// Before which offset a log is to be trimmed by this instance now, if at
+/// all, and whether that is since the store is full.
+fn due(shared: &Shared, part: usize, at: usize) -> Option<(u64, bool)> {
+    let now = shared.now();
+    let world = shared.world.borrow();
+    let members = world.roster.members();
+    let most = world.room.log_most(2 * world.shelves.len());
+    let full = world.room.is_full(now);
+    // Jobs have followers, which would have to begin anew; texts are found by
+    // their keys as well.
+    let young_ms = if at == 0 { room::LEAST_MS } else { FULL_TEXTS_MS };
+    let log = &world.shelves[part].logs[at];
+    let mine = owner(members, &format!("trim {part}"), "") == Some(shared.me.as_str());
+    let late = log.bytes(0) > most + most / 2;
+    let lucky = (full || late) && rand::random_bool((HELPERS / members.len() as f64).min(1.0));
+    let before = log.cut(now, most, full.then_some(young_ms))?;
+    (mine || lucky).then_some((before, full))
+}
+
+/// Notes that a log was trimmed, by whomever.
+pub fn trimmed(shared: &Shared, part: usize, at: usize, before: u64) {
+    let mut world = shared.world.borrow_mut();
+    if let Some(shelf) = world.shelves.get_mut(part) {
+        shelf.logs[at].trimmed(before);
+    }
+}
+
 /// Where a partition of texts ends; `known` if that cannot be read. Nobody
 /// follows it, and texts that nothing names lie beyond the last that is named.
 /// While the store is full nothing is added there, and whoever still wants one
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -46,6 +46,8 @@
     pub call_bytes: usize,
     /// Shortest life of a group's member without a call.
     pub ttl_min: Duration,
+    /// How long a record lives in its log.
+    pub retention: Duration,
     /// Bytes that all topics together may take.
     pub room_bytes: u64,
 }
@@ -121,6 +123,7 @@
             record_bytes: reader.size(store, "record_bytes", 262_144, 4_096..=MOST_BYTES),
             call_bytes: reader.size(store, "call_bytes", 2_097_152, 4_096..=MOST_BYTES),
             ttl_min: reader.time(store, "ttl_min_ms", MILLISECOND, 1_000.0, 1.0..=MOST_MS),
+            retention: reader.time(store, "retention_s", SECOND, 300.0, 1.0..=MOST_S),
             room_bytes: reader.number(store, "room_bytes", ROOM_BYTES, 65_536..=u64::MAX),
         },
         times: Times {
--- a/crates/hollywell/src/entry/texts.rs
+++ b/crates/hollywell/src/entry/texts.rs
@@ -119,13 +119,18 @@
     Ok(())
 }
 
+/// A key that sorts before another, and behind most that do: what it begins
+/// with.
+fn just_before(key: &str) -> String {
+    key.char_indices().last().map(|(at, _)| key[..at].to_owned()).unwrap_or_default()
+}
+
 /// Reads texts by their keys, which are kept for good.
 async fn by_key(shared: &Rc<Shared>, part: u32, wanted: &[TextRef]) -> Result<Vec<Bytes>, Fault> {
     let mut found: BTreeMap<String, Bytes> = BTreeMap::new();
     let first = wanted.iter().map(|text| text.key.as_str()).min().unwrap_or_default();
     let last = wanted.iter().map(|text| text.key.as_str()).max().unwrap_or_default();
-    // What a key begins with sorts before it.
-    let mut after = first.char_indices().last().map(|(at, _)| first[..at].to_owned());
+    let mut after = Some(just_before(first));
     while after.as_ref().is_some_and(|key| key.as_str() < last) {
         let page = (shared.store.newest)((Part::new(TEXTS, part), after)).await?;
         for record in page.records {
@@ -134,7 +139,10 @@
                 found.insert(record.key, value);
             }
         }
-        after = page.after.filter(|_| found.len() < wanted.len());
+        // On to the next that is missing, past what nobody wants.
+        let missing = wanted.iter().map(|text| &text.key).filter(|key| !found.contains_key(*key));
+        let next = missing.min().map(|key| just_before(key));
+        after = page.after.zip(next).map(|(after, next)| after.max(next));
     }
     let text = |text: &TextRef| {
         let missing = || Fault::Malformed(format!("no text under {:?}", text.key));
--- a/crates/hollywell/tests/batch.rs
+++ b/crates/hollywell/tests/batch.rs
@@ -43,6 +43,19 @@
     Outcome { id, dead: false, text: None, versions: vec![1], score }
 }
 
+#[test]
+fn two_heads_of_one_job_name_the_same_requests_to_those_who_read_both_or_one() {
+    let head = |key: &str, at_ms| {
+        let bundles = vec![TextRef { part: 0, offset: 0, key: key.into(), len: 10 }];
+        let (samples, _) = bundle(&submission(1), 4_096);
+        head_record("j", &Head { at_ms, samples, bundles, ..Head::default() })
+    };
+    let records = log(vec![head("j|b|w1", 5), head("j|b|w2", 9)]);
+    let (both, one) = (fold(&records), fold(&records[1..]));
+    assert_eq!(both.jobs["j"].head.bundles, one.jobs["j"].head.bundles);
+    assert_eq!(both.jobs["j"].head.at_ms, 5, "it is as old as the first");
+}
+
 fn log(records: Vec<(String, Bytes)>) -> Vec<Record> {
     let record = |(offset, (key, value)): (usize, (String, Bytes))| Record {
         offset: offset as u64,
