Orphans that turned out to be named are forgotten

Cause (read): what may be an orphan stayed on its list for good where nothing was to be dropped with it; twenty keys a submission. Change: a look that drops nothing ends the same way; a submission says whether what it goes by was read to the end.

--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -114,9 +114,6 @@
         look(&shared, &mut spares);
         for part in 0..shared.listed.len() {
             let due = due(&shared, part, &spares);
-            if due.keys.is_empty() {
-                continue;
-            }
             match drop_due(&shared, part, &due).await {
                 Ok(()) => done(&shared, part, due, &mut spares),
                 Err(fault) => {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -85,11 +85,13 @@
             batch::MAX_ID
         ));
     }
-    // Another instance may just have accepted it.
-    let _what_is_known_will_do = catch_up(shared, part).await;
+    // Another instance may just have accepted it. Where that cannot be read,
+    // the two heads that there may be name the same samples.
+    let current = catch_up(shared, part).await;
     if known(shared, part, job) {
         return Reply::Done;
     }
+    log::debug!("job {job} is new here, partition {part} read to its end: {current}");
     if let Err(come_back_ms) = room::admit(shared, decoded) {
         return no_room(shared, job, come_back_ms);
     }
