--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -17,6 +17,8 @@
 //! | [`retry`] | whether a failed attempt may be tried again, and when |
 //! | [`pace`] | how fast weights are fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
+//! | [`ending`] | what becomes of an end that the platform's store has not taken |
+//! | [`room`] | what the store's room is left for, and how far a log is trimmed |
 //!
 //! What it leaves out: bodies, sockets and threads, which are in
 //! [`crate::traffic`], [`crate::peer`] and [`crate::control`].
--- a/crates/hollywell/src/entry/room.rs
+++ b/crates/hollywell/src/entry/room.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     core::{
-        batch::{CLOCKS_APART_MS, Submission},
+        batch::{CLOCKS_APART_MS, Job, Submission},
         dispatch::owner,
         room::{self, LIVE_OVERHEAD, LOG_OVERHEAD, Use},
     },
@@ -52,9 +52,8 @@
 fn bytes_a_token(shared: &Shared) -> f64 {
     let world = shared.world.borrow();
     let jobs = world.shelves.iter().flat_map(|shelf| shelf.book.jobs.values());
-    let (tokens, bytes) = jobs
-        .map(crate::core::batch::Job::sizes)
-        .fold((0, 0), |sum, sizes| (sum.0 + sizes.0, sum.1 + sizes.1));
+    let (tokens, bytes) =
+        jobs.map(Job::sizes).fold((0, 0), |sum, sizes| (sum.0 + sizes.0, sum.1 + sizes.1));
     if tokens == 0 { BYTES_A_TOKEN } else { bytes as f64 / tokens as f64 }
 }
 
@@ -68,8 +67,8 @@
         log.expire(now, life_ms);
     }
     let jobs = || world.shelves.iter().flat_map(|shelf| shelf.book.jobs.values());
-    let live = jobs().map(crate::core::batch::Job::bytes).sum();
-    let tokens: u64 = jobs().map(crate::core::batch::Job::tokens_to_come).sum();
+    let live = jobs().map(Job::bytes).sum();
+    let tokens: u64 = jobs().map(Job::tokens_to_come).sum();
     let samples = jobs().filter(|job| !job.ended).map(|job| job.done.len() - job.listed.len());
     let outcomes = samples.sum::<usize>() as u64 * OUTCOME_BYTES;
     let most = world.room.log_most(2 * world.shelves.len());
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -21,7 +21,7 @@
     control::Clock,
     core::{choice::Sights, dispatch, ending, fleet::Fleet, room, roster::Roster},
     entry::{
-        clean,
+        self, clean,
         dialect::Dialect,
         ends,
         exchange::Pool,
@@ -149,7 +149,7 @@
     spawn(Box::pin(clean::serve(shared.clone())));
     spawn(Box::pin(ends::serve(shared.clone(), peers)));
     spawn(Box::pin(ends::watch(shared.clone())));
-    spawn(Box::pin(crate::entry::room::serve(shared.clone())));
+    spawn(Box::pin(entry::room::serve(shared.clone())));
     spawn(Box::pin(reload::serve(shared.clone(), path.to_owned())));
     spawn(Box::pin(tick(shared.clone())));
     spawn(Box::pin(save(shared.clone())));
