Read once more: one question whether a sample is still wanted, one ratio a look

Cause: reading the change as a newcomer. Whether a sample is still to be listed was spelled out in three places (scoring, keeping unfinished texts, the last look before a send): World::wants. Admission worked out the bytes a token twice: the look returns them. status_s was turned into milliseconds in two places. A function that nothing called goes. No behaviour changed; no test changed. Ruled out: one list of named logs in place of two by position (a wider change than this reading should make).

--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -48,8 +48,8 @@
 /// How long the store's word that it is full counts, in milliseconds.
 const FULL_MS: u64 = 1_000;
 /// Shortest and longest time that a caller is told to wait for room, in
-/// milliseconds: logs are trimmed and drops looked for each second, and a minute is longer
-/// than a trainer waits for a step.
+/// milliseconds: logs are trimmed and drops looked for each second, and a
+/// minute is longer than a trainer waits for a step.
 const COME_BACK_MS: (u64, u64) = (2_000, 60_000);
 
 /// What an append is for.
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -138,7 +138,7 @@
 
 /// Records of a partition that nothing needs and that fall to this instance.
 fn due(shared: &Shared, part: usize, spares: &HashMap<String, Spare>) -> Due {
-    let status_ms = u64::try_from(shared.settings.times.status.as_millis()).unwrap_or(u64::MAX);
+    let status_ms = shared.settings.times.status_ms();
     let (now, wall_ms, terms) = (shared.now(), wall_ms(), Terms { status_ms });
     let world = shared.world.borrow();
     let mut due = Due::default();
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -382,12 +382,7 @@
     let part = shared.part_of(&slot.job);
     let (mut failures, mut tries) = (0, 0);
     loop {
-        let wanted = {
-            let world = shared.world.borrow();
-            let job = world.shelves[part].book.jobs.get(&slot.job);
-            let open = job.is_some_and(|job| !job.ended && !job.done[slot.at]);
-            open && !world.ending.holds(&slot.job)
-        };
+        let wanted = shared.world.borrow().wants(part, &slot);
         if !wanted {
             return;
         }
--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -272,8 +272,7 @@
             continue;
         }
         let job = world.shelves[part].book.jobs.get(&slot.job);
-        let open = |job: &&batch::Job| !job.ended && !job.done[slot.at];
-        let Some(job) = job.filter(open).filter(|_| !world.ending.holds(&slot.job)) else {
+        let Some(job) = job.filter(|_| world.wants(part, slot)) else {
             continue;
         };
         let piece = &text.data.as_bytes()[text.kept_bytes..];
--- a/crates/hollywell/src/entry/room.rs
+++ b/crates/hollywell/src/entry/room.rs
@@ -40,7 +40,7 @@
     let mut tight = false;
     loop {
         sleep(LOOK).await;
-        look(&shared);
+        let _ratio = look(&shared);
         tell(&shared, &mut tight);
         for part in 0..shared.listed.len() {
             trim(&shared, part).await;
@@ -57,8 +57,9 @@
     if tokens == 0 { BYTES_A_TOKEN } else { bytes as f64 / tokens as f64 }
 }
 
-/// Adds up what the store holds, and what accepted jobs will add.
-fn look(shared: &Shared) {
+/// Adds up what the store holds, and what accepted jobs will add; the bytes of
+/// text for each token that it reckoned with.
+fn look(shared: &Shared) -> f64 {
     let ratio = bytes_a_token(shared);
     let now = shared.now();
     let life_ms = u64::try_from(shared.settings.store.retention.as_millis()).unwrap_or(u64::MAX);
@@ -78,6 +79,7 @@
     let logs = own.sum::<u64>() + others;
     world.room.seen(now, live, logs, (tokens as f64 * ratio) as u64 + outcomes);
     shared.meters.used.set(i64::try_from(world.room.used()).unwrap_or(i64::MAX));
+    ratio
 }
 
 /// One line each time that jobs begin or cease to be rejected for room.
@@ -103,8 +105,7 @@
 ///
 /// When to come back, in milliseconds.
 pub fn admit(shared: &Shared, submission: &Submission) -> Result<(), u64> {
-    look(shared);
-    let ratio = bytes_a_token(shared);
+    let ratio = look(shared);
     let mut bytes = 0;
     for sample in &submission.samples {
         let request = prost::Message::encoded_len(sample) as u64;
@@ -118,8 +119,7 @@
 
 /// In how many milliseconds the records of a job will be dropped next.
 fn next_drop_ms(shared: &Shared) -> Option<u64> {
-    let status_ms = u64::try_from(shared.settings.times.status.as_millis()).unwrap_or(u64::MAX);
-    let kept_ms = status_ms.saturating_add(CLOCKS_APART_MS);
+    let kept_ms = shared.settings.times.status_ms().saturating_add(CLOCKS_APART_MS);
     let now_ms = wall_ms();
     let world = shared.world.borrow();
     let jobs = world.shelves.iter().flat_map(|shelf| shelf.book.jobs.values());
@@ -190,9 +190,3 @@
         }
     }
 }
-
-/// A log of a partition that nothing was read of yet.
-#[must_use]
-pub fn logs() -> [room::Log; 2] {
-    [room::Log::default(), room::Log::default()]
-}
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -63,6 +63,14 @@
     pub status: Duration,
 }
 
+impl Times {
+    /// [`Times::status`] in milliseconds, as decisions count.
+    #[must_use]
+    pub fn status_ms(&self) -> u64 {
+        u64::try_from(self.status.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -134,6 +134,15 @@
 }
 
 impl World {
+    /// Whether a sample, whose job lies in a partition, is still to be
+    /// listed: its job is there, and no end of it was read or asked for.
+    #[must_use]
+    pub fn wants(&self, part: usize, slot: &Slot) -> bool {
+        let job = self.shelves[part].book.jobs.get(&slot.job);
+        let open = job.is_some_and(|job| !job.ended && !job.done[slot.at]);
+        open && !self.ending.holds(&slot.job)
+    }
+
     /// Which partitions became out of date or are so no longer. It is asked before each event, not now and then: an instance that
     /// wakes up from a pause must not act on what it knew before.
     fn staleness(&mut self, now: Time) -> Vec<Event> {
@@ -382,10 +391,8 @@
     pub fn may_send(&self, slot: &Slot) -> bool {
         let now = self.now();
         let world = self.world.borrow();
-        let shelf = &world.shelves[self.part_of(&slot.job)];
-        let job = shelf.book.jobs.get(&slot.job);
-        let open = job.is_some_and(|job| !job.ended && !job.done[slot.at]);
-        open && !world.ending.holds(&slot.job) && !shelf.is_stale(now, &world.fleet)
+        let part = self.part_of(&slot.job);
+        world.wants(part, slot) && !world.shelves[part].is_stale(now, &world.fleet)
     }
 
     /// Runs nothing more of a job, and forgets what only its runs need.
