One function names the instance of a member; the lease speaks of instances

Cause: the lease's change wrote again what the roster had, and called an instance a machine, which is the platform's word. Ruled out: nothing; a name and a doubled line. Change: core::roster::instance, with an example, used by both. Tests tenure, roster, dispatch, roll: as before (33 passed).

--- a/crates/hollywell/src/core/roster.rs
+++ b/crates/hollywell/src/core/roster.rs
@@ -19,6 +19,22 @@
 /// anew, short against the time to live that it has outlasted already.
 const MISSING_MS: u64 = 200;
 
+/// The instance that a member's name is of: what stands before its run.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::roster::instance;
+///
+/// assert_eq!(instance("a@10.0.0.1:80/1"), instance("a@10.0.0.1:80/2"));
+/// // The same name elsewhere is another instance.
+/// assert_ne!(instance("a@10.0.0.1:80/1"), instance("a@10.0.0.2:80/1"));
+/// ```
+#[must_use]
+pub fn instance(member: &str) -> &str {
+    member.rsplit_once('/').map_or(member, |(instance, _)| instance)
+}
+
 /// The live members as one instance believes them to be.
 ///
 /// # Example
@@ -105,7 +121,6 @@
     /// instance knows of itself which run is the latest, whatever the time
     /// of day that named the runs.
     fn supersede(&self, members: &mut Vec<String>) {
-        let instance = |member: &str| member.rsplit_once('/').map(|(name, _)| name.to_owned());
         let mine = instance(&self.me);
         members.retain(|member| *member == self.me || instance(member) != mine);
         let mut at = 1;
--- a/crates/hollywell/src/core/tenure.rs
+++ b/crates/hollywell/src/core/tenure.rs
@@ -14,9 +14,9 @@
 //! Waiting out the full time after each change was the first version; with
 //! instances restarted every two seconds engines got hardly any orders.
 //!
-//! A machine that restarts goes on with its own lease at once: its earlier
-//! incarnation has ended, and engines take both for one holder. It keeps
-//! apart only from what other machines ordered, so each claim also says how
+//! An instance that restarts goes on with its own lease at once: its earlier
+//! run has ended, and engines take both for one holder. It keeps apart only
+//! from what other instances ordered, so each claim also says how
 //! long ago that was. After all processes were killed and down for 0.5 s, the
 //! first order came 0.2 s after their restart instead of 4.9 s (log of one
 //! played day).
@@ -26,7 +26,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::time::Time;
+use crate::core::{roster::instance, time::Time};
 
 /// Drift of clocks and delay of timers that a challenger allows for, in
 /// milliseconds.
@@ -51,20 +51,14 @@
     /// of, its own or an earlier holder's, in milliseconds; `None` if there
     /// was none.
     pub quiet_ms: Option<u64>,
-    /// Time since the last order of another machine than the claimant's, in
-    /// milliseconds; `None` if there was none.
+    /// Time since the last order of another instance, in milliseconds; `None`
+    /// if there was none.
     #[serde(default)]
     pub others_ms: Option<u64>,
     /// Whether the holder gives the lease up.
     pub released: bool,
 }
 
-/// The machine of an instance, as [`Claim::holder`] names it: what stands
-/// before its incarnation.
-fn machine(holder: &str) -> &str {
-    holder.rsplit_once('/').map_or(holder, |(machine, _)| machine)
-}
-
 /// How long things last.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -86,7 +80,7 @@
     orders_from: Time,
     /// When the last order was given, as far as is known here.
     ordered_at: Option<Time>,
-    /// When another machine's last order was given, as far as is known here.
+    /// When another instance's last order was given, as far as is known here.
     others_at: Option<Time>,
     announced: bool,
 }
@@ -115,15 +109,14 @@
         self.fence.is_some()
     }
 
-    /// Whether the last claim is that of an earlier incarnation of this
-    /// machine.
+    /// Whether the last claim is that of an earlier run of this instance.
     fn is_own(&self, me: &str) -> bool {
         self.last
             .as_ref()
-            .is_some_and(|(last, _)| last.holder != me && machine(&last.holder) == machine(me))
+            .is_some_and(|(last, _)| last.holder != me && instance(&last.holder) == instance(me))
     }
 
-    /// When the last order may have been given by another machine.
+    /// When the last order may have been given by another instance.
     fn others_order(&self, me: &str, terms: Terms) -> Option<Time> {
         if !self.is_own(me) {
             return self.last_order(terms);
@@ -196,7 +189,7 @@
         if claim.renews.is_none() {
             self.others_at = self.others_order(&claim.holder, terms);
             self.orders_from = self.others_at.map_or(sent, |at| at.after(terms.apart_ms));
-            // The incarnation before may have given orders to its end.
+            // The run before may have given orders to its end.
             self.ordered_at = match self.is_own(&claim.holder) {
                 true => Some(sent),
                 false => self.others_at,
--- a/crates/hollywell/tests/tenure.rs
+++ b/crates/hollywell/tests/tenure.rs
@@ -106,12 +106,12 @@
 }
 
 #[test]
-fn a_machine_that_restarts_takes_its_own_lease_up_at_once() {
+fn an_instance_that_restarts_takes_its_own_lease_up_at_once() {
     let (mut log, mut before) = (Log::default(), instance("a@10.1.0.1:80/1"));
     assert!(turn(&mut log, &mut before, 0, true));
     assert!(turn(&mut log, &mut before, 10, true));
     before.tenure.ordered(Time(20));
-    // Everybody loses power; only its own machine knows that it has ended.
+    // Everybody loses power; only this instance knows that its run has ended.
     let (mut after, mut other) = (instance("a@10.1.0.1:80/2"), instance("b@10.1.0.2:80/2"));
     assert!(!turn(&mut log, &mut other, 600, true), "the lease may still be held");
     assert!(turn(&mut log, &mut after, 600, true));
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn a_machine_that_restarts_still_waits_for_what_another_ordered() {
+fn an_instance_that_restarts_still_waits_for_what_another_ordered() {
     let (mut log, mut other) = (Log::default(), instance("b@10.1.0.2:80/1"));
     assert!(turn(&mut log, &mut other, 0, true));
     assert!(turn(&mut log, &mut other, 10, true));
@@ -140,15 +140,15 @@
     assert!(after.tenure.fence(Time(4_610), MARGIN_MS).is_some());
 }
 
-/// Plays a generated schedule of three machines, which may restart where
-/// `restarts` says so; the orders given, with time, machine and fence.
+/// Plays a generated schedule of three instances, which may restart where
+/// `restarts` says so; the orders given, with time, instance and fence.
 fn orders(
     u: &mut arbtest::arbitrary::Unstructured<'_>,
     restarts: bool,
 ) -> arbtest::arbitrary::Result<Vec<(u64, usize, u64)>> {
-    const MACHINES: [&str; 3] = ["a@10.1.0.1:80", "b@10.1.0.2:80", "c@10.1.0.3:80"];
+    const NAMES: [&str; 3] = ["a@10.1.0.1:80", "b@10.1.0.2:80", "c@10.1.0.3:80"];
     let mut log = Log::default();
-    let mut all = MACHINES.map(|machine| instance(&format!("{machine}/0")));
+    let mut all = NAMES.map(|name| instance(&format!("{name}/0")));
     let mut orders: Vec<(u64, usize, u64)> = vec![];
     let mut now = 0;
     for step in 1..=u.int_in_range(10..=120usize)? {
@@ -174,7 +174,7 @@
             3..=5 => {
                 turn(&mut log, instance, now, u.arbitrary()?);
             }
-            10 => *instance = self::instance(&format!("{}/{step}", MACHINES[who])),
+            10 => *instance = self::instance(&format!("{}/{step}", NAMES[who])),
             _ => {
                 if let Some(fence) = instance.tenure.fence(Time(now), MARGIN_MS) {
                     instance.tenure.ordered(Time(now));
