A request that nobody can answer in time is rejected at once

Every refusal said to come back after the same 150 ms, so those refused together returned together. Ruled out: rejecting where all targets are full (a place comes free within an answer's time, 25 ms at the median); rejecting before the targets were read (a reading takes less than another try). Change: core::hold decides: nobody there, reject at once; less time left than an answer has usually taken on these targets, reject; else hold. The time to come back is what it waits for, and all are spread by a quarter.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -76,6 +76,8 @@
     avoid_until: Time,
     /// Mean time between events of its streams, in milliseconds.
     pub pace_ms: Option<f64>,
+    /// Mean time that a plain request's whole answer took, in milliseconds.
+    pub answer_ms: Option<f64>,
     /// Exchanges broken in a row.
     pub broken: u32,
     /// Refusals for lack of room in a row.
@@ -189,6 +191,14 @@
         sight.pace_ms = Some(mean + PACE_WEIGHT * (gap_ms - mean));
     }
 
+    /// Notes how long a plain request's whole answer took.
+    pub fn answered(&mut self, id: &str, took_ms: u64) {
+        let sight = self.at(id);
+        let took_ms = took_ms as f64;
+        let mean = sight.answer_ms.unwrap_or(took_ms);
+        sight.answer_ms = Some(mean + PACE_WEIGHT * (took_ms - mean));
+    }
+
     /// Whether a target is avoided now.
     #[must_use]
     pub fn avoided(&self, now: Time, id: &str) -> bool {
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -18,6 +18,7 @@
 //! | [`pace`] | how fast weights are fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | what becomes of an end that the platform's store has not taken |
+//! | [`hold`] | whether a request that no target can take is held or rejected |
 //! | [`room`] | what the store's room is left for, and how far a log is trimmed |
 //!
 //! What it leaves out: bodies, sockets and threads, which are in
@@ -31,6 +32,7 @@
 pub mod ending;
 pub mod event;
 pub mod fleet;
+pub mod hold;
 pub mod id;
 pub mod lease;
 pub mod member;
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -16,6 +16,7 @@
     core::{
         choice::Need,
         fleet::Announcement,
+        hold,
         plan::{Repeat, Route},
         time::Time,
     },
@@ -93,8 +94,9 @@
 pub enum Verdict {
     /// A target answered.
     Answered(Whole),
-    /// No target's answer can be passed on.
-    Refused(Kind),
+    /// No target's answer can be passed on; when to come back, in
+    /// milliseconds, where that is known.
+    Refused(Kind, Option<u64>),
 }
 
 /// What became of one send.
@@ -112,6 +114,7 @@
     let mut tried: Vec<String> = Vec::new();
     let mut ran = false;
     let mut failed: Option<Whole> = None;
+    let mut come_back_ms = None;
     loop {
         let now = shared.now();
         let left_ms = until.since(now).saturating_sub(MARGIN_MS);
@@ -125,6 +128,10 @@
             if shared.world.borrow().stopping {
                 break;
             }
+            if let hold::Next::Reject(ms) = hold::next(sight(shared, route, salt, left_ms)) {
+                come_back_ms = Some(ms);
+                break;
+            }
             tokio::time::sleep(PAUSE).await;
             continue;
         };
@@ -134,6 +141,10 @@
             _ => left_ms,
         };
         let sent = send(shared, route, plain, &target, left_ms, limit_ms).await;
+        if let Sent::Answered(_) = &sent {
+            let took_ms = shared.now().since(now);
+            shared.world.borrow_mut().sights.answered(&target.id, took_ms);
+        }
         match sent {
             Sent::Answered(whole) if whole.status != StatusCode::INTERNAL_SERVER_ERROR => {
                 return Verdict::Answered(whole);
@@ -165,7 +176,17 @@
         (false, false) => Kind::TargetRefused,
     };
     log::info!("request {} on {}: {}; tried {tried:?}", plain.id, route.name, kind.as_str());
-    Verdict::Refused(kind)
+    Verdict::Refused(kind, come_back_ms)
+}
+
+/// What is known of a route's targets where none of them can take a request.
+fn sight(shared: &Shared, route: &Route, salt: u64, left_ms: u64) -> hold::Sight {
+    let world = shared.world.borrow();
+    let pool = pick_pool(route, salt).unwrap_or("");
+    let usable = || world.fleet.usable(pool).map(|target| target.said.id.as_str());
+    let answers = usable().filter_map(|id| world.sights.of(id)?.answer_ms);
+    let usual_ms = answers.min_by(f64::total_cmp).map(|ms| ms as u64);
+    hold::Sight { known: world.fleet_known, usable: usable().count(), usual_ms, left_ms }
 }
 
 fn patience(route: &Route) -> u64 {
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -33,9 +33,10 @@
 const BODY_BYTES: usize = 32 << 20;
 /// Longest that a read of results is held, in milliseconds.
 const HOLD_MS: u64 = 5_000;
-/// When a refused caller is told to come back: long enough for a load figure
-/// or a reading of the store to be renewed, short against a deadline.
-const COME_BACK: &str = "0.15";
+/// When a refused caller is told to come back where nothing better is known,
+/// in milliseconds: long enough for a load figure or a reading of the store to
+/// be renewed, short against a deadline.
+const COME_BACK_MS: u64 = 150;
 /// Most by which the time to come back is stretched.
 const COME_BACK_SPREAD: f64 = 1.25;
 /// Deadline of a caller that states none and whose route states none.
@@ -261,9 +262,13 @@
             *response.headers_mut() = whole.headers;
             response
         }
-        Verdict::Refused(kind) => {
+        Verdict::Refused(kind, come_back_ms) => {
             log::info!("request {} refused: {} in {}", plain.id, kind.as_str(), plan.version);
-            refuse(shared, kind)
+            let refusal = refuse(shared, kind);
+            match come_back_ms {
+                Some(ms) => come_back(refusal, ms),
+                None => refusal,
+            }
         }
     }
 }
@@ -306,13 +311,13 @@
     *response.status_mut() =
         StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
-    if answer.retry_after_s.is_some() {
-        headers.insert(header::RETRY_AFTER, HeaderValue::from_static(COME_BACK));
-    }
     if answer.outcome == crate::error::Outcome::NotRun && answer.status >= 429 {
         headers.insert(shared.dialect.headers.not_run.clone(), HeaderValue::from_static("1"));
     }
-    response
+    match answer.retry_after_s {
+        Some(_) => come_back(response, COME_BACK_MS),
+        None => response,
+    }
 }
 
 /// Tells a caller when to come back, a little spread, so that those who were
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -44,6 +44,8 @@
 const FULL_MS: u64 = 2_000;
 /// Pause before a scoring request is sent again.
 const SCORE_PAUSE: Duration = Duration::from_millis(30);
+/// The same where no target could take it: each try writes a line of log.
+const SCORE_REFUSED_PAUSE: Duration = Duration::from_millis(100);
 
 /// What became of a caller's wish about a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -417,6 +419,7 @@
             continue;
         }
         tries += 1;
+        let mut pause = SCORE_PAUSE;
         match forward::run(&shared, &route, &plain, tries).await {
             Verdict::Answered(answer) if answer.status.is_success() => {
                 let signature = answer.signature(&shared.dialect.headers.signature);
@@ -432,13 +435,16 @@
                 }
                 log::debug!("scoring {}/{}: {}", slot.job, slot.at, answer.status);
             }
-            Verdict::Refused(kind) => log::debug!("scoring {}/{}: {kind:?}", slot.job, slot.at),
+            Verdict::Refused(kind, _) => {
+                log::debug!("scoring {}/{}: {kind:?}", slot.job, slot.at);
+                pause = SCORE_REFUSED_PAUSE;
+            }
         }
         if failures >= most {
             log::info!("scoring {}/{} failed {failures} times", slot.job, slot.at);
             shared.tell(&Event::Unscored(slot));
             return;
         }
-        sleep(SCORE_PAUSE).await;
+        sleep(pause).await;
     }
 }
