report steps: what the time of a step is made of, from debug logs

Ruled out: lines of level info for each step (each instance knows only its own samples, and the lines would be written in calm too). Change: report::steps follows each step's last sample; the debug line of a run's end has the number of its events. Written only at level debug.

--- a/crates/hollywell/src/cli/report.rs
+++ b/crates/hollywell/src/cli/report.rs
@@ -14,7 +14,7 @@
     Failure,
     ask::{Asker, at_arg},
 };
-use crate::report::{burns, page, scrape::Scrape, traced};
+use crate::report::{burns, page, scrape::Scrape, steps, traced};
 
 pub(super) fn command() -> Command {
     let directory = |name: &'static str, help: &'static str| {
@@ -40,6 +40,18 @@
                 .arg(number("every-s", "15", "Seconds between scrapes"))
                 .arg(number("times", "1", "Scrapes to make")),
         )
+        .subcommand(
+            Command::new("steps")
+                .about("Show what the time of steps is made of, from logs of level debug")
+                .arg(
+                    Arg::new("log")
+                        .value_name("FILE")
+                        .help("Lines of all instances: seconds, instance, the line as written")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf)),
+                )
+                .arg(Arg::new("job").long("job").value_name("ID").help("This job only")),
+        )
         .subcommand(
             Command::new("show")
                 .about("Work the burn out of scrapes or of a recorded trace")
@@ -74,6 +86,7 @@
 pub(super) fn run(args: &ArgMatches) -> Result<(), Failure> {
     match args.subcommand() {
         Some(("collect", args)) => collect(args),
+        Some(("steps", args)) => show_steps(args),
         Some(("show", args)) => show(args),
         _ => Err(Failure::Input(String::from("no subcommand; see --help"))),
     }
@@ -98,6 +111,18 @@
     Ok(())
 }
 
+fn show_steps(args: &ArgMatches) -> Result<(), Failure> {
+    let path = args.get_one::<PathBuf>("log").cloned().unwrap_or_default();
+    let at = |error| Failure::Input(format!("{}: {error}", path.display()));
+    let log = BufReader::new(fs::File::open(&path).map_err(at)?);
+    let mut steps = steps::read(log).map_err(at)?;
+    if let Some(job) = args.get_one::<String>("job") {
+        steps.retain(|step| step.job == *job);
+    }
+    print!("{}", steps::text(&steps));
+    Ok(())
+}
+
 fn show(args: &ArgMatches) -> Result<(), Failure> {
     let scrapes = scrapes(args)?;
     if let Some(file) = args.get_one::<PathBuf>("html") {
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -78,7 +78,9 @@
         let shared = shared.clone();
         async move {
             let end = go(&shared, run, &slot, &said, priority).await;
-            log::debug!("sample {}/{} at {}: {end:?}", slot.job, slot.at, said.id);
+            let events = || shared.world.borrow().texts.get(&slot).map_or(0, |text| text.last);
+            let (job, at, id) = (&slot.job, slot.at, &said.id);
+            log::debug!("sample {job}/{at} at {id}: {end:?}, {} events", events());
             shared.meters.runs.with_label_values(&[&format!("{end:?}")]).inc();
             shared.world.borrow_mut().runs.remove(&run);
             shared.tell(&Event::Ended { run, end });
--- a/crates/hollywell/src/report/mod.rs
+++ b/crates/hollywell/src/report/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod page;
 pub mod scrape;
+pub mod steps;
 pub mod traced;
 
 use serde::Serialize;
