--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -52,8 +52,14 @@
 /// Share of a target's places up to which it has room for more than an
 /// instance's own share.
 const ROOM_SHARE: f64 = 0.75;
-/// Weight of the newest figure in a target's mean pace.
-const PACE_WEIGHT: f64 = 0.2;
+/// Weight of the newest figure in a target's mean times.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// A mean in which older figures fade; the first figure is its own mean.
+fn moving_mean(mean: Option<f64>, newest: f64) -> f64 {
+    let mean = mean.unwrap_or(newest);
+    mean + NEWEST_WEIGHT * (newest - mean)
+}
 
 /// Load as a target reported it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -187,16 +193,13 @@
     /// Notes the time between two events of a target's stream.
     pub fn pace(&mut self, id: &str, gap_ms: f64) {
         let sight = self.at(id);
-        let mean = sight.pace_ms.unwrap_or(gap_ms);
-        sight.pace_ms = Some(mean + PACE_WEIGHT * (gap_ms - mean));
+        sight.pace_ms = Some(moving_mean(sight.pace_ms, gap_ms));
     }
 
     /// Notes how long a plain request's whole answer took.
     pub fn answered(&mut self, id: &str, took_ms: u64) {
         let sight = self.at(id);
-        let took_ms = took_ms as f64;
-        let mean = sight.answer_ms.unwrap_or(took_ms);
-        sight.answer_ms = Some(mean + PACE_WEIGHT * (took_ms - mean));
+        sight.answer_ms = Some(moving_mean(sight.answer_ms, took_ms as f64));
     }
 
     /// Whether a target is avoided now.
