A target that starts again under its id begins anew; what names no target is skipped

Decided: an entry names what its key's newest record says. One that cannot be understood names no engine until the next sound one; what others say holds. Weighed: taking it for the engine's end, which would cut its runs for another writer's record.

Refusing all entries without it would serve nobody. So: `born` of another type names no engine; a missing one does not as soon as one target of a configured pool has told its own.

Change: `core::fleet` orders entries by start and count, also behind one that vanished; it knows the configured pools. Sights, kept connections, versions, orders under way and runs of an earlier life are dropped; versions learned late of an earlier life do not count.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -144,6 +144,14 @@
         })
     }
 
+    /// Forgets what was seen of a target that has started again, but for this
+    /// instance's own requests, whose ends are still to be noted.
+    pub fn forget(&mut self, id: &str) {
+        if let Some(sight) = self.targets.get_mut(id) {
+            *sight = Sight { mine: sight.mine, ..Sight::default() };
+        }
+    }
+
     /// Notes the load that came with an answer.
     pub fn load(&mut self, now: Time, id: &str, load: Load) {
         let sight = self.at(id);
@@ -265,7 +273,7 @@
     /// let target = |id: &str| Announcement {
     ///     id: id.into(), pool: "wadi-gen".into(), address: ([127, 0, 0, 1], 80).into(),
     ///     domain: "ruwi-hall".into(), slots: 1, draining: false, cold: false,
-    ///     versions: Default::default(),
+    ///     versions: Default::default(), born: None, beats: 0,
     /// };
     /// let (a, b) = (target("a"), target("b"));
     /// let need = Need { events: 20.0, most_load: 1.0, sharers: 1.0, salt: 0 };
--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -80,7 +80,9 @@
         if silent_ms > patience_ms {
             return Some(Leave::Broken);
         }
-        if !fleet.targets.contains_key(&running.target) {
+        // A target that has started again knows nothing of the run.
+        let target = fleet.targets.get(&running.target);
+        if target.is_none_or(|target| target.said.born != running.born) {
             return Some(Leave::Gone);
         }
         // What could not begin again here stays where it is. While a
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -230,6 +230,8 @@
 struct Running {
     slot: Slot,
     target: String,
+    /// The target's start, as it was known at the run's.
+    born: Option<u64>,
     head: bool,
     heard_at: Time,
     events: u32,
@@ -563,6 +565,7 @@
                 let running = Running {
                     slot: slot.clone(),
                     target: target.id.clone(),
+                    born: target.born,
                     head: false,
                     heard_at: now,
                     events: 0,
--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -5,10 +5,19 @@
 //! sign of a target's end, so for a short while after the store is back a
 //! vanished entry is still believed.
 //!
+//! A target may start again under its id. Its start tells its lives apart:
+//! nothing that was learned of an earlier life holds for a later one, and an
+//! entry of an earlier one says nothing any more. An entry that cannot be
+//! understood is another writer's. It names no target to use; what others
+//! say holds.
+//!
 //! What it leaves out: load, pace and faults, which the instance sees for
 //! itself (see [`crate::core::choice`]).
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +26,9 @@
 /// How long after the store is back a lapsed entry may take to return, in
 /// milliseconds. The platform says about two seconds.
 pub const LAPSE_MS: u64 = 2_500;
+/// How long the last entry of a target that is gone is remembered, in
+/// milliseconds: longer than a log keeps a record that could be read again.
+const REMEMBER_MS: u64 = 600_000;
 
 /// A target's own word about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,7 +38,7 @@
     /// The pool that it serves.
     pub pool: String,
     /// IP address and port.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Its failure domain.
     pub domain: String,
     /// Requests that it serves at once.
@@ -37,6 +49,36 @@
     pub cold: bool,
     /// Versions of the models that it holds.
     pub versions: BTreeMap<String, u64>,
+    /// Unix millisecond of its start; `None` on platforms whose targets do
+    /// not tell, where each start has an id of its own.
+    pub born: Option<u64>,
+    /// Entries that it has written since its start.
+    pub beats: u64,
+}
+
+impl Announcement {
+    /// Whether this says less than an earlier entry of the same id: it is of
+    /// an earlier life, or of the same one and older. Only targets that tell
+    /// their start count reliably.
+    fn is_older_than(&self, (born, beats): (Option<u64>, u64)) -> bool {
+        match (self.born, born) {
+            (Some(own), Some(other)) => (own, self.beats) < (other, beats),
+            (None, Some(_)) => true,
+            (_, None) => false,
+        }
+    }
+}
+
+/// What became of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It holds; the target is new, or the one that was known.
+    Taken,
+    /// It holds, and the target has started again since it was last heard
+    /// of, then at this address: whatever was believed of it is void.
+    Restarted(SocketAddr),
+    /// It is older than what is known, and was dropped.
+    Outdated,
 }
 
 /// A target as this instance believes it to be.
@@ -48,6 +90,17 @@
     pub seen_at: Time,
     /// Its entry vanished while the store was away, or soon after.
     pub lapsed: bool,
+    /// Its newest entry cannot be understood: it gets nothing new.
+    pub withheld: bool,
+}
+
+/// The last entry of a target that is gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Gone {
+    address: SocketAddr,
+    born: Option<u64>,
+    beats: u64,
+    at: Time,
 }
 
 /// All targets.
@@ -55,6 +108,13 @@
 pub struct Fleet {
     /// By id.
     pub targets: BTreeMap<String, Target>,
+    gone: BTreeMap<String, Gone>,
+    /// Why the newest entry of an id was not understood.
+    skipped: BTreeMap<String, String>,
+    /// Pools that the configuration names; `None` before it is known.
+    pools: Option<BTreeSet<String>>,
+    /// A target of a known pool has told its start, so all of them do.
+    births: bool,
     /// When the store last came back; entries that vanish within
     /// [`LAPSE_MS`] of it may have lapsed only.
     pub store_back_at: Option<Time>,
@@ -63,34 +123,101 @@
 }
 
 impl Fleet {
-    /// Notes an announcement. Versions never go back: a target that runs a
-    /// newer one than it announces has just loaded it.
-    pub fn announce(&mut self, now: Time, said: Announcement) {
+    /// Notes an announcement. Within a life versions never go back: a target
+    /// that runs a newer one than it announces has just loaded it.
+    pub fn announce(&mut self, now: Time, mut said: Announcement) -> Heard {
         let id = said.id.clone();
-        let mut target = Target { said, seen_at: now, lapsed: false };
-        if let Some(before) = self.targets.get(&id) {
+        let gone = self.gone.get(&id).map(|gone| (gone.address, gone.born, gone.beats));
+        let known = self.targets.get(&id);
+        let known = known.map(|known| (known.said.address, known.said.born, known.said.beats));
+        let before = known.or(gone);
+        if before.is_some_and(|(_, born, beats)| said.is_older_than((born, beats))) {
+            return Heard::Outdated;
+        }
+        self.skipped.remove(&id);
+        self.gone.remove(&id);
+        let restarted = before.filter(|(_, born, _)| *born != said.born);
+        if restarted.is_none()
+            && let Some(before) = self.targets.get(&id)
+        {
             for (model, version) in &before.said.versions {
-                let known = target.said.versions.entry(model.clone()).or_insert(*version);
+                let known = said.versions.entry(model.clone()).or_insert(*version);
                 *known = (*known).max(*version);
             }
         }
+        let target = Target { said, seen_at: now, lapsed: false, withheld: false };
         self.targets.insert(id, target);
+        self.note_births();
+        restarted.map_or(Heard::Taken, |(address, ..)| Heard::Restarted(address))
+    }
+
+    /// Notes that the newest entry of an id cannot be understood. Returns
+    /// whether that is news.
+    pub fn skip(&mut self, id: &str, why: &str) -> bool {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.withheld = true;
+        }
+        self.skipped.insert(id.to_owned(), why.to_owned()).is_none_or(|before| before != why)
+    }
+
+    /// Notes the pools of the configuration in force. An entry of another
+    /// pool names no target of ours.
+    pub fn configure<'a>(&mut self, pools: impl Iterator<Item = &'a str>) {
+        self.pools = Some(pools.map(str::to_owned).collect());
+        self.note_births();
+    }
+
+    fn is_known_pool(&self, pool: &str) -> bool {
+        self.pools.as_ref().is_none_or(|pools| pools.contains(pool))
+    }
+
+    fn note_births(&mut self) {
+        let tells =
+            |target: &Target| target.said.born.is_some() && self.is_known_pool(&target.said.pool);
+        self.births = self.births || self.targets.values().any(tells);
     }
 
     /// Notes that an entry vanished.
     pub fn vanish(&mut self, now: Time, id: &str) {
+        self.skipped.remove(id);
         let lapse_window =
             self.store_away || self.store_back_at.is_some_and(|at| now.since(at) < LAPSE_MS);
         if !lapse_window {
-            self.targets.remove(id);
+            self.remove(now, id);
         } else if let Some(target) = self.targets.get_mut(id) {
             target.lapsed = true;
         }
     }
 
-    /// Notes the version that a target's own answer named.
-    pub fn answered(&mut self, id: &str, model: &str, version: u64) {
-        if let Some(target) = self.targets.get_mut(id) {
+    fn remove(&mut self, now: Time, id: &str) {
+        if let Some(Target { said, .. }) = self.targets.remove(id) {
+            let gone = Gone { address: said.address, born: said.born, beats: said.beats, at: now };
+            self.gone.insert(id.to_owned(), gone);
+        }
+    }
+
+    /// Notes the start that a target named beside its versions, in a report.
+    /// Returns whether it has started again since it was last heard of: then
+    /// it holds nothing that it has not told itself since.
+    pub fn started(&mut self, id: &str, born: Option<u64>) -> bool {
+        let Some(target) = self.targets.get_mut(id) else {
+            return false;
+        };
+        let is_new = born.is_some_and(|born| target.said.born.is_some_and(|known| born > known));
+        if is_new {
+            target.said.born = born;
+            target.said.beats = 0;
+            target.said.versions.clear();
+        }
+        is_new
+    }
+
+    /// Notes the version that a target's own answer named, in the life that
+    /// began at `born`.
+    pub fn answered(&mut self, id: &str, born: Option<u64>, model: &str, version: u64) {
+        if let Some(target) = self.targets.get_mut(id)
+            && target.said.born == born
+        {
             let known = target.said.versions.entry(model.to_owned()).or_insert(version);
             *known = (*known).max(version);
         }
@@ -109,13 +236,27 @@
         let settled =
             !self.store_away && self.store_back_at.is_none_or(|at| now.since(at) >= LAPSE_MS);
         if settled {
-            self.targets.retain(|_, target| !target.lapsed);
+            let lapsed = self.targets.iter().filter(|(_, target)| target.lapsed);
+            let lapsed: Vec<String> = lapsed.map(|(id, _)| id.clone()).collect();
+            for id in lapsed {
+                self.remove(now, &id);
+            }
         }
+        self.gone.retain(|_, gone| now.since(gone.at) < REMEMBER_MS);
+    }
+
+    /// Targets that take new work.
+    pub fn taking(&self) -> impl Iterator<Item = &Target> {
+        let fits = |target: &&Target| {
+            let said = &target.said;
+            let is_ours = self.is_known_pool(&said.pool) && (said.born.is_some() || !self.births);
+            is_ours && !said.draining && !target.withheld
+        };
+        self.targets.values().filter(fits)
     }
 
     /// Targets of a pool that take new work.
     pub fn usable<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Target> {
-        let fits = move |target: &&Target| target.said.pool == pool && !target.said.draining;
-        self.targets.values().filter(fits)
+        self.taking().filter(move |target| target.said.pool == pool)
     }
 }
--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -109,10 +109,8 @@
             target.said.versions.get(model).copied().max(order.map(|order| order.version))
         };
         let places = |step: &Step| -> u64 {
-            let fits = |target: &&Target| {
-                !target.said.draining && version(target) >= Some(step.min_version)
-            };
-            fleet.targets.values().filter(fits).map(|target| u64::from(target.said.slots)).sum()
+            let fits = |target: &&Target| version(target) >= Some(step.min_version);
+            fleet.taking().filter(fits).map(|target| u64::from(target.said.slots)).sum()
         };
         let steps = self.steps.get(model).into_iter().flatten();
         steps.map(|step| step.samples * 1_000 / places(step).max(1)).max().unwrap_or(0)
@@ -122,9 +120,8 @@
 /// The engines that keep up a model, with the version that each has: of
 /// those that hold several models, every engine keeps up some.
 fn keepers<'a>(fleet: &'a Fleet, models: &Models, model: &str) -> Vec<(u64, &'a str)> {
-    let holds =
-        |target: &&Target| !target.said.draining && target.said.versions.contains_key(model);
-    let all: Vec<&Target> = fleet.targets.values().filter(holds).collect();
+    let holds = |target: &&Target| target.said.versions.contains_key(model);
+    let all: Vec<&Target> = fleet.taking().filter(holds).collect();
     let mut keepers = Vec::new();
     for (n, target) in all.iter().enumerate() {
         let place = (n as f64 + 0.5) / all.len() as f64;
@@ -168,11 +165,15 @@
     pub model: String,
     /// The version that it is to load.
     pub version: u64,
+    /// The engine's start, as it was known: what it loads goes with it.
+    #[serde(default)]
+    pub born: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
 struct UnderWay {
     given_at: Time,
+    born: Option<u64>,
     model: String,
     version: u64,
 }
@@ -201,7 +202,8 @@
         self.under_way.retain(|id, order| {
             let target = fleet.targets.get(id);
             let has = target.and_then(|target| target.said.versions.get(&order.model));
-            has < Some(&order.version) && now.since(order.given_at) < ORDER_MS
+            let same_life = target.is_none_or(|target| target.said.born == order.born);
+            same_life && has < Some(&order.version) && now.since(order.given_at) < ORDER_MS
         });
         let mut wanted = Vec::new();
         for (model, version) in &models.named {
@@ -228,9 +230,10 @@
                 break;
             }
             if orders.iter().all(|order| order.target != target) {
-                let order = UnderWay { given_at: now, model: model.clone(), version };
+                let born = fleet.targets[&target].said.born;
+                let order = UnderWay { given_at: now, born, model: model.clone(), version };
                 self.under_way.insert(target.clone(), order);
-                orders.push(Order { target, model, version });
+                orders.push(Order { target, model, version, born });
             }
         }
         orders
--- a/crates/hollywell/src/entry/dialect.rs
+++ b/crates/hollywell/src/entry/dialect.rs
@@ -111,6 +111,8 @@
     pub busy: bool,
     /// Orders accepted since its start.
     pub orders: u64,
+    /// Unix millisecond of its start, where it tells.
+    pub born: Option<u64>,
 }
 
 /// A record of the operator's topic.
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -12,10 +12,14 @@
 };
 
 use crate::{
-    core::{batch::Record, time::Time},
+    core::{
+        batch::Record,
+        fleet::{Announcement, Heard},
+        time::Time,
+    },
     entry::{
         dialect::Wish,
-        shared::{JOBS, Shared},
+        shared::{JOBS, Shared, World},
         store::{Fault, Newest, Part, Read, Records},
     },
 };
@@ -122,12 +126,6 @@
     }
 }
 
-/// A pause between half and all of `most`, so that many instances that
-/// failed together do not all return together.
-fn jitter(most: Duration) -> Duration {
-    most.mul_f64(rand::random_range(0.5..=1.0))
-}
-
 fn jobs_pause(shared: &Shared, part: usize) -> Duration {
     if shared.readers[part].get() > 0 {
         return JOBS_PAUSE;
@@ -174,15 +172,7 @@
                     }
                 }
                 for record in &records.records {
-                    let Some(value) = &record.value else {
-                        log::info!("target {} vanished", record.key);
-                        world.fleet.vanish(now, &record.key);
-                        continue;
-                    };
-                    match (shared.dialect.announcement)(&record.key, value) {
-                        Ok(said) => world.fleet.announce(now, said),
-                        Err(why) => log::warn!("announcement of {} skipped: {why}", record.key),
-                    }
+                    entry(shared, world, now, record);
                 }
                 world.fleet_known = true;
             }
@@ -192,6 +182,40 @@
     .await;
 }
 
+/// A pause between half and all of `most`, so that many instances that
+/// failed together do not all return together.
+fn jitter(most: Duration) -> Duration {
+    most.mul_f64(rand::random_range(0.5..=1.0))
+}
+
+/// Takes one entry of a target in.
+fn entry(shared: &Shared, world: &mut World, now: Time, record: &Record) {
+    let id = &record.key;
+    let Some(value) = &record.value else {
+        log::info!("target {id} vanished");
+        world.fleet.vanish(now, id);
+        return;
+    };
+    match (shared.dialect.announcement)(id, value) {
+        Ok(said) => announced(shared, world, now, said),
+        Err(why) => {
+            shared.meters.entries_skipped.inc();
+            if world.fleet.skip(id, &why) {
+                log::warn!("entry of {id} names no target to use: {why}");
+            }
+        }
+    }
+}
+
+fn announced(shared: &Shared, world: &mut World, now: Time, said: Announcement) {
+    let (id, born) = (said.id.clone(), said.born);
+    match world.fleet.announce(now, said) {
+        Heard::Taken => {}
+        Heard::Outdated => log::info!("entry of {id}, start {born:?}, is out of date"),
+        Heard::Restarted(address) => shared.restarted(world, &id, address),
+    }
+}
+
 /// Follows the operator's wishes: the configuration and the newest weights.
 pub async fn wishes(shared: Rc<Shared>) {
     let part = Part::new(shared.dialect.wishes, 0);
@@ -221,6 +245,7 @@
             let before = world.plan.as_ref().map_or(0, |plan| plan.version);
             if plan.version > before {
                 log::info!("configuration {} in force, was {before}", plan.version);
+                world.fleet.configure(plan.pools.iter().map(|pool| pool.name.as_str()));
                 world.plan = Some(Rc::new(plan));
             }
         }
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -2,7 +2,8 @@
 //! exposition format.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bounds of answer times, in seconds.
@@ -26,6 +27,8 @@
     pub stored: IntCounterVec,
     /// Appends that failed, by what for and why.
     pub unstored: IntCounterVec,
+    /// Entries of targets that could not be understood.
+    pub entries_skipped: IntCounter,
     /// Bytes in the store, as far as is known.
     pub used: IntGauge,
     /// Jobs rejected for lack of room in the store.
@@ -86,6 +89,12 @@
                 "Appends that failed.",
                 &["use", "why"],
             )?,
+            entries_skipped: {
+                let name = "hollywell_entry_target_entries_skipped_total";
+                let skipped = IntCounter::new(name, "Entries of targets not understood.")?;
+                registry.register(Box::new(skipped.clone()))?;
+                skipped
+            },
             used: gauge("hollywell_entry_store_used_bytes", "Bytes in the store, as known.")?,
             no_room: gauge("hollywell_entry_jobs_without_room", "Jobs rejected for room.")?,
             connections: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -180,9 +180,15 @@
 }
 
 fn note(shared: &Shared, order: &Order, report: &crate::entry::dialect::Report) {
-    let mut world = shared.world.borrow_mut();
+    let world = &mut *shared.world.borrow_mut();
+    if world.fleet.started(&order.target, report.born)
+        && let Some(address) = world.fleet.targets.get(&order.target).map(|t| t.said.address)
+    {
+        shared.restarted(world, &order.target, address);
+    }
+    let born = world.fleet.targets.get(&order.target).and_then(|target| target.said.born);
     for (model, version) in &report.versions {
-        world.fleet.answered(&order.target, model, *version);
+        world.fleet.answered(&order.target, born, model, *version);
     }
 }
 
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -228,7 +228,8 @@
 
     /// Notes that the target has a version of the model.
     fn saw(&self, version: u64) {
-        self.shared.world.borrow_mut().fleet.answered(&self.target.id, &self.model, version);
+        let Announcement { id, born, .. } = self.target;
+        self.shared.world.borrow_mut().fleet.answered(id, *born, &self.model, version);
     }
 
     /// Takes one whole event into the sample's text. `version` is the one
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -277,6 +277,15 @@
         appended
     }
 
+    /// Forgets what was believed of a target that has started again, which
+    /// was at an address before: what was seen of it, and its connections. Its
+    /// runs are moved by the reducer.
+    pub fn restarted(&self, world: &mut World, id: &str, address: std::net::SocketAddr) {
+        log::info!("target {id}, at {address}, has started again");
+        world.sights.forget(id);
+        self.pool.forget(address);
+    }
+
     /// Takes an event in and carries its effects out.
     pub fn tell(self: &Rc<Shared>, event: &Event) {
         let now = self.now();
--- a/crates/hollywell/tests/dispatch.rs
+++ b/crates/hollywell/tests/dispatch.rs
@@ -27,6 +27,8 @@
         slots: 4,
         draining: false,
         cold: false,
+        born: None,
+        beats: 0,
         versions: BTreeMap::from([("m".to_owned(), version)]),
     }
 }
--- a/crates/hollywell/tests/fleet.rs
+++ b/crates/hollywell/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use hollywell::core::{
-    fleet::{Announcement, Fleet, LAPSE_MS},
+    fleet::{Announcement, Fleet, Heard, LAPSE_MS},
     time::Time,
 };
 
@@ -18,6 +18,8 @@
         slots: 4,
         draining,
         cold: false,
+        born: None,
+        beats: 0,
         versions: BTreeMap::from([("m".to_owned(), version)]),
     }
 }
@@ -56,7 +58,91 @@
 fn a_version_learned_from_an_answer_outlives_an_older_announcement() {
     let mut fleet = Fleet::default();
     fleet.announce(Time(1), target("a", 1, false));
-    fleet.answered("a", "m", 3);
+    fleet.answered("a", None, "m", 3);
     fleet.announce(Time(2), target("a", 2, false));
     assert_eq!(fleet.targets["a"].said.versions["m"], 3);
 }
+
+/// An entry of a life that began at `born`, the `beats`-th of it.
+fn of_life(id: &str, born: u64, beats: u64, version: u64) -> Announcement {
+    Announcement { born: Some(born), beats, ..target(id, version, false) }
+}
+
+#[test]
+fn a_target_that_starts_again_holds_only_what_it_says_in_its_new_life() {
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.announce(Time(1), of_life("a", 100, 7, 1)), Heard::Taken);
+    fleet.answered("a", Some(100), "m", 5);
+    let heard = fleet.announce(Time(2), of_life("a", 200, 1, 1));
+    assert_eq!(heard, Heard::Restarted(([127, 0, 0, 1], 80).into()));
+    assert_eq!(fleet.targets["a"].said.versions["m"], 1);
+    // What its earlier life said comes late.
+    fleet.answered("a", Some(100), "m", 5);
+    assert_eq!(fleet.targets["a"].said.versions["m"], 1);
+    assert_eq!(fleet.announce(Time(3), of_life("a", 100, 8, 5)), Heard::Outdated);
+    assert_eq!(fleet.targets["a"].said.born, Some(200));
+}
+
+#[test]
+fn an_older_entry_does_not_come_back_even_after_the_target_vanished() {
+    let mut fleet = Fleet::default();
+    fleet.announce(Time(1), of_life("a", 200, 7, 1));
+    assert_eq!(fleet.announce(Time(2), of_life("a", 200, 6, 1)), Heard::Outdated);
+    fleet.vanish(Time(3), "a");
+    assert_eq!(fleet.announce(Time(4), of_life("a", 100, 90, 1)), Heard::Outdated);
+    assert_eq!(fleet.announce(Time(4), of_life("a", 200, 6, 1)), Heard::Outdated);
+    assert_eq!(fleet.usable("llm").count(), 0);
+    assert_eq!(fleet.announce(Time(5), of_life("a", 200, 8, 1)), Heard::Taken);
+    assert_eq!(fleet.usable("llm").count(), 1);
+}
+
+#[test]
+fn a_start_named_in_a_report_voids_what_was_known_too() {
+    let mut fleet = Fleet::default();
+    fleet.announce(Time(1), of_life("a", 100, 7, 4));
+    assert!(!fleet.started("a", Some(100)));
+    assert!(!fleet.started("a", None));
+    assert!(fleet.started("a", Some(200)));
+    assert!(fleet.targets["a"].said.versions.is_empty());
+    assert_eq!(fleet.announce(Time(2), of_life("a", 100, 8, 4)), Heard::Outdated);
+    assert_eq!(fleet.announce(Time(3), of_life("a", 200, 1, 1)), Heard::Taken);
+}
+
+#[test]
+fn an_entry_that_cannot_be_understood_names_no_target_until_the_next_one() {
+    let mut fleet = Fleet::default();
+    fleet.announce(Time(1), of_life("a", 100, 1, 1));
+    fleet.announce(Time(1), of_life("b", 100, 1, 1));
+    assert!(fleet.skip("a", "no address"), "it is news once");
+    assert!(!fleet.skip("a", "no address"));
+    let left: Vec<&str> = fleet.usable("llm").map(|target| target.said.id.as_str()).collect();
+    assert_eq!(left, ["b"]);
+    fleet.announce(Time(2), of_life("a", 100, 2, 1));
+    assert_eq!(fleet.usable("llm").count(), 2);
+    assert!(fleet.skip("a", "no address"), "and again after a sound one");
+}
+
+#[test]
+fn a_target_of_a_pool_that_is_not_configured_is_none_of_ours() {
+    let mut fleet = Fleet::default();
+    fleet.announce(Time(1), of_life("a", 100, 1, 1));
+    assert_eq!(fleet.taking().count(), 1, "before a configuration is known");
+    fleet.configure(["app"].into_iter());
+    assert_eq!(fleet.taking().count(), 0);
+    fleet.configure(["app", "llm"].into_iter());
+    assert_eq!(fleet.taking().count(), 1);
+}
+
+#[test]
+fn where_targets_tell_their_start_one_that_does_not_is_another_writer_s() {
+    let mut fleet = Fleet::default();
+    fleet.configure(["llm"].into_iter());
+    fleet.announce(Time(1), target("a", 1, false));
+    assert_eq!(fleet.usable("llm").count(), 1, "nobody tells it here");
+    fleet.announce(Time(2), Announcement { pool: "x".into(), ..of_life("s", 100, 1, 1) });
+    assert_eq!(fleet.usable("llm").count(), 1, "a stranger does not count");
+    fleet.announce(Time(3), of_life("b", 100, 1, 1));
+    let left: Vec<&str> = fleet.usable("llm").map(|target| target.said.id.as_str()).collect();
+    assert_eq!(left, ["b"]);
+    assert_eq!(fleet.announce(Time(4), target("b", 1, false)), Heard::Outdated);
+}
--- a/crates/hollywell/tests/roll.rs
+++ b/crates/hollywell/tests/roll.rs
@@ -21,6 +21,8 @@
             slots: 4,
             draining: false,
             cold: false,
+            born: None,
+            beats: 0,
             versions,
         };
         fleet.announce(Time(1), said);
@@ -39,7 +41,7 @@
     let mut count = 0;
     for now in 1..100 {
         for order in state.step(Time(now), "d", named, fleet, &sights) {
-            fleet.answered(&order.target, &order.model, order.version);
+            fleet.answered(&order.target, order.born, &order.model, order.version);
             count += 1;
         }
     }
@@ -133,7 +135,7 @@
         }
         loading.retain(|(until, target, model, version)| {
             if *until <= now {
-                fleet.answered(target, model, *version);
+                fleet.answered(target, None, model, *version);
             }
             *until > now
         });
