Reads of the store: no answer that comes is given up, and who waits, waits its turn

All answers share one bandwidth, so a page takes longer than the 800 ms that the whole answer was given; it was dropped unread and asked for again within 400 ms, for good. What was thrown away was the load.

Change: `core::patience` (pure) and `entry::reader`, through which all reads go. The limit is on silence, before an answer and between its pieces, not on the whole of it; it follows what answers take (RFC 6298's estimate), doubles with each silence, 0.8 s in calm and 6 s at most. An instance asks for one page of newest records at a time. Pauses after failures have full jitter and grow with the instances at a store that answers some calls; at one that answers nobody they stay at 400 ms, so that its return is noticed. `Newest::take` replaces the loop in the client; the line of members names five that came and went instead of all (295 names at each change before).

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -38,6 +38,7 @@
 pub mod member;
 pub mod owner;
 pub mod pace;
+pub mod patience;
 pub mod plan;
 pub mod reducer;
 pub mod retry;
--- /dev/null
+++ b/crates/hollywell/src/core/patience.rs
@@ -0,0 +1,101 @@
+//! How long an answer of the store may be silent, and how long to pause
+//! after a call that failed.
+//!
+//! All instances share the store's bandwidth. After an outage they all read
+//! everything again, and answers take as long as the bytes that everybody
+//! asked for. A fixed limit then does the worst: an answer that is given up
+//! was sent for nothing, and is asked for again at once, so what is thrown
+//! away is the load. So the limit follows what answers take, as a sender's
+//! retransmission timeout does (RFC 6298), grows with each silence, and
+//! pauses grow with the number of instances that pause.
+//!
+//! What it leaves out: the calls ([`crate::entry::reader`]).
+
+/// Least silence that is borne, in milliseconds. A store that is well
+/// answers in some milliseconds, on a slow day in some hundreds; a
+/// connection that died in silence is found after so long.
+const LEAST_MS: f64 = 800.0;
+/// Longest silence that is borne, in milliseconds: what nobody answered by
+/// then, a caller will not wait for either.
+const MOST_MS: f64 = 6_000.0;
+/// Weights of the newest answer in the mean time and in its spread, and how
+/// many spreads above the mean an answer may take (RFC 6298, section 2).
+const MEAN_WEIGHT: f64 = 0.125;
+/// See [`MEAN_WEIGHT`].
+const SPREAD_WEIGHT: f64 = 0.25;
+/// See [`MEAN_WEIGHT`].
+const SPREADS: f64 = 4.0;
+/// Doublings of the limit after silences in a row.
+const DOUBLINGS: u32 = 3;
+
+/// First pause after a failed call, in milliseconds.
+const PAUSE_MS: u64 = 100;
+/// Longest pause at a store that answers nobody here, in milliseconds: that
+/// it is back should be noticed well within the second that its users are
+/// granted.
+const PAUSE_MOST_MS: u64 = 400;
+/// Instances up to which pauses do not grow with their number.
+const CROWD: usize = 30;
+
+/// What this instance has seen of the time that the store's answers take.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::patience::Patience;
+///
+/// let mut patience = Patience::default();
+/// patience.answered(5);
+/// assert_eq!(patience.limit_ms(), 800);
+/// // One silence may be a dead connection; several are a busy store.
+/// patience.silent();
+/// assert_eq!(patience.limit_ms(), 1_600);
+/// // Answers that take long are waited for from then on.
+/// patience.answered(1_500);
+/// assert!(patience.limit_ms() > 1_500);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Patience {
+    mean_ms: Option<f64>,
+    spread_ms: f64,
+    silences: u32,
+}
+
+impl Patience {
+    /// How long an answer may be silent now, in milliseconds.
+    #[must_use]
+    pub fn limit_ms(&self) -> u64 {
+        let usual = self.mean_ms.unwrap_or_default() + SPREADS * self.spread_ms;
+        let doubled = f64::from(1_u32 << self.silences.min(DOUBLINGS));
+        (usual.max(LEAST_MS) * doubled).min(MOST_MS) as u64
+    }
+
+    /// Notes how long an answer took, beyond what it was asked to wait.
+    pub fn answered(&mut self, took_ms: u64) {
+        let took = took_ms as f64;
+        self.silences = 0;
+        let Some(mean) = self.mean_ms else {
+            self.mean_ms = Some(took);
+            self.spread_ms = took / 2.0;
+            return;
+        };
+        self.spread_ms += SPREAD_WEIGHT * ((mean - took).abs() - self.spread_ms);
+        self.mean_ms = Some(mean + MEAN_WEIGHT * (took - mean));
+    }
+
+    /// Notes that an answer was given up for its silence.
+    pub fn silent(&mut self) {
+        self.silences += 1;
+    }
+}
+
+/// The longest pause after so many failures in a row, in milliseconds; the
+/// pause is drawn evenly from zero up to it. At a store that is away it is
+/// short. One that answers some calls and not others is crowded, and the
+/// crowd is as large as the number of `instances`.
+#[must_use]
+pub fn pause_most_ms(failures: u32, instances: usize, away: bool) -> u64 {
+    let crowd = if away { 1 } else { instances.div_ceil(CROWD).max(1) as u64 };
+    let doubled = PAUSE_MS << failures.saturating_sub(1).min(8);
+    doubled.min(PAUSE_MOST_MS * crowd)
+}
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -218,7 +218,7 @@
     let first = batch::first_key(job);
     let mut after = Some(first.clone());
     while let Some(from) = after {
-        let page = (shared.store.newest)((part.clone(), Some(from))).await?;
+        let page = shared.reader.newest(part, Some(from)).await?;
         let all = page.records.len();
         let keys = page.records.into_iter().map(|record| record.key);
         let own: Vec<String> = keys.filter(|key| key.starts_with(&first)).collect();
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -281,6 +281,30 @@
         timeout(within, all).await.map_err(|_| Error::TimedOut)?
     }
 
+    /// The whole body, as long as none of its pieces is late by more than
+    /// `silence`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Answer::whole`].
+    pub async fn whole_unless_silent(
+        mut self,
+        limit: usize,
+        silence: Duration,
+    ) -> Result<Bytes, Error> {
+        let mut all = Vec::new();
+        loop {
+            let next = timeout(silence, self.chunk()).await.map_err(|_| Error::TimedOut)??;
+            let Some(data) = next else {
+                return Ok(Bytes::from(all));
+            };
+            all.extend_from_slice(&data);
+            if all.len() > limit {
+                return Err(Error::Broken(format!("the body exceeds {limit} bytes")));
+            }
+        }
+    }
+
     fn finish(&mut self) {
         let Some(sender) = self.sender.take() else {
             return;
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -8,7 +8,7 @@
 
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use crate::{
@@ -29,11 +29,6 @@
 /// instance ignorant for as long after a cut has healed; a call a second is
 /// cheap beside that.
 const WAIT: Duration = Duration::from_secs(1);
-/// First pause after a failed call.
-const RETRY: Duration = Duration::from_millis(100);
-/// Longest pause after failed calls. A store that is back should be noticed
-/// well within the second that its users are granted.
-const RETRY_MOST: Duration = Duration::from_millis(400);
 /// Least time between reads of a partition of jobs: what one read more costs
 /// against what a result that is known sooner earns. It grows with the
 /// number of instances beyond [`JOBS_MEMBERS`], as all share the store's
@@ -73,19 +68,19 @@
 ) {
     let mut from: Option<u64> = (!keyed).then_some(0);
     let mut newest = Newest::default();
-    let mut retry = RETRY;
+    let mut failures = 0;
     let mut wait = WAIT;
     loop {
         let started = Instant::now();
         let asked_at = shared.now();
         let read = match from {
             None => {
-                let read = shared.store.newest_on(&part, &mut newest).await;
+                let read = shared.reader.newest_on(&part, &mut newest).await;
                 read.map(|()| std::mem::take(&mut newest).into_records())
             }
             Some(from) => {
                 let read = Read { part: part.clone(), from, wait, most_kb: None };
-                (shared.store.read)(read).await
+                shared.reader.read(read).await
             }
         };
         match read {
@@ -100,7 +95,7 @@
                 // the partition's end.
                 let next = if anew { records.end } else { last.max(from.unwrap_or(0)) };
                 from = Some(next);
-                retry = RETRY;
+                failures = 0;
                 wait = WAIT;
                 take(&shared, records, From { anew, asked_at });
                 let next = started + pause(&shared);
@@ -119,8 +114,8 @@
                 log::info!("reading {}/{}: {fault}", part.topic, part.number);
                 // A read that waits may be the only kind that gets no answer.
                 wait = Duration::ZERO;
-                sleep(jitter(retry)).await;
-                retry = (retry * 2).min(RETRY_MOST);
+                failures += 1;
+                shared.reader.pause(failures).await;
             }
         }
     }
@@ -182,12 +177,6 @@
     .await;
 }
 
-/// A pause between half and all of `most`, so that many instances that
-/// failed together do not all return together.
-fn jitter(most: Duration) -> Duration {
-    most.mul_f64(rand::random_range(0.5..=1.0))
-}
-
 /// Takes one entry of a target in.
 fn entry(shared: &Shared, world: &mut World, now: Time, record: &Record) {
     let id = &record.key;
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -204,7 +204,7 @@
             return false;
         }
         let read = Read { part: Part::at(JOBS, part), from, wait: Duration::ZERO, most_kb: None };
-        match (shared.store.read)(read).await {
+        match shared.reader.read(read).await {
             Ok(records) => {
                 shared.store_did(true);
                 shared.absorb(part, &records.records, 0);
--- a/crates/hollywell/src/entry/member.rs
+++ b/crates/hollywell/src/entry/member.rs
@@ -32,6 +32,9 @@
 /// often in proportion.
 const LOOK_MEMBERS: f64 = 30.0;
 
+/// Members that a line of log names at most, of those that came or went.
+const NAMED: usize = 5;
+
 /// Stays in the group until the instance stops.
 pub async fn stay(shared: Rc<Shared>) {
     let topics = (0..TOPICS).map(|n| format!("deal.{n}")).collect::<Vec<_>>();
@@ -82,7 +85,7 @@
 /// at once where the group's generation says that something changed.
 pub async fn watch(shared: Rc<Shared>) {
     loop {
-        match (shared.store.members)(GROUP.to_owned()).await {
+        match shared.reader.members(GROUP.to_owned()).await {
             Ok(members) => {
                 shared.store_did(true);
                 take(&shared, &members);
@@ -108,13 +111,30 @@
 
 fn take(shared: &Rc<Shared>, read: &[String]) {
     let now = shared.now();
-    let changed = {
+    let (before, changed) = {
         let world = &mut *shared.world.borrow_mut();
+        let before = world.roster.members().to_vec();
         let changed = world.roster.read(now, read, world.fleet.store_back_at);
-        changed.then(|| world.roster.members().to_vec())
+        (before, changed.then(|| world.roster.members().to_vec()))
     };
     if let Some(members) = changed {
-        log::info!("instances: {}", members.join(" "));
+        shared.reader.shared_by(members.len());
+        log::info!("{}", changes(&before, &members));
         shared.tell(&Event::Members(members));
     }
 }
+
+/// The line that says what changed among the members: it names those that
+/// came and went, since a list of hundreds at each change would be most of
+/// what an instance writes.
+fn changes(before: &[String], members: &[String]) -> String {
+    let named = |some: Vec<&String>| {
+        let more = some.len().saturating_sub(NAMED);
+        let first: Vec<&str> = some.into_iter().take(NAMED).map(String::as_str).collect();
+        let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+        format!("{}{more}", first.join(" "))
+    };
+    let came = members.iter().filter(|member| !before.contains(member)).collect();
+    let went = before.iter().filter(|member| !members.contains(member)).collect();
+    format!("instances: {}, came: {}, went: {}", members.len(), named(came), named(went))
+}
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -27,6 +27,7 @@
 pub mod news;
 pub mod orders;
 pub mod outbox;
+pub mod reader;
 pub mod reload;
 pub mod room;
 pub mod run;
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -266,7 +266,7 @@
 async fn read(shared: &Rc<Shared>, part: &Part, office: &RefCell<Office>) {
     let from = office.borrow().tenure.end;
     let read = Read { part: part.clone(), from, wait: RENEW, most_kb: None };
-    match (shared.store.read)(read).await {
+    match shared.reader.read(read).await {
         Ok(records) => {
             shared.store_did(true);
             let tenure = &mut office.borrow_mut().tenure;
--- a/crates/hollywell/src/entry/room.rs
+++ b/crates/hollywell/src/entry/room.rs
@@ -182,7 +182,7 @@
 async fn end(shared: &Rc<Shared>, part: usize, known: u64) -> u64 {
     let read =
         Read { part: Part::at(TEXTS, part), from: known, wait: Duration::ZERO, most_kb: Some(1) };
-    match (shared.store.read)(read).await {
+    match shared.reader.read(read).await {
         Ok(records) => records.end.max(known),
         Err(fault) => {
             log::info!("the end of {TEXTS}/{part} is not known: {fault}");
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -27,7 +27,9 @@
         exchange::Pool,
         follow, ingress, member,
         meters::Meters,
-        news, orders, outbox, reload,
+        news, orders, outbox,
+        reader::Reader,
+        reload,
         settings::{Settings, Store},
         shared::{JOB_PARTS, Shared, Shelf, World},
         store::Client,
@@ -102,10 +104,12 @@
         stopping: false,
     };
     let pool = Pool::new();
+    let store = (adapter.store)(pool.clone(), &settings.store);
     Ok(Rc::new(Shared {
         meters: Meters::new()?,
         dialect: (adapter.dialect)(),
-        store: (adapter.store)(pool.clone(), &settings.store),
+        reader: Reader::new(store.clone()),
+        store,
         pool,
         clock: Clock::start(),
         me,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -35,7 +35,9 @@
         exchange::Pool,
         jobs,
         meters::Meters,
-        outbox, run,
+        outbox,
+        reader::Reader,
+        run,
         run::Text,
         settings::Settings,
         store::{Append, Appended, Client, Fault, Part, Records},
@@ -167,8 +169,10 @@
     pub settings: Settings,
     /// How the platform spells things.
     pub dialect: Dialect,
-    /// The store.
+    /// The store, for what is not a read.
     pub store: Client,
+    /// Reads of the store.
+    pub reader: Reader,
     /// Connections to targets and peers.
     pub pool: Rc<Pool>,
     /// The process's clock.
@@ -230,6 +234,7 @@
         if well {
             let since = world.store_bad_since.take();
             world.fleet.store(now, false);
+            self.reader.store_is_away(false);
             if since.is_some_and(|since| now.since(since) > AWAY_MS) {
                 log::info!("store regained");
             }
@@ -241,6 +246,7 @@
             log::warn!("store lost: no good answer for {} ms", now.since(since));
         }
         world.fleet.store(now, away);
+        self.reader.store_is_away(away);
     }
 
     /// Appends records, counts them, and notes whether the store is there.
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -23,6 +23,9 @@
     Refused(String),
     /// The store has no room for what was to be appended; it did nothing.
     Full,
+    /// The answer to a read did not begin, or stopped, for longer than is
+    /// borne; its connection was given up.
+    Silent,
     /// No answer came. The call may have been executed, or may be later.
     Unknown(String),
     /// The partition does not end where the caller said; its end.
@@ -38,6 +41,7 @@
         match self {
             Fault::Refused(why) => write!(f, "the store refused: {why}"),
             Fault::Full => f.write_str("the store is full"),
+            Fault::Silent => f.write_str("the store was silent for too long"),
             Fault::Unknown(why) => write!(f, "no answer of the store: {why}"),
             Fault::Moved(end) => write!(f, "the partition ends at {end}"),
             Fault::Gone(first) => write!(f, "records before {first} are gone"),
@@ -55,6 +59,7 @@
         match self {
             Fault::Refused(_) => "refused",
             Fault::Full => "full",
+            Fault::Silent => "silent",
             Fault::Unknown(_) => "unknown",
             Fault::Moved(_) => "moved",
             Fault::Gone(_) => "gone",
@@ -92,6 +97,18 @@
     }
 }
 
+/// A read, and how long its answer may be silent: before it begins, beyond
+/// what it was asked to wait, and between any two of its pieces. An answer
+/// that goes on coming is never given up, since all of it was sent for nothing
+/// then, and would be asked for again.
+#[derive(Clone, Debug)]
+pub struct Limited<T> {
+    /// What is read.
+    pub read: T,
+    /// How long the answer may be silent.
+    pub silence: Duration,
+}
+
 /// Records to append, all or none.
 #[derive(Clone, Debug)]
 pub struct Append {
@@ -195,15 +212,15 @@
     /// Appends records.
     pub append: Call<Append, Appended>,
     /// Reads records, waiting for the first of them.
-    pub read: Call<Read, Records>,
+    pub read: Call<Limited<Read>, Records>,
     /// Reads the newest record of each key, page by page.
-    pub newest: Call<(Part, Option<String>), Page>,
+    pub newest: Call<Limited<(Part, Option<String>)>, Page>,
     /// Joins a group or stays in it; returns the generation.
     pub join: Call<Join, u64>,
     /// Leaves a group.
     pub leave: Call<(String, String), ()>,
     /// The members of a group that hold a partition.
-    pub members: Call<String, Vec<String>>,
+    pub members: Call<Limited<String>, Vec<String>>,
     /// Deletes the records of a partition's log before an offset. Of a keyed
     /// topic the newest record of each key is kept, and can still be read by
     /// its key.
@@ -216,27 +233,6 @@
     }
 }
 
-impl Client {
-    /// Reads on in all newest records of a partition, from where an earlier
-    /// attempt failed; returns whether all are read. Starting over after
-    /// each failure was tried: with many instances at a store that refuses
-    /// what exceeds its bandwidth none of them ever got to the end.
-    ///
-    /// # Errors
-    ///
-    /// A page's [`Fault`]; what was read so far stays in `newest`.
-    pub async fn newest_on(&self, part: &Part, newest: &mut Newest) -> Result<(), Fault> {
-        while !newest.done {
-            let page = (self.newest)((part.clone(), newest.after.clone())).await?;
-            newest.end.get_or_insert(page.end);
-            newest.records.extend(page.records);
-            newest.done = page.after.is_none();
-            newest.after = page.after;
-        }
-        Ok(())
-    }
-}
-
 /// The newest records of a partition as far as they are read.
 #[derive(Clone, Debug, Default)]
 pub struct Newest {
@@ -247,6 +243,26 @@
 }
 
 impl Newest {
+    /// Takes the next page over.
+    pub fn take(&mut self, page: Page) {
+        self.end.get_or_insert(page.end);
+        self.records.extend(page.records);
+        self.done = page.after.is_none();
+        self.after = page.after;
+    }
+
+    /// Whether the last page was read.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// The key to go on after.
+    #[must_use]
+    pub fn after(&self) -> Option<&String> {
+        self.after.as_ref()
+    }
+
     /// All newest records below the end that the first page named, by
     /// offset. Records above it are to be read from there: pages are no
     /// snapshot.
--- a/crates/hollywell/src/entry/texts.rs
+++ b/crates/hollywell/src/entry/texts.rs
@@ -107,7 +107,7 @@
     let bytes: usize = missing.map(|text| text.bytes() + RECORD_BYTES).sum();
     let most_kb = Some(bytes.div_ceil(1_024).min(MOST_KB));
     let read = Read { part: Part::new(TEXTS, part), from, wait: Duration::ZERO, most_kb };
-    for record in (shared.store.read)(read).await?.records {
+    for record in shared.reader.read(read).await?.records {
         let is_wanted = |text: &&TextRef| text.offset == record.offset && text.key == record.key;
         if let (Some(at), Some(value)) = (wanted.iter().find(is_wanted), record.value) {
             // A copy: the record is a part of the whole read.
@@ -132,7 +132,7 @@
     let last = wanted.iter().map(|text| text.key.as_str()).max().unwrap_or_default();
     let mut after = Some(just_before(first));
     while after.as_ref().is_some_and(|key| key.as_str() < last) {
-        let page = (shared.store.newest)((Part::new(TEXTS, part), after)).await?;
+        let page = shared.reader.newest(&Part::new(TEXTS, part), after).await?;
         for record in page.records {
             let is_wanted = |text: &&TextRef| text.key == record.key;
             if let (Some(_), Some(value)) = (wanted.iter().find(is_wanted), record.value) {
