A start of all: a few of each failure domain read the store, the others follow them

Cause: what leaves the store after a loss of all power is what it holds times the instances; with no byte wasted 295 of them still wait 8.9 s for 2.4 MB each (tests/reader.rs, the store's 80 MB/s).

Ruled out: reading only what is open (a job's results must keep their positions, whoever is asked); a relay in steady state (each result would be a step later; next, if reads bind in calm); gossip without an order (circles of instances that wait for each other).

Change: `core::relay` (pure): of a failure domain of more than eight instances four read the store, each hands what it read to three others, and so on; the order depends on names only, so lists that differ make no circle. What came through a relay starts nothing before the store itself has answered: `Shelf::read_at` is `None` until then. A member's name carries its failure domain's number. `entry::peers` serves what `ends` and `relay` answer, which was in `ends`.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -41,6 +41,7 @@
 pub mod patience;
 pub mod plan;
 pub mod reducer;
+pub mod relay;
 pub mod retry;
 pub mod roll;
 pub mod rollout;
--- /dev/null
+++ b/crates/hollywell/src/core/relay.rs
@@ -0,0 +1,72 @@
+//! Which instances of a failure domain read the store's partitions from the
+//! beginning themselves, and from whom the others take them.
+//!
+//! After a loss of all power every instance reads everything there is: the
+//! bytes that leave the store are what it holds times the instances. Bytes
+//! within a failure domain are nearly free. So a few of each domain read the
+//! store, and the others follow them in a tree. A relay adds no truth: its
+//! records keep their offsets, whoever takes them reads on at the store from
+//! their end, and uses nothing before that answers.
+//!
+//! What it leaves out: the calls, and what happens where a relay is lost
+//! ([`crate::entry::relay`]).
+
+use crate::core::roster;
+
+/// Instances of a failure domain that read the store themselves. Two could
+/// be lost in a domain that starts without anybody waiting long.
+const ROOTS: usize = 4;
+/// Instances that take records from the same one. With four roots, fifty
+/// instances are two steps deep, and a small instance's link sends 2 MB to
+/// three others in less than a second.
+const FANOUT: usize = 3;
+/// Instances of a failure domain up to which each reads the store: a tree
+/// would spare it little, and cost a step.
+const FEW: usize = 8;
+
+/// The member from whom an instance takes what a start reads; `None` if it
+/// is to read the store. Instances whose lists of members differ never wait
+/// for each other in a circle: each follows one that comes before it in an
+/// order that does not depend on the list.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::relay::parent;
+///
+/// let member = |n: usize, domain| format!("i{n}@10.0.{domain}.{n}:80+{domain}/1");
+/// let mut all: Vec<String> = (0..50).map(|n| member(n, 0)).collect();
+/// let reads_store = |member: &&String| parent(&all, member).is_none();
+/// assert_eq!(all.iter().filter(reads_store).count(), 4);
+/// // Few instances of a domain read the store, each for itself.
+/// all.truncate(8);
+/// assert!(all.iter().all(|member| parent(&all, member).is_none()));
+/// ```
+#[must_use]
+pub fn parent<'a>(members: &'a [String], me: &str) -> Option<&'a str> {
+    let domain = roster::domain(me)?;
+    let mut line: Vec<&str> = members.iter().map(String::as_str).collect();
+    line.retain(|member| roster::domain(member) == Some(domain));
+    if line.len() <= FEW {
+        return None;
+    }
+    line.sort_by_key(|member| rank(member));
+    let before = line.iter().filter(|member| rank(member) < rank(me)).count();
+    let parent = before.checked_sub(ROOTS)? / FANOUT;
+    line.get(parent).copied()
+}
+
+/// An instance's place in the order, the same in all its runs.
+fn rank(member: &str) -> (u64, &str) {
+    let instance = roster::instance(member);
+    (xxhash_rust::xxh3::xxh3_64(instance.as_bytes()), instance)
+}
+
+/// Whether others may take records from instances of a member's failure
+/// domain.
+#[must_use]
+pub fn is_used(members: &[String], me: &str) -> bool {
+    let domain = roster::domain(me);
+    let same = |member: &&String| roster::domain(member) == domain;
+    domain.is_some() && members.iter().filter(same).count() > FEW
+}
--- a/crates/hollywell/src/core/roster.rs
+++ b/crates/hollywell/src/core/roster.rs
@@ -10,7 +10,7 @@
 //! What it leaves out: how the group is read ([`crate::entry::member`]), and
 //! what members are for ([`crate::core::dispatch`]).
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::core::{fleet::LAPSE_MS, time::Time};
 
@@ -35,6 +35,20 @@
     member.rsplit_once('/').map_or(member, |(instance, _)| instance)
 }
 
+/// The address at which a member's peers reach it, which its name carries:
+/// `NAME@ADDRESS+DOMAIN/RUN`.
+#[must_use]
+pub fn address(member: &str) -> Option<SocketAddr> {
+    let (_, rest) = instance(member).split_once('@')?;
+    rest.split_once('+').map_or(rest, |(address, _)| address).parse().ok()
+}
+
+/// A member's failure domain, by its number in the settings' list.
+#[must_use]
+pub fn domain(member: &str) -> Option<&str> {
+    Some(instance(member).rsplit_once('+')?.1)
+}
+
 /// The live members as one instance believes them to be.
 ///
 /// # Example
--- a/crates/hollywell/src/entry/clean.rs
+++ b/crates/hollywell/src/entry/clean.rs
@@ -170,7 +170,8 @@
     // What was read before it is due says nothing.
     let read_at = world.shelves[part].read_at;
     let orphans = shared.orphans.0.borrow();
-    for orphan in orphans.iter().filter(|orphan| orphan.part == part && read_at >= orphan.due) {
+    for orphan in orphans.iter().filter(|orphan| orphan.part == part && read_at >= Some(orphan.due))
+    {
         due.orphans.push(orphan.key.clone());
         let key = orphan.key.clone();
         match &orphan.unless {
--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -1,30 +1,20 @@
 //! Ends that are not in the store yet: what [`crate::core::ending`] decides
 //! is carried out here, and peers' word is taken in.
-//!
-//! Peers speak HTTP/1.1 with a protocol buffer as the body: one call, rarely
-//! used, over the connections that exist anyway. gRPC, which the project
-//! uses between `serve` instances, would bring a second server into a process
-//! whose memory is priced.
 
-use std::{collections::BTreeSet, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use prost::Message as _;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     core::{
         batch,
         ending::{Effect, Event},
         room::Use,
+        roster,
     },
     entry::{
         jobs::Reply,
@@ -34,14 +24,12 @@
 };
 
 /// The path on which peers tell of ends.
-const PATH: &str = "/ends";
+pub const PATH: &str = "/ends";
 /// Most bytes of a peer's word: some hundred ids.
 const WORD_BYTES: usize = 1 << 20;
 /// Time that telling a peer may take. It is told again where it did not
 /// confirm.
 const TELL: Duration = Duration::from_millis(600);
-/// How long a peer's connection may be idle.
-const IDLE: Duration = Duration::from_secs(15);
 /// How long to wait for an end whose append got no answer to be read.
 const LOOK_FOR: Duration = Duration::from_millis(2_500);
 /// Pause between looks.
@@ -156,14 +144,8 @@
     tell(&shared, &event);
 }
 
-/// A peer's address, which its name carries: `NAME@ADDRESS/RUN`.
-fn address(member: &str) -> Option<SocketAddr> {
-    let (_, rest) = member.split_once('@')?;
-    rest.rsplit_once('/')?.0.parse().ok()
-}
-
 async fn tell_peer(shared: Rc<Shared>, member: String, jobs: Vec<String>) {
-    let Some(address) = address(&member) else {
+    let Some(address) = roster::address(&member) else {
         log::warn!("instance {member} has no address in its name");
         return;
     };
@@ -217,42 +199,13 @@
     }
 }
 
-/// Takes in what peers tell.
-pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(shared.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!("accepting a peer's connection: {error}");
-                sleep(TICK).await;
-            }
-        }
-    }
-}
-
-async fn connection(shared: Rc<Shared>, stream: TcpStream) {
-    let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(hear(&shared, request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(IDLE);
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
-        log::debug!("a peer's connection ended: {error}");
-    }
-}
-
-async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Takes in what a peer tells.
+pub async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let answer = |status| {
         let mut response = Response::new(Full::default());
         *response.status_mut() = status;
         response
     };
-    if request.method() != Method::POST || request.uri().path() != PATH {
-        return answer(StatusCode::NOT_FOUND);
-    }
     let body = match Limited::new(request.into_body(), WORD_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -19,6 +19,7 @@
     },
     entry::{
         dialect::Wish,
+        relay,
         shared::{JOBS, Shared, World},
         store::{Fault, Newest, Part, Read, Records},
     },
@@ -49,9 +50,10 @@
 pub(super) struct From {
     /// These are all there is from the beginning.
     pub anew: bool,
-    /// When they were asked for: an answer may have lain here unread, and
-    /// says nothing of what happened since.
-    pub asked_at: Time,
+    /// When the store was asked for them: an answer may have lain here
+    /// unread, and says nothing of what happened since. `None` if another
+    /// instance had them: the store has then not been heard at all.
+    pub asked_at: Option<Time>,
 }
 
 /// Reads a partition for good and hands every batch of records to `take`,
@@ -69,6 +71,14 @@
     let mut from: Option<u64> = (!keyed).then_some(0);
     let mut newest = Newest::default();
     let mut failures = 0;
+    if part.topic == JOBS
+        && let Some((records, age_ms)) = relay::ask(&shared, &part).await
+    {
+        from = Some(records.end);
+        relay::keep(&shared, &part, &records, age_ms);
+        // The store has not been heard: nothing is known to be current.
+        take(&shared, records, From { anew: true, asked_at: None });
+    }
     let mut wait = WAIT;
     loop {
         let started = Instant::now();
@@ -96,8 +106,11 @@
                 let next = if anew { records.end } else { last.max(from.unwrap_or(0)) };
                 from = Some(next);
                 failures = 0;
+                if anew && part.topic == JOBS {
+                    relay::keep(&shared, &part, &records, shared.now().since(asked_at));
+                }
                 wait = WAIT;
-                take(&shared, records, From { anew, asked_at });
+                take(&shared, records, From { anew, asked_at: Some(asked_at) });
                 let next = started + pause(&shared);
                 match sooner {
                     Some(sooner) => drop(timeout_at(next, sooner.notified()).await),
@@ -136,11 +149,11 @@
     let sooner = Some(&hurry.accepted[part]);
     follow(shared, Part::at(JOBS, part), pause, sooner, true, move |shared, records, from| {
         let end = if from.anew { records.end } else { 0 };
+        shared.world.borrow_mut().shelves[part].read_at = from.asked_at;
         if from.anew {
             shared.drop_missing(part, &records);
         }
         shared.absorb(part, &records.records, end);
-        shared.world.borrow_mut().shelves[part].read_at = from.asked_at;
     })
     .await;
 }
--- /dev/null
+++ b/crates/hollywell/src/entry/peers.rs
@@ -0,0 +1,66 @@
+//! What other instances ask of this one.
+//!
+//! Peers speak HTTP/1.1 with a protocol buffer as the body, over the
+//! connections that exist anyway. gRPC, which the project uses between `serve`
+//! instances, would bring a second server into a process whose memory is
+//! priced.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use crate::entry::{ends, relay, shared::Shared};
+
+/// How long a peer's connection may be idle.
+const IDLE: Duration = Duration::from_secs(15);
+/// Pause after a connection could not be accepted.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Serves peers until the process ends.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("accepting a peer's connection: {error}");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(answer(&shared, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("a peer's connection ended: {error}");
+    }
+}
+
+async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    match *request.method() {
+        Method::POST if path == ends::PATH => ends::hear(shared, request).await,
+        Method::GET if path.starts_with(relay::PATH) => relay::answer(shared, &path).await,
+        _ => {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            response
+        }
+    }
+}
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -27,8 +27,9 @@
         exchange::Pool,
         follow, ingress, member,
         meters::Meters,
-        news, orders, outbox,
+        news, orders, outbox, peers,
         reader::Reader,
+        relay::Relay,
         reload,
         settings::{Settings, Store},
         shared::{JOB_PARTS, Shared, Shelf, World},
@@ -81,7 +82,9 @@
 
 fn share(adapter: &Adapter, settings: Settings) -> prometheus::Result<Rc<Shared>> {
     let incarnation = crate::entry::shared::wall_ms();
-    let me = format!("{}@{}/{incarnation:x}", settings.name, settings.peer_listen);
+    let domain = settings.domains.iter().position(|name| *name == settings.domain);
+    let domain = domain.map(|number| format!("+{number}")).unwrap_or_default();
+    let me = format!("{}@{}{domain}/{incarnation:x}", settings.name, settings.peer_listen);
     let writer = format!("{:08x}", xxhash_rust::xxh3::xxh3_64(me.as_bytes()) & u64::from(u32::MAX));
     let parts = JOB_PARTS.min(settings.store.parts).max(1) as usize;
     let world = World {
@@ -109,6 +112,7 @@
         meters: Meters::new()?,
         dialect: (adapter.dialect)(),
         reader: Reader::new(store.clone()),
+        relay: Relay::default(),
         store,
         pool,
         clock: Clock::start(),
@@ -138,7 +142,7 @@
     let front = TcpListener::bind(settings.listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
     let metrics = TcpListener::bind(settings.metrics_listen).await?;
-    let peers = TcpListener::bind(settings.peer_listen).await?;
+    let peer_listener = TcpListener::bind(settings.peer_listen).await?;
     log::info!("{} listens on {}, settings {}", shared.me, settings.listen, path.display());
     let open = Rc::new(ingress::Open::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
@@ -152,7 +156,7 @@
     spawn(Box::pin(member::watch(shared.clone())));
     spawn(Box::pin(orders::serve(shared.clone())));
     spawn(Box::pin(clean::serve(shared.clone())));
-    spawn(Box::pin(ends::serve(shared.clone(), peers)));
+    spawn(Box::pin(peers::serve(shared.clone(), peer_listener)));
     spawn(Box::pin(ends::watch(shared.clone())));
     spawn(Box::pin(entry::room::serve(shared.clone())));
     spawn(Box::pin(reload::serve(shared.clone(), path.to_owned())));
@@ -200,6 +204,7 @@
         if swept.elapsed() > SWEEP {
             swept = tokio::time::Instant::now();
             shared.pool.sweep();
+            shared.relay.expire(now);
         }
     }
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -37,6 +37,7 @@
         meters::Meters,
         outbox,
         reader::Reader,
+        relay::Relay,
         run,
         run::Text,
         settings::Settings,
@@ -71,8 +72,9 @@
     pub next: u64,
     /// The partition was read from its beginning.
     pub loaded: bool,
-    /// When the last read to its end was sent.
-    pub read_at: Time,
+    /// When the last read to its end was sent; `None` if the store has not
+    /// answered one yet.
+    pub read_at: Option<Time>,
     /// The reducer was told that it is out of date.
     pub stale: bool,
     /// What was written to the logs when that was last noted.
@@ -82,9 +84,12 @@
 impl Shelf {
     /// Whether what is known of the partition is out of date. While the store
     /// answers nobody here, nothing can be ended here either, and work that
-    /// is known goes on.
+    /// is known goes on; but not what only another instance has told of.
     fn is_stale(&self, now: Time, fleet: &Fleet) -> bool {
-        !fleet.store_away && now.since(self.read_at) > STALE_MS
+        match self.read_at {
+            None => self.loaded,
+            Some(read_at) => !fleet.store_away && now.since(read_at) > STALE_MS,
+        }
     }
 
     /// Notes how much was written to the logs since the last note.
@@ -173,6 +178,8 @@
     pub store: Client,
     /// Reads of the store.
     pub reader: Reader,
+    /// What others of the failure domain may take instead of reading it.
+    pub relay: Relay,
     /// Connections to targets and peers.
     pub pool: Rc<Pool>,
     /// The process's clock.
