A partition that nobody writes to is not held out of date

Cause: a read waits 1 s for a record, and a partition of jobs is out of date 2 s after its last read was sent; two waits in a row and what they take beside are longer.

Ruled out: a longer bound (an ended job's samples may go nowhere 3 s after that).

Change: reads wait 0.9 s. A call in ten more on partitions where nothing happens.

--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -28,8 +28,10 @@
 /// How long a read waits for a record. A connection that died in silence is
 /// noticed only when an answer is overdue, so a long wait would leave this
 /// instance ignorant for as long after a cut has healed; a call a second is
-/// cheap beside that.
-const WAIT: Duration = Duration::from_secs(1);
+/// cheap beside that. Two waits in a row, with what they take beside, must
+/// end within the two seconds after which a partition is out of date: one
+/// that nobody writes to is not.
+const WAIT: Duration = Duration::from_millis(900);
 /// Least time between reads of a partition of jobs: what one read more costs
 /// against what a result that is known sooner earns. It grows with the
 /// number of instances beyond [`JOBS_MEMBERS`], as all share the store's
