--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -245,18 +245,21 @@
         self.gone.retain(|_, gone| now.since(gone.at) < REMEMBER_MS);
     }
 
-    /// Targets that take new work.
+    /// Targets of configured pools that take new work.
     pub fn taking(&self) -> impl Iterator<Item = &Target> {
-        let fits = |target: &&Target| {
-            let said = &target.said;
-            let is_ours = self.is_known_pool(&said.pool) && (said.born.is_some() || !self.births);
-            is_ours && !said.draining && !target.withheld
-        };
-        self.targets.values().filter(fits)
+        let is_ours = |target: &&Target| self.is_known_pool(&target.said.pool);
+        self.targets.values().filter(|target| self.takes(target)).filter(is_ours)
     }
 
-    /// Targets of a pool that take new work.
+    /// Targets of a configured pool that take new work.
     pub fn usable<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Target> {
-        self.taking().filter(move |target| target.said.pool == pool)
+        self.targets.values().filter(move |target| target.said.pool == pool && self.takes(target))
+    }
+
+    /// Whether a target takes new work. Where targets tell their start, one
+    /// that does not is not what it says.
+    fn takes(&self, target: &Target) -> bool {
+        let is_whole = target.said.born.is_some() || !self.births;
+        is_whole && !target.said.draining && !target.withheld
     }
 }
