A group that cannot show all instances says so

Cause: a member of the group shows only while it holds a partition: 8 topics of 24 partitions show 192 instances, of 48 384, and further ones get no work without a word.

Change: an error is logged, once, when a reading lists as many members as there are partitions.

--- a/crates/hollywell/src/entry/member.rs
+++ b/crates/hollywell/src/entry/member.rs
@@ -16,7 +16,8 @@
 /// The group of all instances.
 pub const GROUP: &str = "instances";
 /// Topics whose partitions the group deals out. A member shows only while it
-/// holds a partition, so there must be more of these than instances.
+/// holds a partition, so there must be more of these than instances; each
+/// reading of the members lists them all. That there are too few is logged.
 const TOPICS: u32 = 8;
 /// Time between calls that keep the member in the group.
 const BEAT: Duration = Duration::from_millis(300);
@@ -111,6 +112,10 @@
 
 fn take(shared: &Rc<Shared>, read: &[String]) {
     let now = shared.now();
+    let most = (TOPICS * shared.settings.store.parts) as usize;
+    if read.len() >= most && !shared.unshown.replace(true) {
+        log::error!("the group shows {most} instances at most: further ones get no work");
+    }
     let (before, changed) = {
         let world = &mut *shared.world.borrow_mut();
         let before = world.roster.members().to_vec();
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -126,6 +126,7 @@
         listed: (0..parts).map(|_| Notify::new()).collect(),
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         texts: Texts::default(),
+        unshown: Cell::new(false),
         orphans: clean::Orphans::default(),
         stop: watch::channel(false).0,
         settings,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -206,6 +206,8 @@
     pub outbox: Vec<outbox::Outbox>,
     /// Whole texts that were read or written lately.
     pub texts: Texts,
+    /// It was logged that the group shows too few members.
+    pub unshown: Cell<bool>,
     /// Records that nothing may name.
     pub orphans: clean::Orphans,
     /// Turns true when the instance stops.
