What was read from the beginning starts nothing before it was read on from

Cause, by reading: a partition counted as current from the moment at which its whole reading was asked for. Where that reading failed on the way and went on from its last page, the end that it reaches is older than that; among many instances by seconds. Work of jobs ended since could start until the next read.

Ruled out: the time of the first page (it is kept over failures, and a long reading would then be out of date at its end, for no longer than the next read takes in either case).

Change: nothing from the beginning is current, whoever had it, until the store was read on from its end, which is asked for at once and without waiting: one small call more for each partition at a start. `follow` keeps its place in a `Position` with a function for each step.

--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -53,15 +53,61 @@
     /// These are all there is from the beginning.
     pub anew: bool,
     /// When the store was asked for them: an answer may have lain here
-    /// unread, and says nothing of what happened since. `None` if another
-    /// instance had them: the store has then not been heard at all.
+    /// unread, and says nothing of what happened since. `None` for what is
+    /// read from the beginning: that takes seconds among many instances, or
+    /// was another instance's, and is current only once it was read on from.
     pub asked_at: Option<Time>,
 }
 
+/// How far a partition is read, and what the next read should look like.
+struct Position {
+    /// The offset to read from; `None` to begin with the newest of each key.
+    next: Option<u64>,
+    /// Pages of newest records so far.
+    newest: Newest,
+    /// How long the next read waits for a record.
+    wait: Duration,
+    /// Reads that failed in a row.
+    failures: u32,
+}
+
+impl Position {
+    fn new(keyed: bool) -> Position {
+        let next = (!keyed).then_some(0);
+        Position { next, newest: Newest::default(), wait: WAIT, failures: 0 }
+    }
+
+    async fn read(&mut self, shared: &Shared, part: &Part) -> Result<Records, Fault> {
+        let Some(from) = self.next else {
+            shared.reader.newest_on(part, &mut self.newest).await?;
+            return Ok(std::mem::take(&mut self.newest).into_records());
+        };
+        let read = Read { part: part.clone(), from, wait: self.wait, most_kb: None };
+        shared.reader.read(read).await
+    }
+
+    /// Goes on behind what was read. A read ends at its last record, the
+    /// newest of all keys at the partition's end.
+    fn advance(&mut self, records: &Records) {
+        let last = records.records.last().map_or(0, |record| record.offset + 1);
+        let next = self.next.map_or(records.end, |from| last.max(from));
+        // What came from the beginning is not known to be current.
+        self.wait = if self.next.is_none() { Duration::ZERO } else { WAIT };
+        self.next = Some(next);
+        self.failures = 0;
+    }
+
+    fn fail(&mut self) {
+        // A read that waits may be the only kind that gets no answer.
+        self.wait = Duration::ZERO;
+        self.failures += 1;
+    }
+}
+
 /// Reads a partition for good and hands every batch of records to `take`,
-/// with the partition's end and where they come from. A keyed partition is read from its newest records, another
-/// from whatever is left of it. Between reads there is a `pause`, which
-/// `sooner` ends.
+/// with the partition's end and where they come from. A keyed partition is
+/// read from its newest records, another from whatever is left of it. Between
+/// reads there is a `pause`, which `sooner` ends.
 pub(super) async fn follow(
     shared: Rc<Shared>,
     part: Part,
@@ -70,49 +116,33 @@
     keyed: bool,
     take: impl Fn(&Rc<Shared>, Records, From),
 ) {
-    let mut from: Option<u64> = (!keyed).then_some(0);
-    let mut newest = Newest::default();
-    let mut failures = 0;
-    if part.topic == JOBS
-        && let Some((records, age_ms)) = relay::ask(&shared, &part).await
-    {
-        from = Some(records.end);
+    // Jobs are what is large at a start.
+    let is_relayed = part.topic == JOBS;
+    let mut position = Position::new(keyed);
+    if is_relayed && let Some((records, age_ms)) = relay::ask(&shared, &part).await {
         relay::keep(&shared, &part, &records, age_ms);
-        // The store has not been heard: nothing is known to be current.
+        position.advance(&records);
         take(&shared, records, From { anew: true, asked_at: None });
     }
-    let mut wait = WAIT;
     loop {
         let started = Instant::now();
         let asked_at = shared.now();
-        let read = match from {
-            None => {
-                let read = shared.reader.newest_on(&part, &mut newest).await;
-                read.map(|()| std::mem::take(&mut newest).into_records())
-            }
-            Some(from) => {
-                let read = Read { part: part.clone(), from, wait, most_kb: None };
-                shared.reader.read(read).await
-            }
-        };
-        match read {
+        let anew = position.next.is_none();
+        match position.read(&shared, &part).await {
             Ok(records) => {
                 shared.store_did(true);
                 if part.topic != JOBS {
                     shared.read_of(&part, &records);
                 }
-                let last = records.records.last().map_or(0, |record| record.offset + 1);
-                let anew = from.is_none();
-                // A read ends at its last record, the newest of all keys at
-                // the partition's end.
-                let next = if anew { records.end } else { last.max(from.unwrap_or(0)) };
-                from = Some(next);
-                failures = 0;
-                if anew && part.topic == JOBS {
+                position.advance(&records);
+                if anew && is_relayed {
                     relay::keep(&shared, &part, &records, shared.now().since(asked_at));
                 }
-                wait = WAIT;
-                take(&shared, records, From { anew, asked_at: Some(asked_at) });
+                let asked_at = (!anew).then_some(asked_at);
+                take(&shared, records, From { anew, asked_at });
+                if anew {
+                    continue;
+                }
                 let next = started + pause(&shared);
                 match sooner {
                     Some(sooner) => drop(timeout_at(next, sooner.notified()).await),
@@ -122,15 +152,13 @@
             Err(Fault::Gone(first)) => {
                 shared.store_did(true);
                 log::warn!("records of {}/{} before {first} are gone", part.topic, part.number);
-                from = (!keyed).then_some(first);
+                position.next = (!keyed).then_some(first);
             }
             Err(fault) => {
                 shared.store_did(false);
                 log::info!("reading {}/{}: {fault}", part.topic, part.number);
-                // A read that waits may be the only kind that gets no answer.
-                wait = Duration::ZERO;
-                failures += 1;
-                shared.reader.pause(failures).await;
+                position.fail();
+                shared.reader.pause(position.failures).await;
             }
         }
     }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -158,7 +158,9 @@
             let stale = shelf.is_stale(now, &self.fleet);
             if std::mem::replace(&mut shelf.stale, stale) != stale {
                 changed.push(Event::Stale { part, stale });
-                if stale {
+                if stale && shelf.read_at.is_none() {
+                    log::debug!("jobs of partition {part} are not known to be current yet");
+                } else if stale {
                     log::info!("jobs of partition {part} are out of date: nothing of them starts");
                 }
             }
