--- a/crates/hollywell/src/core/relay.rs
+++ b/crates/hollywell/src/core/relay.rs
@@ -13,8 +13,11 @@
 
 use crate::core::roster;
 
-/// Instances of a failure domain that read the store themselves. Two could
-/// be lost in a domain that starts without anybody waiting long.
+/// Instances of a failure domain that read the store themselves. If one of
+/// them is lost, a quarter of the domain waits until it is taken for silent
+/// before it reads the store. With every one of 295 instances at the store
+/// 2.4 MB each take 8.9 s over its 80 MB/s; with four of each of six domains
+/// 0.7 s (worked out, `tests/reader.rs` and `tests/relay.rs`).
 const ROOTS: usize = 4;
 /// Instances that take records from the same one. With four roots, fifty
 /// instances are two steps deep, and a small instance's link sends 2 MB to
