Reads: calls that are silent together count once, and an outage is no crowd

Cause: seven readers of an instance share the silence that is borne; a cut made all of them silent at once, each counted, and the limit went from 0.8 s to its most, 6 s. Reads that the cut had swallowed hung for that long after it.

Ruled out: no doubling at all (a dead connection and a crowd look alike at first; tests/reader.rs needs it).

Change: a silence counts only if its call had the present limit; where the store answers nobody here the limit goes back to 0.8 s.

--- a/crates/hollywell/src/core/patience.rs
+++ b/crates/hollywell/src/core/patience.rs
@@ -47,8 +47,10 @@
 /// let mut patience = Patience::default();
 /// patience.answered(5);
 /// assert_eq!(patience.limit_ms(), 800);
-/// // One silence may be a dead connection; several are a busy store.
-/// patience.silent();
+/// // One silence may be a dead connection; several in a row are a busy
+/// // store. Calls that were silent together count once.
+/// patience.silent(800);
+/// patience.silent(800);
 /// assert_eq!(patience.limit_ms(), 1_600);
 /// // Answers that take long are waited for from then on.
 /// patience.answered(1_500);
@@ -83,9 +85,21 @@
         self.mean_ms = Some(mean + MEAN_WEIGHT * (took - mean));
     }
 
-    /// Notes that an answer was given up for its silence.
-    pub fn silent(&mut self) {
-        self.silences += 1;
+    /// Notes that an answer was given up after so many milliseconds of
+    /// silence. Only one that had the present limit counts: several calls
+    /// that were under way together are one silence. With each of them
+    /// counted a cut of some seconds left the limit at its most, and reads
+    /// that the cut had swallowed hung for six seconds after it.
+    pub fn silent(&mut self, limit_ms: u64) {
+        if limit_ms >= self.limit_ms() {
+            self.silences += 1;
+        }
+    }
+
+    /// Notes that the store answers nobody here: silence is then an outage's,
+    /// no crowd's, and its end should be noticed soon.
+    pub fn away(&mut self) {
+        self.silences = 0;
     }
 }
 
--- a/crates/hollywell/src/entry/reader.rs
+++ b/crates/hollywell/src/entry/reader.rs
@@ -55,6 +55,9 @@
     /// Notes whether the store answers nobody here.
     pub fn store_is_away(&self, away: bool) {
         self.away.set(away);
+        if away {
+            self.patience.borrow_mut().away();
+        }
     }
 
     /// Reads records.
@@ -119,9 +122,9 @@
         wait: Duration,
         call: impl FnOnce(Duration) -> crate::entry::store::LocalFuture<Result<T, Fault>>,
     ) -> Result<T, Fault> {
-        let limit = Duration::from_millis(self.patience.borrow().limit_ms());
+        let limit_ms = self.patience.borrow().limit_ms();
         let started = Instant::now();
-        let answer = call(limit).await;
+        let answer = call(Duration::from_millis(limit_ms)).await;
         let took = started.elapsed();
         let mut patience = self.patience.borrow_mut();
         match &answer {
@@ -131,7 +134,7 @@
                 let beyond = took.saturating_sub(wait).as_millis();
                 patience.answered(u64::try_from(beyond).unwrap_or(u64::MAX));
             }
-            Err(Fault::Silent) => patience.silent(),
+            Err(Fault::Silent) if !self.away.get() => patience.silent(limit_ms),
             _ => {}
         }
         answer
--- a/crates/hollywell/tests/reader.rs
+++ b/crates/hollywell/tests/reader.rs
@@ -38,6 +38,8 @@
     /// Calls that got no answer in time, and connections that are dead.
     given_up: Cell<u64>,
     dead: RefCell<Vec<usize>>,
+    /// What is asked for before gets no answer at all.
+    cut_until: Cell<Instant>,
 }
 
 impl Line {
@@ -47,6 +49,7 @@
             sent: Cell::new(0),
             given_up: Cell::new(0),
             dead: RefCell::default(),
+            cut_until: Cell::new(Instant::now()),
         })
     }
 
@@ -77,7 +80,7 @@
                     at.map(|at| dead.remove(at)).is_some()
                 };
                 let answer = async {
-                    if is_dead {
+                    if is_dead || Instant::now() < line.cut_until.get() {
                         std::future::pending::<()>().await;
                     }
                     line.send(PAGE_BYTES).await;
@@ -160,6 +163,27 @@
     assert!(took < Duration::from_millis(1_000), "{took:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_end_of_a_cut_is_noticed_soon_whatever_was_under_way() {
+    let line = Line::new();
+    let healed = Instant::now() + Duration::from_millis(5_000);
+    line.cut_until.set(healed);
+    let reader = Rc::new(Reader::new(line.client(0)));
+    reader.shared_by(INSTANCES);
+    let told = reader.clone();
+    let done = LocalSet::new()
+        .run_until(async {
+            tokio::task::spawn_local(async move {
+                sleep_until(Instant::now() + Duration::from_millis(1_600)).await;
+                told.store_is_away(true);
+            });
+            read_all(reader).await
+        })
+        .await;
+    let took = done - healed;
+    assert!(took < Duration::from_millis(1_500), "read {took:?} after the cut");
+}
+
 #[test]
 fn one_that_answers_nobody_is_asked_again_soon_and_a_crowded_one_is_not() {
     for failures in 1..20 {
@@ -183,7 +207,7 @@
         assert!(limit > usual, "{limit} ms where answers take {usual}");
         assert!((800..=6_000).contains(&limit), "{limit}");
         for _ in 0..u.int_in_range(0..=50)? {
-            patience.silent();
+            patience.silent(patience.limit_ms());
             assert!(patience.limit_ms() <= 6_000);
         }
         Ok(())
