Sight: unanswered sends name the request's digest, the target's life, and why

Cause (hypothesis): the lines of the incident cannot tell an instance without memory (H1) from one that sends too often (H2) or targets that end for another reason (H3): each attempt has a new id, and a send that a kept connection lost was not logged.

Change: a digest of method, host, path, caller's key and body stands in each such line, with the target's life; kept connections that end are logged too; hollywell_entry_unanswered_total{why} counts them. No decision uses it.

--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -57,6 +57,13 @@
 }
 
 impl Announcement {
+    /// Names this life of the target: a process that has started again is
+    /// another one.
+    #[must_use]
+    pub fn life(&self) -> String {
+        self.born.map_or_else(|| self.id.clone(), |born| format!("{}/{born}", self.id))
+    }
+
     /// Whether this says less than an earlier entry of the same id: it is of
     /// an earlier life, or of the same one and older. Only targets that tell
     /// their start count reliably.
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -19,6 +19,7 @@
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | what becomes of an end that the platform's store has not taken |
 //! | [`hold`] | whether a request that no target can take is held or rejected |
+//! | [`poison`] | which requests end the targets that run them |
 //! | [`room`] | what the store's room is left for, and how far a log is trimmed |
 //!
 //! What it leaves out: bodies, sockets and threads, which are in
@@ -40,6 +41,7 @@
 pub mod pace;
 pub mod patience;
 pub mod plan;
+pub mod poison;
 pub mod reducer;
 pub mod relay;
 pub mod retry;
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -70,6 +70,20 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Its kind's name in metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Error::NotSent(_) => "not_sent",
+            Error::Stale => "stale",
+            Error::Broken(_) => "broken",
+            Error::TimedOut => "timed_out",
+            Error::Unwanted => "unwanted",
+        }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 struct Kept {
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -18,6 +18,7 @@
         fleet::Announcement,
         hold,
         plan::{Repeat, Route},
+        poison::Digest,
         time::Time,
     },
     entry::{
@@ -70,6 +71,16 @@
     pub deadline: Time,
 }
 
+impl Plain {
+    /// What it has in common with the same request asked again.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        let caller = self.headers.get(header::AUTHORIZATION).map_or(&[][..], |key| key.as_bytes());
+        let caller = String::from_utf8_lossy(caller);
+        Digest::of(&[self.method.as_str(), &self.host, &self.target, &caller], &self.body)
+    }
+}
+
 /// A target's whole answer.
 #[derive(Clone, Debug)]
 pub struct Whole {
@@ -250,6 +261,7 @@
     let mut sent = shared.pool.send(target.address, request(shared, plain, target, left_ms), limit);
     let mut answer = sent.await;
     if matches!(answer, Err(Error::Stale)) && route.repeat == Repeat::Safe {
+        note_unanswered(shared, plain, target, &Error::Stale);
         shared.pool.forget(target.address);
         sent = shared.pool.send(target.address, request(shared, plain, target, left_ms), limit);
         answer = sent.await;
@@ -261,7 +273,7 @@
             take(shared, plain, target, answer, left).await
         }
         Err(error) => {
-            log::info!("request {} at {}: {error}", plain.id, target.id);
+            note_unanswered(shared, plain, target, &error);
             if error != Error::Stale {
                 let now = shared.now();
                 shared.world.borrow_mut().sights.broke(now, &target.id);
@@ -271,6 +283,14 @@
     }
 }
 
+/// Notes a send without an answer, so that the same request can be found at
+/// other targets and instances.
+fn note_unanswered(shared: &Shared, plain: &Plain, target: &Announcement, error: &Error) {
+    shared.meters.unanswered.with_label_values(&[error.as_str()]).inc();
+    let life = target.life();
+    log::info!("request {} ({}) at {life}: {error}", plain.id, plain.digest());
+}
+
 /// Counts a request as at its target for as long as it lives, also where the
 /// caller leaves in the middle.
 struct Counted<'a> {
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -27,6 +27,8 @@
     pub stored: IntCounterVec,
     /// Appends that failed, by what for and why.
     pub unstored: IntCounterVec,
+    /// Sends of plain requests that got no answer, by why.
+    pub unanswered: IntCounterVec,
     /// Entries of targets that could not be understood.
     pub entries_skipped: IntCounter,
     /// Bytes in the store, as far as is known.
@@ -89,6 +91,11 @@
                 "Appends that failed.",
                 &["use", "why"],
             )?,
+            unanswered: counter(
+                "hollywell_entry_unanswered_total",
+                "Sends of plain requests without an answer.",
+                &["why"],
+            )?,
             entries_skipped: {
                 let name = "hollywell_entry_target_entries_skipped_total";
                 let skipped = IntCounter::new(name, "Entries of targets not understood.")?;
