A request that ended several targets is held back by all instances

Cause: what ended where was known to one attempt at one instance. Class: a fact that only a failed attempt shows, forgotten with the attempt, while the same work comes again elsewhere. Ruled out: an attempt that sends too often, and targets that end for other reasons: the lines show one digest at several instances, each id at a target once. Change: an exchange that breaks is followed by a look whether the target has ended (nobody listens there any more); if so, that counts against the request's digest, in a keyed topic that all instances fold, and from peer to peer while the store takes nothing. core::poison says who is to blame: not who was at three ends, but who was there without another as often there. Whoever is answered is forgotten. Held for 10 minutes, twice as long each time more. An attempt ends two targets at most. Scoring requests that broke off come back spread.

--- a/crates/hollywell/src/core/poison.rs
+++ b/crates/hollywell/src/core/poison.rs
@@ -1,11 +1,29 @@
 //! Requests that end the targets which run them, as they come again.
 //!
 //! A caller that got no answer asks again, under another id and at another
-//! instance. What stays the same is who asks for what: a digest of that names
-//! the request for as long as it comes.
+//! instance. What stays the same is who asks for what: a [`Digest`] of that
+//! names the request for as long as it comes. All instances fold the same
+//! records of which request was at a target when that ended, so that one
+//! instance's loss is everybody's warning.
+//!
+//! When a target ends, whatever ran there breaks off, and mostly one request
+//! of many is to blame. Nobody can tell which by that one end. A request that
+//! is answered after all is innocent, and is forgotten at once; one that was
+//! at several ends is to blame, where no other was there that was at as many.
+//! Where two were at the same ends, both are tried again.
+//!
+//! Times are of the day, in milliseconds since 1970: a record outlives the
+//! instances that wrote it, and is minutes old before its age matters.
+//!
+//! What it leaves out: how an end is told from a broken connection, and how
+//! records are spread ([`crate::entry::suspects`]).
 
-use std::fmt;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt, str,
+};
 
+use prost::Message as _;
 use sha2::{Digest as _, Sha256};
 
 /// Bytes of a digest that are kept: so many that no caller can make one that
@@ -53,3 +71,266 @@
         write!(f, "Digest({self})")
     }
 }
+
+/// Reads what [`Digest`] displays.
+impl str::FromStr for Digest {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Digest, Malformed> {
+        let malformed = || Malformed(format!("{text:?} is no digest of {DIGEST_BYTES} bytes"));
+        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+            return Err(malformed());
+        }
+        let mut digest = [0; DIGEST_BYTES];
+        for (at, byte) in digest.iter_mut().enumerate() {
+            let pair = &text[2 * at..2 * at + 2];
+            *byte = u8::from_str_radix(pair, 16).map_err(|_| malformed())?;
+        }
+        Ok(Digest(digest))
+    }
+}
+
+/// A record that cannot be read, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed(String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// Targets that a request has ended before it is held back. Targets end for
+/// reasons of their own, now and then two while one request is retried.
+pub const ENOUGH: u32 = 3;
+/// The same where other requests were at those ends too. Only twins that
+/// always come together get there.
+pub const BEYOND_DOUBT: u32 = 5;
+/// How long a request is held back since the last target that it ended, in
+/// milliseconds: what runs at the targets may be mended by then. Twice as
+/// long for each target more, so that one that is never mended costs a few
+/// targets a day.
+const HOLD_MS: u64 = 600_000;
+/// Doublings of that time: up to a day and a half.
+const HOLD_DOUBLINGS: u32 = 8;
+/// How long a request that is not held back is suspected, in milliseconds:
+/// callers ask again within seconds.
+const SUSPECT_MS: u64 = 600_000;
+/// Requests that are remembered; those that ended least go first. A target
+/// that ends brings a few dozen.
+const MOST: usize = 4_096;
+/// Lives of targets that are remembered of one request; enough to tell it
+/// from others.
+const MOST_LIVES: usize = 16;
+
+/// What is kept of a request in the store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Kept {
+    /// Lives of targets that ended while it was there.
+    #[prost(string, repeated, tag = "1")]
+    lives: Vec<String>,
+    /// How many that were.
+    #[prost(uint32, tag = "2")]
+    ends: u32,
+    /// When the last of them ended, in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    last_ms: u64,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Case {
+    lives: BTreeSet<String>,
+    ends: u32,
+    last_ms: u64,
+}
+
+impl Case {
+    fn add(&mut self, at_ms: u64, life: &str) -> bool {
+        if self.lives.contains(life) {
+            return false;
+        }
+        self.ends += 1;
+        self.last_ms = self.last_ms.max(at_ms);
+        if self.lives.len() < MOST_LIVES {
+            self.lives.insert(life.to_owned());
+        }
+        true
+    }
+
+    fn hold_ms(&self) -> u64 {
+        HOLD_MS << self.ends.saturating_sub(ENOUGH).min(HOLD_DOUBLINGS)
+    }
+
+    /// Whether nothing follows from it any more. Who was held back stays
+    /// known for as long again, so that one end more is enough.
+    fn is_over(&self, now_ms: u64) -> bool {
+        let keep_ms = if self.ends < ENOUGH { SUSPECT_MS } else { 2 * self.hold_ms() };
+        now_ms.saturating_sub(self.last_ms) >= keep_ms
+    }
+}
+
+/// What is to be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is known against it.
+    Free,
+    /// It was at a target that ended, and has not been answered since.
+    Suspect,
+    /// It is to reach no target for so many milliseconds.
+    Held(u64),
+}
+
+/// All requests that were at a target when it ended.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::poison::{Digest, State, Verdict};
+///
+/// let (culprit, other) = (Digest::of(&["/a"], b""), Digest::of(&["/b"], b""));
+/// let mut state = State::default();
+/// for life in ["x/1", "y/1", "x/2"] {
+///     state.ended(1_000, culprit, life);
+///     state.ended(1_000, other, life);
+/// }
+/// // Either may be to blame, until one is answered.
+/// assert_eq!(state.verdict(1_000, culprit), Verdict::Suspect);
+/// state.served(other);
+/// assert!(matches!(state.verdict(1_000, culprit), Verdict::Held(_)));
+/// assert_eq!(state.verdict(1_000, other), Verdict::Free);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    cases: BTreeMap<Digest, Case>,
+}
+
+impl State {
+    /// Whether nothing is known against any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// How many requests something is known against.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.cases.len()
+    }
+
+    /// What is to be done with a request.
+    #[must_use]
+    pub fn verdict(&self, now_ms: u64, digest: Digest) -> Verdict {
+        let Some(case) = self.cases.get(&digest).filter(|case| !case.is_over(now_ms)) else {
+            return Verdict::Free;
+        };
+        let until_ms = case.last_ms.saturating_add(case.hold_ms());
+        if now_ms < until_ms && self.is_to_blame(digest, case) {
+            Verdict::Held(until_ms - now_ms)
+        } else {
+            Verdict::Suspect
+        }
+    }
+
+    fn is_to_blame(&self, digest: Digest, case: &Case) -> bool {
+        if self.stands_out(digest, case) {
+            return true;
+        }
+        let known =
+            |other: Digest, its: &Case| self.stands_out(other, its) || self.was_alone(other, its);
+        case.ends >= BEYOND_DOUBT && self.unexplained(digest, case, known) >= ENOUGH as usize
+    }
+
+    /// Whether a target ended where all others have been answered since.
+    fn was_alone(&self, digest: Digest, case: &Case) -> bool {
+        self.unexplained(digest, case, |_, _| true) > 0
+    }
+
+    /// Whether a request ended enough targets at which no other was that was
+    /// at as many ends.
+    fn stands_out(&self, digest: Digest, case: &Case) -> bool {
+        let as_often = |_: Digest, its: &Case| its.ends >= case.ends;
+        case.ends >= ENOUGH && self.unexplained(digest, case, as_often) >= ENOUGH as usize
+    }
+
+    /// How many targets ended under a request without any of those others.
+    fn unexplained(
+        &self,
+        digest: Digest,
+        case: &Case,
+        explains: impl Fn(Digest, &Case) -> bool,
+    ) -> usize {
+        let others = self.cases.iter().filter(|(other, its)| {
+            **other != digest && !its.lives.is_disjoint(&case.lives) && explains(**other, its)
+        });
+        let others: Vec<&Case> = others.map(|(_, its)| its).collect();
+        let is_own = |life: &&String| !others.iter().any(|its| its.lives.contains(*life));
+        case.lives.iter().filter(is_own).count()
+    }
+
+    /// Notes that a request was at a target when that life of it ended.
+    /// Returns whether that is news.
+    pub fn ended(&mut self, now_ms: u64, digest: Digest, life: &str) -> bool {
+        let is_news = self.cases.entry(digest).or_default().add(now_ms, life);
+        self.bound();
+        is_news
+    }
+
+    /// Notes that a target has answered a request, or goes on with it.
+    /// Returns whether something was known against it.
+    pub fn served(&mut self, digest: Digest) -> bool {
+        self.cases.remove(&digest).is_some()
+    }
+
+    /// What the store is to keep of a request; `None` if nothing.
+    #[must_use]
+    pub fn record(&self, digest: Digest) -> Option<Vec<u8>> {
+        let case = self.cases.get(&digest)?;
+        let lives = case.lives.iter().cloned().collect();
+        Some(Kept { lives, ends: case.ends, last_ms: case.last_ms }.encode_to_vec())
+    }
+
+    /// Takes over what another instance has recorded of a request. Records
+    /// may come in any order and more than once.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be read; it then changes nothing.
+    pub fn read(&mut self, now_ms: u64, digest: Digest, record: &[u8]) -> Result<(), Malformed> {
+        let kept = Kept::decode(record).map_err(|error| Malformed(error.to_string()))?;
+        if kept.lives.is_empty() || kept.lives.len() > MOST_LIVES {
+            return Err(Malformed(format!("{} lives, not 1 to {MOST_LIVES}", kept.lives.len())));
+        }
+        // A clock that is ahead must not hold anything back for longer.
+        let last_ms = kept.last_ms.min(now_ms);
+        let case = self.cases.entry(digest).or_default();
+        for life in &kept.lives {
+            case.add(last_ms, life);
+        }
+        case.ends = case.ends.max(kept.ends);
+        self.bound();
+        Ok(())
+    }
+
+    /// Forgets what nothing follows from any more; returns that.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Digest> {
+        let over: Vec<Digest> =
+            self.cases.iter().filter(|(_, c)| c.is_over(now_ms)).map(|(d, _)| *d).collect();
+        for digest in &over {
+            self.cases.remove(digest);
+        }
+        over
+    }
+
+    fn bound(&mut self) {
+        while self.cases.len() > MOST {
+            let least = self.cases.iter().min_by_key(|(_, case)| (case.ends, case.last_ms));
+            let Some(least) = least.map(|(digest, _)| *digest) else {
+                return;
+            };
+            self.cases.remove(&least);
+        }
+    }
+}
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -64,6 +64,8 @@
     Claim,
     /// News for the other instances.
     News,
+    /// What is known against a request.
+    Suspect,
     /// A sample's result, without its text.
     Outcome,
     /// A sample's whole text.
@@ -93,6 +95,7 @@
             Use::Drop => "drop",
             Use::Claim => "claim",
             Use::News => "news",
+            Use::Suspect => "suspect",
             Use::Outcome => "outcome",
             Use::Text => "text",
             Use::Unfinished => "unfinished",
@@ -106,7 +109,7 @@
     const fn share(self) -> f64 {
         match self {
             Use::End | Use::Drop => f64::INFINITY,
-            Use::Claim | Use::News => 0.97,
+            Use::Claim | Use::News | Use::Suspect => 0.97,
             Use::Outcome | Use::Text => 0.94,
             Use::Unfinished => 0.8,
             Use::Head | Use::Requests => 0.75,
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -32,6 +32,9 @@
 /// Longest time to wait for a connection. Round trips take milliseconds; a
 /// lost packet is sent again after one second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time to find out whether a target has ended: an address without a
+/// listener says so within a round trip, and a caller waits meanwhile.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(150);
 /// A kept connection is not used after this share of the idle time that the
 /// other side granted, so that its closing does not cross a request.
 const IDLE_SHARE: f64 = 0.7;
@@ -45,6 +48,9 @@
 pub enum Error {
     /// No connection was made, so nothing was sent.
     NotSent(String),
+    /// The same, because nobody listens at the address: the process that did
+    /// has ended.
+    NobodyThere,
     /// A kept connection ended before any answer. It says nothing about the
     /// target; whether the request ran is not known.
     Stale,
@@ -60,6 +66,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::NotSent(cause) => write!(f, "no connection: {cause}"),
+            Error::NobodyThere => f.write_str("no connection: nobody listens"),
             Error::Stale => f.write_str("a kept connection had ended"),
             Error::Broken(cause) => write!(f, "exchange broke: {cause}"),
             Error::TimedOut => f.write_str("no whole answer in time"),
@@ -71,11 +78,18 @@
 impl std::error::Error for Error {}
 
 impl Error {
+    /// Whether nothing was sent, for certain.
+    #[must_use]
+    pub const fn is_not_sent(&self) -> bool {
+        matches!(self, Error::NotSent(_) | Error::NobodyThere | Error::Unwanted)
+    }
+
     /// Its kind's name in metrics.
     #[must_use]
     pub const fn as_str(&self) -> &'static str {
         match self {
             Error::NotSent(_) => "not_sent",
+            Error::NobodyThere => "nobody_there",
             Error::Stale => "stale",
             Error::Broken(_) => "broken",
             Error::TimedOut => "timed_out",
@@ -165,7 +179,10 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| Error::NotSent(String::from("connecting took too long")))?
-            .map_err(|error| not_sent(&error))?;
+            .map_err(|error| match error.kind() {
+                std::io::ErrorKind::ConnectionRefused => Error::NobodyThere,
+                _ => not_sent(&error),
+            })?;
         stream.set_nodelay(true).map_err(|error| not_sent(&error))?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
@@ -178,6 +195,24 @@
         Ok(sender)
     }
 
+    /// Whether the process at an address, with which an exchange has just
+    /// broken, has ended. If it has not, the connection that this takes is kept
+    /// for the next request.
+    pub async fn has_ended(&self, address: SocketAddr) -> bool {
+        match timeout(LOOK_TIMEOUT, self.connect(address)).await {
+            Ok(Err(Error::NobodyThere)) => {
+                self.forget(address);
+                true
+            }
+            Ok(Ok(sender)) => {
+                self.keep(address, sender, UNUSED);
+                false
+            }
+            // Whoever is cut off may live.
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -18,12 +18,13 @@
         fleet::Announcement,
         hold,
         plan::{Repeat, Route},
-        poison::Digest,
+        poison::{Digest, Verdict as Blame},
         time::Time,
     },
     entry::{
         exchange::{Answer, Error},
         shared::Shared,
+        suspects,
     },
     error::Kind,
 };
@@ -42,6 +43,10 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// Largest answer of a plain service.
 const ANSWER_BYTES: usize = 32 << 20;
+/// Targets that one attempt may end, with those that the same request ended
+/// before. What ran beside a culprit is served by the second; a culprit ends no
+/// more of them than that.
+const MOST_ENDS: u32 = 2;
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 6] = [
     header::CONNECTION,
@@ -115,6 +120,8 @@
     Answered(Whole),
     NotRun,
     Maybe,
+    /// The target has ended meanwhile.
+    Ended,
 }
 
 /// Sends a request until it is answered, its attempts are used up or its
@@ -126,6 +133,9 @@
     let mut ran = false;
     let mut failed: Option<Whole> = None;
     let mut come_back_ms = None;
+    let mut held = false;
+    let suspected = suspects::verdict(shared, || plain.digest()) == Blame::Suspect;
+    let mut ends = u32::from(suspected);
     loop {
         let now = shared.now();
         let left_ms = until.since(now).saturating_sub(MARGIN_MS);
@@ -135,6 +145,13 @@
         if u32::try_from(tried.len()).unwrap_or(u32::MAX) >= attempts {
             break;
         }
+        // Asked before each send: another instance's target may have ended
+        // under the same request a moment ago.
+        if let Blame::Held(ms) = suspects::verdict(shared, || plain.digest()) {
+            shared.meters.held.inc();
+            (held, come_back_ms) = (true, Some(ms));
+            break;
+        }
         let Some(target) = choose(shared, route, &tried, salt) else {
             if shared.world.borrow().stopping {
                 break;
@@ -169,10 +186,11 @@
                 failed = Some(whole);
             }
             Sent::NotRun => tried.push(target.id),
-            Sent::Maybe => {
+            Sent::Maybe | Sent::Ended => {
+                ends += u32::from(matches!(sent, Sent::Ended));
                 tried.push(target.id);
                 ran = true;
-                if route.repeat != Repeat::Safe {
+                if route.repeat != Repeat::Safe || ends >= MOST_ENDS {
                     break;
                 }
             }
@@ -181,10 +199,11 @@
     if let Some(whole) = failed {
         return Verdict::Answered(whole);
     }
-    let kind = match (ran, tried.is_empty()) {
-        (true, _) => Kind::OutcomeUnknown,
-        (false, true) => Kind::NoTarget,
-        (false, false) => Kind::TargetRefused,
+    let kind = match (ran, held, tried.is_empty()) {
+        (true, ..) => Kind::OutcomeUnknown,
+        (false, true, _) => Kind::EndsTargets,
+        (false, false, true) => Kind::NoTarget,
+        (false, false, false) => Kind::TargetRefused,
     };
     log::info!("request {} on {}: {}; tried {tried:?}", plain.id, route.name, kind.as_str());
     Verdict::Refused(kind, come_back_ms)
@@ -256,15 +275,19 @@
     let _count = Counted { shared, id: &target.id };
     let limit = Duration::from_millis(limit_ms);
     let started = shared.now();
-    // A kept connection that had ended says nothing about the target; what
-    // may be repeated goes out again at once, on another connection.
-    let mut sent = shared.pool.send(target.address, request(shared, plain, target, left_ms), limit);
-    let mut answer = sent.await;
-    if matches!(answer, Err(Error::Stale)) && route.repeat == Repeat::Safe {
+    let mut answer =
+        shared.pool.send(target.address, request(shared, plain, target, left_ms), limit).await;
+    // A kept connection that had ended says nothing about a target that
+    // lives; what may be repeated goes out again at once, on another one.
+    let may_have_run = matches!(answer, Err(Error::Stale));
+    if may_have_run && route.repeat == Repeat::Safe {
         note_unanswered(shared, plain, target, &Error::Stale);
+        if suspects::look(shared, target, plain.digest()).await {
+            return Sent::Ended;
+        }
         shared.pool.forget(target.address);
-        sent = shared.pool.send(target.address, request(shared, plain, target, left_ms), limit);
-        answer = sent.await;
+        let again = request(shared, plain, target, left_ms);
+        answer = shared.pool.send(target.address, again, limit).await;
     }
     match answer {
         Ok(answer) => {
@@ -278,7 +301,11 @@
                 let now = shared.now();
                 shared.world.borrow_mut().sights.broke(now, &target.id);
             }
-            if matches!(error, Error::NotSent(_)) { Sent::NotRun } else { Sent::Maybe }
+            if error.is_not_sent() {
+                // The send before it may have run.
+                return if may_have_run { Sent::Maybe } else { Sent::NotRun };
+            }
+            broken(shared, plain, target, &error).await
         }
     }
 }
@@ -340,15 +367,26 @@
                 headers.remove(name);
             }
             shared.world.borrow_mut().sights.sound(now, &target.id);
+            suspects::served(shared, || plain.digest());
             Sent::Answered(Whole { status, headers, body })
         }
         Err(error) => {
-            log::info!("request {} at {}: {error}", plain.id, target.id);
-            Sent::Maybe
+            note_unanswered(shared, plain, target, &error);
+            broken(shared, plain, target, &error).await
         }
     }
 }
 
+/// What became of a send that broke. A slow target is no ended one.
+async fn broken(shared: &Rc<Shared>, plain: &Plain, target: &Announcement, error: &Error) -> Sent {
+    let is_broken = matches!(error, Error::Stale | Error::Broken(_));
+    if is_broken && suspects::look(shared, target, plain.digest()).await {
+        Sent::Ended
+    } else {
+        Sent::Maybe
+    }
+}
+
 fn request(
     shared: &Shared,
     plain: &Plain,
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -175,6 +175,7 @@
     !world.stopping
         && loaded
         && world.plan.is_some()
+        && world.poison_known
         && world.fleet_known
         && !world.fleet.store_away
 }
@@ -211,8 +212,15 @@
     response
 }
 
+/// The configuration, once it is known, and what is known against requests
+/// with it: an instance that starts must not end targets that others spare.
+fn known_plan(shared: &Shared) -> Option<Rc<Plan>> {
+    let world = shared.world.borrow();
+    world.plan.clone().filter(|_| world.poison_known)
+}
+
 async fn routed(shared: &Rc<Shared>, request: Request<Incoming>, arrived: Time) -> Reply200 {
-    let Some(plan) = shared.world.borrow().plan.clone() else {
+    let Some(plan) = known_plan(shared) else {
         return refuse(shared, Kind::StoreAway);
     };
     let (head, body) = request.into_parts();
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -26,6 +26,7 @@
         store::{Append, Fault, Part, Read},
         texts,
     },
+    error::Kind,
 };
 
 /// Most bytes of results in one answer, of the 1 MB that callers take; the
@@ -47,6 +48,13 @@
 /// The same where no target could take it: each try writes a line of log.
 const SCORE_REFUSED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Most by which that pause is stretched after a send that broke off. What
+/// broke off together must not come back together: else the same requests are
+/// at one end of a target after the other, and none stands out.
+const SCORE_SPREAD: f64 = 5.0;
+/// The same for one that is held back.
+const SCORE_HELD_PAUSE: Duration = Duration::from_secs(5);
+
 /// What became of a caller's wish about a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -437,7 +445,13 @@
             }
             Verdict::Refused(kind, _) => {
                 log::debug!("scoring {}/{}: {kind:?}", slot.job, slot.at);
-                pause = SCORE_REFUSED_PAUSE;
+                pause = match kind {
+                    Kind::EndsTargets => SCORE_HELD_PAUSE,
+                    Kind::OutcomeUnknown => {
+                        SCORE_REFUSED_PAUSE.mul_f64(rand::random_range(1.0..=SCORE_SPREAD))
+                    }
+                    _ => SCORE_REFUSED_PAUSE,
+                };
             }
         }
         if failures >= most {
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -29,6 +29,12 @@
     pub unstored: IntCounterVec,
     /// Sends of plain requests that got no answer, by why.
     pub unanswered: IntCounterVec,
+    /// Targets that ended while a request of this instance was there.
+    pub targets_ended: IntCounter,
+    /// Requests that were held back from all targets.
+    pub held: IntCounter,
+    /// Records of suspects that could not be read.
+    pub suspects_skipped: IntCounter,
     /// Entries of targets that could not be understood.
     pub entries_skipped: IntCounter,
     /// Bytes in the store, as far as is known.
@@ -60,6 +66,11 @@
             registry.register(Box::new(counter.clone()))?;
             Ok::<_, prometheus::Error>(counter)
         };
+        let count = |name: &str, help: &str| {
+            let count = IntCounter::new(name, help)?;
+            registry.register(Box::new(count.clone()))?;
+            Ok::<_, prometheus::Error>(count)
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -96,12 +107,19 @@
                 "Sends of plain requests without an answer.",
                 &["why"],
             )?,
-            entries_skipped: {
-                let name = "hollywell_entry_target_entries_skipped_total";
-                let skipped = IntCounter::new(name, "Entries of targets not understood.")?;
-                registry.register(Box::new(skipped.clone()))?;
-                skipped
-            },
+            targets_ended: count(
+                "hollywell_entry_targets_ended_total",
+                "Targets that ended under a request.",
+            )?,
+            held: count("hollywell_entry_held_total", "Requests held back, as they end targets.")?,
+            suspects_skipped: count(
+                "hollywell_entry_suspects_skipped_total",
+                "Records of suspects not understood.",
+            )?,
+            entries_skipped: count(
+                "hollywell_entry_target_entries_skipped_total",
+                "Entries of targets not understood.",
+            )?,
             used: gauge("hollywell_entry_store_used_bytes", "Bytes in the store, as known.")?,
             no_room: gauge("hollywell_entry_jobs_without_room", "Jobs rejected for room.")?,
             connections: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -38,4 +38,5 @@
 pub mod settings;
 pub mod shared;
 pub mod store;
+pub mod suspects;
 pub mod texts;
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -18,7 +18,7 @@
     time::sleep,
 };
 
-use crate::entry::{ends, relay, shared::Shared};
+use crate::entry::{ends, relay, shared::Shared, suspects};
 
 /// How long a peer's connection may be idle.
 const IDLE: Duration = Duration::from_secs(15);
@@ -56,6 +56,7 @@
     let path = request.uri().path().to_owned();
     match *request.method() {
         Method::POST if path == ends::PATH => ends::hear(shared, request).await,
+        Method::POST if path == suspects::PATH => suspects::hear(shared, request).await,
         Method::GET if path.starts_with(relay::PATH) => relay::answer(shared, &path).await,
         _ => {
             let mut response = Response::new(Full::default());
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     control::Clock,
-    core::{choice::Sights, dispatch, ending, fleet::Fleet, room, roster::Roster},
+    core::{choice::Sights, dispatch, ending, fleet::Fleet, poison, room, roster::Roster},
     entry::{
         self, clean,
         dialect::Dialect,
@@ -34,6 +34,7 @@
         settings::{Settings, Store},
         shared::{JOB_PARTS, Shared, Shelf, World},
         store::Client,
+        suspects,
         texts::Texts,
     },
 };
@@ -93,6 +94,8 @@
         sights: Sights::default(),
         dispatch: dispatch::State::new(&me),
         ending: ending::State::new(&me),
+        poison: poison::State::default(),
+        poison_known: false,
         room: room::State::new(settings.store.room_bytes),
         others: std::collections::HashMap::new(),
         shelves: (0..parts).map(|_| Shelf::default()).collect(),
@@ -127,6 +130,7 @@
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         texts: Texts::default(),
         unshown: Cell::new(false),
+        unsaved: suspects::Unsaved::default(),
         orphans: clean::Orphans::default(),
         stop: watch::channel(false).0,
         settings,
@@ -150,6 +154,8 @@
     spawn(Box::pin(follow::wishes(shared.clone())));
     spawn(Box::pin(follow::fleet(shared.clone())));
     spawn(Box::pin(news::serve(shared.clone())));
+    spawn(Box::pin(suspects::serve(shared.clone())));
+    spawn(Box::pin(suspects::save(shared.clone())));
     for part in 0..shared.listed.len() {
         spawn(Box::pin(follow::jobs(shared.clone(), part)));
     }
@@ -206,6 +212,7 @@
             swept = tokio::time::Instant::now();
             shared.pool.sweep();
             shared.relay.expire(now);
+            suspects::expire(&shared);
         }
     }
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -23,6 +23,7 @@
         ending,
         fleet::Fleet,
         plan::{Plan, Repeat},
+        poison,
         roll::Models,
         room,
         roster::Roster,
@@ -42,6 +43,7 @@
         run::Text,
         settings::Settings,
         store::{Append, Appended, Client, Fault, Part, Records},
+        suspects,
         texts::Texts,
     },
 };
@@ -114,6 +116,10 @@
     pub dispatch: dispatch::State,
     /// Ends that are not in the store yet.
     pub ending: ending::State,
+    /// What is known against requests.
+    pub poison: poison::State,
+    /// What others know against requests was read.
+    pub poison_known: bool,
     /// What is known of the store's room.
     pub room: room::State,
     /// Logs that others write to: the operator, the targets, all instances.
@@ -210,6 +216,8 @@
     pub texts: Texts,
     /// It was logged that the group shows too few members.
     pub unshown: Cell<bool>,
+    /// What is known against requests and not in the store yet.
+    pub unsaved: suspects::Unsaved,
     /// Records that nothing may name.
     pub orphans: clean::Orphans,
     /// Turns true when the instance stops.
--- /dev/null
+++ b/crates/hollywell/src/entry/suspects.rs
@@ -0,0 +1,269 @@
+//! What is known against requests, shared by all instances: through a keyed
+//! topic of the store, and from peer to peer while the store takes nothing.
+//! [`crate::core::poison`] decides what follows from it.
+
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use prost::Message as _;
+use tokio::{sync::Notify, time::sleep};
+
+use crate::{
+    core::{
+        dispatch,
+        fleet::Announcement,
+        poison::{Digest, Verdict},
+        room::Use,
+        roster,
+    },
+    entry::{
+        follow,
+        shared::{Shared, wall_ms},
+        store::{Append, Fault, Part},
+    },
+};
+
+/// The path on which peers tell what they know.
+pub const PATH: &str = "/suspects";
+/// The topic, of one partition: a target that ends brings a few records.
+const TOPIC: &str = "keyed.suspects";
+/// Least time between reads. The same request comes again within a few
+/// milliseconds, at any instance.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Most records of one append or one peer's word.
+const AT_ONCE: usize = 256;
+/// Most bytes of a peer's word.
+const WORD_BYTES: usize = 1 << 20;
+/// Pause after a failed append, at first and at most.
+const RETRY: Duration = Duration::from_millis(200);
+/// See [`RETRY`].
+const RETRY_MOST: Duration = Duration::from_secs(5);
+/// Time that telling a peer may take.
+const TELL: Duration = Duration::from_millis(600);
+
+/// What one peer tells another.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Word {
+    #[prost(message, repeated, tag = "1")]
+    records: Vec<Said>,
+}
+
+/// A record as the store keeps it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Said {
+    #[prost(string, tag = "1")]
+    digest: String,
+    /// Empty if nothing is known against the request any more.
+    #[prost(bytes = "bytes", tag = "2")]
+    record: Bytes,
+}
+
+/// What others are still to be told.
+#[derive(Debug, Default)]
+pub struct Unsaved {
+    digests: RefCell<BTreeSet<Digest>>,
+    changed: Notify,
+}
+
+impl Unsaved {
+    fn add(&self, digest: Digest) {
+        self.digests.borrow_mut().insert(digest);
+        self.changed.notify_one();
+    }
+
+    fn take(&self) -> Vec<Digest> {
+        let mut digests = self.digests.borrow_mut();
+        std::iter::from_fn(|| digests.pop_first()).take(AT_ONCE).collect()
+    }
+}
+
+/// What is to be done with a request. Its digest is taken only if something
+/// is known against any.
+pub fn verdict(shared: &Shared, digest: impl FnOnce() -> Digest) -> Verdict {
+    let world = shared.world.borrow();
+    if world.poison.is_empty() {
+        return Verdict::Free;
+    }
+    world.poison.verdict(wall_ms(), digest())
+}
+
+/// Finds out whether a target, with which an exchange has broken, has ended;
+/// if so, that counts against the request that was there.
+pub async fn look(shared: &Rc<Shared>, target: &Announcement, digest: Digest) -> bool {
+    if !shared.pool.has_ended(target.address).await {
+        return false;
+    }
+    let life = target.life();
+    let (is_news, verdict) = {
+        let mut world = shared.world.borrow_mut();
+        let is_news = world.poison.ended(wall_ms(), digest, &life);
+        (is_news, world.poison.verdict(wall_ms(), digest))
+    };
+    shared.meters.targets_ended.inc();
+    log::info!("target {life} has ended while {digest} was there: {verdict:?}");
+    if is_news {
+        shared.unsaved.add(digest);
+    }
+    true
+}
+
+/// Notes that a target has answered a request, or goes on with it.
+pub fn served(shared: &Shared, digest: impl FnOnce() -> Digest) {
+    let known = {
+        let mut world = shared.world.borrow_mut();
+        if world.poison.is_empty() {
+            return;
+        }
+        let digest = digest();
+        world.poison.served(digest).then_some(digest)
+    };
+    if let Some(digest) = known {
+        log::info!("{digest} was served: nothing is held against it");
+        shared.unsaved.add(digest);
+    }
+}
+
+/// Forgets what nothing follows from any more. One instance drops it from the
+/// store.
+pub fn expire(shared: &Shared) {
+    let mut world = shared.world.borrow_mut();
+    let over = world.poison.expire(wall_ms());
+    let members = world.roster.members();
+    let is_mine = |digest: &&Digest| {
+        dispatch::owner(members, &digest.to_string(), "") == Some(shared.me.as_str())
+    };
+    over.iter().filter(is_mine).for_each(|digest| shared.unsaved.add(*digest));
+}
+
+/// Brings what is known here to the store until the instance stops, and to
+/// the peers while the store does not take it.
+pub async fn save(shared: Rc<Shared>) {
+    let mut pause = RETRY;
+    loop {
+        let digests = shared.unsaved.take();
+        if digests.is_empty() {
+            shared.unsaved.changed.notified().await;
+            continue;
+        }
+        let said = said(&shared, &digests);
+        match append(&shared, &said).await {
+            Ok(()) => pause = RETRY,
+            Err(fault) => {
+                log::info!("{} suspects are kept for another append: {fault}", said.len());
+                tell_all(&shared, &said);
+                sleep(pause).await;
+                pause = (pause * 2).min(RETRY_MOST);
+                digests.into_iter().for_each(|digest| shared.unsaved.add(digest));
+            }
+        }
+    }
+}
+
+fn said(shared: &Shared, digests: &[Digest]) -> Vec<Said> {
+    let world = shared.world.borrow();
+    let one = |digest: &Digest| Said {
+        digest: digest.to_string(),
+        record: world.poison.record(*digest).unwrap_or_default().into(),
+    };
+    digests.iter().map(one).collect()
+}
+
+async fn append(shared: &Shared, said: &[Said]) -> Result<(), Fault> {
+    let record = |said: &Said| (Some(said.digest.clone()), said.record.clone());
+    let records = said.iter().map(record).collect();
+    let (part, purpose) = (Part::new(TOPIC, 0), Use::Suspect);
+    shared.append(Append { part, records, expected_end: None, purpose }).await.map(|_| ())
+}
+
+fn tell_all(shared: &Rc<Shared>, said: &[Said]) {
+    let word = Bytes::from(Word { records: said.to_vec() }.encode_to_vec());
+    let members = shared.world.borrow().roster.members().to_vec();
+    for member in members.into_iter().filter(|member| *member != shared.me) {
+        tokio::task::spawn_local(tell(shared.clone(), member, word.clone()));
+    }
+}
+
+async fn tell(shared: Rc<Shared>, member: String, word: Bytes) {
+    let Some(address) = roster::address(&member) else {
+        log::warn!("instance {member} has no address in its name");
+        return;
+    };
+    let request =
+        Request::post(PATH).header(http::header::HOST, address.to_string()).body(Full::new(word));
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!("telling {member} of suspects: {error}");
+            return;
+        }
+    };
+    let told = match shared.pool.send(address, request, TELL).await {
+        // Read to its end, so that the connection can be kept.
+        Ok(answer) => answer.whole(WORD_BYTES, TELL).await.map(|_| ()),
+        Err(error) => Err(error),
+    };
+    if let Err(error) = told {
+        log::info!("telling {member} of suspects: {error}");
+    }
+}
+
+/// Takes in what a peer tells.
+pub async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let status = match Limited::new(request.into_body(), WORD_BYTES).collect().await {
+        Ok(body) => match Word::decode(body.to_bytes()) {
+            Ok(word) => {
+                let records = word.records.iter();
+                records.for_each(|said| take(shared, &said.digest, &said.record));
+                StatusCode::OK
+            }
+            Err(error) => {
+                log::warn!("a peer's suspects cannot be read: {error}");
+                StatusCode::BAD_REQUEST
+            }
+        },
+        Err(error) => {
+            log::info!("a peer's suspects were cut short: {error}");
+            StatusCode::BAD_REQUEST
+        }
+    };
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Takes a record in, the store's or a peer's.
+fn take(shared: &Shared, key: &str, record: &[u8]) {
+    let mut world = shared.world.borrow_mut();
+    let taken = key.parse::<Digest>().and_then(|digest| {
+        if record.is_empty() {
+            world.poison.served(digest);
+            return Ok(());
+        }
+        world.poison.read(wall_ms(), digest, record)
+    });
+    if let Err(error) = taken {
+        shared.meters.suspects_skipped.inc();
+        log::warn!("record {key:?} of suspects skipped: {error}");
+    }
+}
+
+/// Follows what the instances have recorded.
+pub async fn serve(shared: Rc<Shared>) {
+    let part = Part::new(TOPIC, 0);
+    follow::follow(
+        shared,
+        part,
+        |_| PAUSE,
+        None,
+        true,
+        |shared, records, _| {
+            for record in &records.records {
+                take(shared, &record.key, record.value.as_deref().unwrap_or_default());
+            }
+            shared.world.borrow_mut().poison_known = true;
+        },
+    )
+    .await;
+}
--- a/crates/hollywell/src/error.rs
+++ b/crates/hollywell/src/error.rs
@@ -55,6 +55,8 @@
     NoTarget,
     /// The target refused the connection or said that it did not run it.
     TargetRefused,
+    /// Targets that ran the same request before have ended.
+    EndsTargets,
     /// The deadline passed before the request was dispatched.
     DeadlinePassed,
     /// A copy of the claim could not be placed, so it was not dispatched.
@@ -100,7 +102,7 @@
 
 impl Kind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Kind; 20] = [
+    pub const ALL: [Kind; 21] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::NoRoute,
@@ -112,6 +114,7 @@
         Kind::Draining,
         Kind::NoTarget,
         Kind::TargetRefused,
+        Kind::EndsTargets,
         Kind::DeadlinePassed,
         Kind::NoDeputy,
         Kind::Superseded,
@@ -154,6 +157,7 @@
             Kind::Draining => answer(503, NotRun, Some(1), "the instance is stopping"),
             Kind::NoTarget => answer(503, NotRun, Some(1), "no usable target"),
             Kind::TargetRefused => answer(503, NotRun, Some(1), "the target refused it"),
+            Kind::EndsTargets => answer(503, NotRun, Some(600), "targets that ran it have ended"),
             Kind::DeadlinePassed => answer(504, NotRun, Some(1), "the deadline passed first"),
             Kind::NoDeputy => answer(503, NotRun, Some(2), "the claim could not be copied"),
             // Not "not run": another send of the key that came after the
@@ -183,6 +187,7 @@
             Kind::Draining => "draining",
             Kind::NoTarget => "no_target",
             Kind::TargetRefused => "target_refused",
+            Kind::EndsTargets => "ends_targets",
             Kind::DeadlinePassed => "deadline_passed",
             Kind::NoDeputy => "no_deputy",
             Kind::Superseded => "superseded",
