--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -35,6 +35,9 @@
 const TOKENS_AN_EVENT: f64 = 50.0;
 /// Wait after a sample's request could not be read, in milliseconds.
 const UNREADY_MS: u64 = 200;
+/// Wait before it is looked again whether a sample that ends its targets may
+/// be tried, in milliseconds. It is held back for minutes.
+const HELD_MS: u64 = 5_000;
 /// Wait after a failed attempt, in milliseconds, times the number of them.
 const BACKOFF_MS: u64 = 50;
 
@@ -61,6 +64,8 @@
     Full,
     /// The target runs another incarnation or version, and ran nothing.
     Misdirected,
+    /// A kept connection ended first, which says nothing about the target.
+    Stale,
     /// The target failed the request.
     Failed,
     /// The request can never be done.
@@ -70,6 +75,8 @@
     /// The sample's request could not be read from the store; no target was
     /// asked.
     Unready,
+    /// Targets that ran it have ended; none was asked.
+    Held,
     /// The text would name a version that is not allowed; it was discarded.
     WrongVersion,
 }
@@ -468,8 +475,9 @@
                 progress.stage = Stage::Scoring;
                 effects.push(Effect::Score(running.slot));
             }
-            End::Full | End::Misdirected => sights.full(now, &running.target),
+            End::Full | End::Misdirected | End::Stale => sights.full(now, &running.target),
             End::Unready => progress.not_before = now.after(UNREADY_MS),
+            End::Held => progress.not_before = now.after(HELD_MS),
             End::Broken => {
                 sights.broke(now, &running.target);
                 progress.not_before = now.after(BACKOFF_MS);
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -15,6 +15,7 @@
         batch::{Partial, Sample, TextRef},
         dispatch::{End, Event, Run, Slot},
         fleet::Announcement,
+        poison::{Digest, Verdict},
     },
     entry::{
         dialect::Piece,
@@ -22,7 +23,7 @@
         lines::Cutter,
         samples,
         shared::Shared,
-        texts,
+        suspects, texts,
     },
 };
 
@@ -152,12 +153,45 @@
     let Some(request) = request(shared, slot, &sample, target, priority) else {
         return End::Impossible;
     };
+    let digest = digest(shared, slot, &sample);
+    // Asked last: whoever ran it before may have told of it meanwhile.
+    if matches!(suspects::verdict(shared, || digest), Verdict::Held(_)) {
+        shared.meters.held.inc();
+        return End::Held;
+    }
+    let known = |shared: &Shared| shared.world.borrow().texts.get(slot).map_or(0, |t| t.last);
+    let before = known(shared);
+    let end = exchange(shared, run, slot, target, digest, request).await;
+    // A sample that has got further is none that ends its targets.
+    let may_have_ended = matches!(end, End::Broken | End::Stale) && known(shared) == before;
+    if may_have_ended && suspects::look(shared, target, digest).await {
+        return End::Broken;
+    }
+    end
+}
+
+/// What a sample has in common with the same sample of another job.
+fn digest(shared: &Shared, slot: &Slot, sample: &Sample) -> Digest {
+    let world = shared.world.borrow();
+    let job = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job);
+    let host = job.map_or("", |job| job.head.host.as_str());
+    Digest::of(&["POST", host, &sample.path, ""], &sample.body)
+}
+
+async fn exchange(
+    shared: &Rc<Shared>,
+    run: Run,
+    slot: &Slot,
+    target: &Announcement,
+    digest: Digest,
+    request: Request<Full<Bytes>>,
+) -> End {
     let wanted = || shared.may_send(slot);
     let sent = shared.pool.send_if(target.address, request, RUN_LIMIT, wanted).await;
     let answer = match sent {
         Ok(answer) => answer,
         Err(Error::Unwanted) => return End::Unready,
-        Err(Error::Stale) => return End::Misdirected,
+        Err(Error::Stale) => return End::Stale,
         Err(error) => {
             log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
             return End::Broken;
@@ -169,7 +203,7 @@
         shared.world.borrow_mut().sights.load(now, &target.id, load);
     }
     match answer.head.status {
-        StatusCode::OK => stream(shared, run, slot, target, answer).await,
+        StatusCode::OK => stream(shared, run, slot, target, digest, answer).await,
         StatusCode::MISDIRECTED_REQUEST => End::Misdirected,
         StatusCode::UNPROCESSABLE_ENTITY => End::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => End::Failed,
@@ -213,6 +247,7 @@
     run: Run,
     slot: &'a Slot,
     target: &'a Announcement,
+    digest: Digest,
     model: String,
     min_version: u64,
     /// The sample's id.
@@ -255,6 +290,7 @@
             }
             text.take(&piece, version);
         }
+        suspects::served(self.shared, || self.digest);
         self.shared.tell(&Event::Piece { run: self.run });
         Ok(())
     }
@@ -265,6 +301,7 @@
     run: Run,
     slot: &Slot,
     target: &Announcement,
+    digest: Digest,
     answer: Answer,
 ) -> End {
     let context = {
@@ -274,7 +311,7 @@
         };
         let (model, min_version) = (job.head.model.clone(), job.head.min_version);
         let id = job.head.samples[slot.at].id.clone();
-        Context { shared, run, slot, target, model, min_version, id }
+        Context { shared, run, slot, target, digest, model, min_version, id }
     };
     match events(&context, answer).await {
         Ok(()) => End::Whole,
