Decisions go by a clock that counts suspended time

Cause: instants on Linux stand still while the machine is suspended, so a lease, a member, a reading or a kept connection of before would be believed for as long again after it. Change: clock::Clock reads CLOCK_BOOTTIME (nix); kept connections go by it too. Timers stay as they are: late, and what they lead to is judged when it leaves. Ruled out: the time of day, which steps.

--- a/crates/hollywell/src/control.rs
+++ b/crates/hollywell/src/control.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
+    clock::Clock,
     core::{
         effect::Effect,
         event::Event,
@@ -34,34 +35,6 @@
 /// Longest time for which a [`View`] is out of date, in milliseconds.
 const VIEW_MS: u64 = 200;
 
-/// The process's monotonic clock, as the reducer sees it.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Clock {
-    /// A clock that starts at one second, so that no instant of the run is
-    /// mistaken for "never".
-    #[must_use]
-    pub fn start() -> Clock {
-        Clock { start: Instant::now() }
-    }
-
-    /// The instant now.
-    #[must_use]
-    pub fn now(&self) -> Time {
-        let elapsed_ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
-        Time(1_000).after(elapsed_ms)
-    }
-
-    /// Time left until an instant; zero if it has passed.
-    #[must_use]
-    pub fn left(&self, until: Time) -> Duration {
-        Duration::from_millis(until.since(self.now()))
-    }
-}
-
 /// The queue was full, or the control thread has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Busy;
--- a/crates/hollywell/src/core/time.rs
+++ b/crates/hollywell/src/core/time.rs
@@ -1,5 +1,5 @@
 //! The reducer's notion of time: milliseconds on one process's monotonic
-//! clock. It leaves out wall-clock time, which no decision depends on.
+//! clock, which counts the time in which its machine was suspended. It leaves out wall-clock time, which no decision depends on.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -24,10 +24,9 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout},
-};
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::clock::since_boot;
 
 /// Longest time to wait for a connection. Round trips take milliseconds; a
 /// lost packet is sent again after one second.
@@ -102,7 +101,9 @@
 
 struct Kept {
     sender: Sender,
-    until: Instant,
+    /// Time since the machine's start up to which it may be used: while this
+    /// one is suspended, the other side closes it.
+    until: Duration,
 }
 
 /// Kept connections, by address.
@@ -145,7 +146,7 @@
     fn take(&self, address: SocketAddr) -> Option<Sender> {
         let mut kept = self.kept.borrow_mut();
         let list = kept.get_mut(&address)?;
-        let now = Instant::now();
+        let now = since_boot();
         while let Some(entry) = list.pop() {
             if entry.until > now && entry.sender.is_ready() {
                 return Some(entry.sender);
@@ -155,13 +156,13 @@
     }
 
     fn keep(&self, address: SocketAddr, sender: Sender, idle: Duration) {
-        let until = Instant::now() + idle;
+        let until = since_boot() + idle;
         self.kept.borrow_mut().entry(address).or_default().push(Kept { sender, until });
     }
 
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = since_boot();
         let mut kept = self.kept.borrow_mut();
         for list in kept.values_mut() {
             list.retain(|entry| entry.until > now && !entry.sender.is_closed());
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    control::Clock,
+    clock::Clock,
     core::{choice::Sights, dispatch, ending, fleet::Fleet, poison, room, roster::Roster},
     entry::{
         self, clean,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    control::Clock,
+    clock::Clock,
     core::{
         batch::{self, Book, Bundle, Change, Record, Written},
         choice::Sights,
--- a/crates/hollywell/src/lib.rs
+++ b/crates/hollywell/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! - [`core`]: the decisions, as pure code. Start at [`core::reducer::State`].
 //! - [`error`]: the closed list of error kinds and how each is answered.
+//! - [`clock`]: time that counts also while the machine is suspended.
 //! - [`control`]: the one thread that owns the reducer's state.
 //! - [`traffic`]: HTTP towards callers, trainers and operators.
 //! - [`entry`]: an instance on a platform whose store is a log with keyed
@@ -61,6 +62,7 @@
 //! ```
 
 pub mod cli;
+pub mod clock;
 pub mod control;
 pub mod core;
 pub mod engine;
--- a/crates/hollywell/src/platform.rs
+++ b/crates/hollywell/src/platform.rs
@@ -10,7 +10,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    control::{Clock, Handle},
+    clock::Clock,
+    control::Handle,
     core::{
         event::Event,
         member::{Kind, Listed, Load},
--- a/crates/hollywell/src/pulse.rs
+++ b/crates/hollywell/src/pulse.rs
@@ -13,7 +13,7 @@
 
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::{control::Clock, core::time::Time};
+use crate::{clock::Clock, core::time::Time};
 
 /// Time between beats, in milliseconds.
 const BEAT_MS: u64 = 50;
--- a/crates/hollywell/src/serve.rs
+++ b/crates/hollywell/src/serve.rs
@@ -7,7 +7,8 @@
 };
 
 use crate::{
-    control::{self, Clock, Handle, Options, TICK},
+    clock::Clock,
+    control::{self, Handle, Options, TICK},
     core::event::Event,
     metrics::Metrics,
     peer, platform,
--- a/crates/hollywell/src/traffic/executor.rs
+++ b/crates/hollywell/src/traffic/executor.rs
@@ -10,7 +10,8 @@
 
 use super::registry::{Registry, Replied};
 use crate::{
-    control::{Clock, Handle},
+    clock::Clock,
+    control::Handle,
     core::{
         effect::{Effect, Order, Reply},
         event::{End, Event, Forward},
--- a/crates/hollywell/src/traffic/server.rs
+++ b/crates/hollywell/src/traffic/server.rs
@@ -21,11 +21,7 @@
 
 use super::{admin, calls, registry::Registry, steps};
 use crate::{
-    control::{Clock, Handle},
-    error::Kind,
-    metrics::Metrics,
-    pulse::Pulse,
-    settings::Limits,
+    clock::Clock, control::Handle, error::Kind, metrics::Metrics, pulse::Pulse, settings::Limits,
 };
 
 /// The body of every answer.
--- a/crates/hollywell/tests/server.rs
+++ b/crates/hollywell/tests/server.rs
@@ -4,7 +4,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use hollywell::{
-    control::{self, Clock, Options},
+    clock::Clock,
+    control::{self, Options},
     core::{
         event::Event,
         id::Instance,
