Read once more: a request's sends are one state; ends that are told again count once

forward::run keeps what became of its sends in one struct, which says whether to go on and why nothing came. Ends beyond the 16 that are remembered of a request were counted again each time two instances told each other of them (by reading; the hold grew to its longest): merged now, with a test.

--- a/crates/hollywell/src/core/poison.rs
+++ b/crates/hollywell/src/core/poison.rs
@@ -148,16 +148,30 @@
 }
 
 impl Case {
+    /// Adds a target's end; returns whether it was not known.
     fn add(&mut self, at_ms: u64, life: &str) -> bool {
         if self.lives.contains(life) {
             return false;
         }
         self.ends += 1;
         self.last_ms = self.last_ms.max(at_ms);
+        self.remember(life);
+        true
+    }
+
+    /// Takes over what another instance knows. An end that both know counts
+    /// once; those that there is no room to remember are only counted.
+    fn merge(&mut self, kept: &Kept, last_ms: u64) {
+        kept.lives.iter().for_each(|life| self.remember(life));
+        let lives = u32::try_from(self.lives.len()).unwrap_or(u32::MAX);
+        self.ends = self.ends.max(kept.ends).max(lives);
+        self.last_ms = self.last_ms.max(last_ms);
+    }
+
+    fn remember(&mut self, life: &str) {
         if self.lives.len() < MOST_LIVES {
             self.lives.insert(life.to_owned());
         }
-        true
     }
 
     fn hold_ms(&self) -> u64 {
@@ -234,6 +248,8 @@
         }
     }
 
+    /// Whether a request is to be held back: it stands out, or was at so many
+    /// ends that are not the doing of others.
     fn is_to_blame(&self, digest: Digest, case: &Case) -> bool {
         if self.stands_out(digest, case) {
             return true;
@@ -305,11 +321,7 @@
         }
         // A clock that is ahead must not hold anything back for longer.
         let last_ms = kept.last_ms.min(now_ms);
-        let case = self.cases.entry(digest).or_default();
-        for life in &kept.lives {
-            case.add(last_ms, life);
-        }
-        case.ends = case.ends.max(kept.ends);
+        self.cases.entry(digest).or_default().merge(&kept, last_ms);
         self.bound();
         Ok(())
     }
--- a/crates/hollywell/src/core/time.rs
+++ b/crates/hollywell/src/core/time.rs
@@ -1,5 +1,7 @@
 //! The reducer's notion of time: milliseconds on one process's monotonic
-//! clock, which counts the time in which its machine was suspended. It leaves out wall-clock time, which no decision depends on.
+//! clock, which counts the time in which its machine was suspended. It leaves
+//! out wall-clock time, on which only what outlives a process depends
+//! ([`crate::core::poison`], and how long jobs are kept).
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -124,46 +124,95 @@
     Ended,
 }
 
+/// What became of a request's sends so far.
+#[derive(Default)]
+struct Attempt {
+    /// Targets that were asked.
+    tried: Vec<String>,
+    /// One of them may have run it.
+    ran: bool,
+    /// Targets that ended under the request, here or before.
+    ends: u32,
+    /// A target's own failure, to be passed on if nothing better comes.
+    failure: Option<Whole>,
+    /// The request is held back from all targets.
+    held: bool,
+    /// When to come back, in milliseconds, where that is known.
+    come_back_ms: Option<u64>,
+}
+
+impl Attempt {
+    /// Whether another target may be asked.
+    fn may_go_on(&self, route: &Route) -> bool {
+        let tried = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let is_safe = route.repeat == Repeat::Safe || !self.ran;
+        tried < route.attempts.max(1) && self.ends < MOST_ENDS && is_safe
+    }
+
+    /// Takes over what became of a send; an answer that ends the request is
+    /// returned.
+    fn note(&mut self, route: &Route, target: String, sent: Sent) -> Option<Whole> {
+        self.tried.push(target);
+        match sent {
+            Sent::NotRun => {}
+            Sent::Maybe => self.ran = true,
+            Sent::Ended => {
+                self.ran = true;
+                self.ends += 1;
+            }
+            Sent::Answered(whole) => {
+                self.ran = true;
+                let is_failure = whole.status == StatusCode::INTERNAL_SERVER_ERROR;
+                if !is_failure || route.repeat != Repeat::Safe {
+                    return Some(whole);
+                }
+                self.failure = Some(whole);
+            }
+        }
+        None
+    }
+
+    /// Why no target's answer can be passed on.
+    fn kind(&self) -> Kind {
+        match (self.ran, self.held, self.tried.is_empty()) {
+            (true, ..) => Kind::OutcomeUnknown,
+            (false, true, _) => Kind::EndsTargets,
+            (false, false, true) => Kind::NoTarget,
+            (false, false, false) => Kind::TargetRefused,
+        }
+    }
+}
+
 /// Sends a request until it is answered, its attempts are used up or its
 /// time is over.
 pub async fn run(shared: &Rc<Shared>, route: &Route, plain: &Plain, salt: u64) -> Verdict {
-    let until = plain.deadline;
-    let attempts = route.attempts.max(1);
-    let mut tried: Vec<String> = Vec::new();
-    let mut ran = false;
-    let mut failed: Option<Whole> = None;
-    let mut come_back_ms = None;
-    let mut held = false;
     let suspected = suspects::verdict(shared, || plain.digest()) == Blame::Suspect;
-    let mut ends = u32::from(suspected);
-    loop {
+    let mut attempt = Attempt { ends: u32::from(suspected), ..Attempt::default() };
+    while attempt.may_go_on(route) {
         let now = shared.now();
-        let left_ms = until.since(now).saturating_sub(MARGIN_MS);
+        let left_ms = plain.deadline.since(now).saturating_sub(MARGIN_MS);
         if left_ms == 0 {
             break;
         }
-        if u32::try_from(tried.len()).unwrap_or(u32::MAX) >= attempts {
-            break;
-        }
         // Asked before each send: another instance's target may have ended
         // under the same request a moment ago.
         if let Blame::Held(ms) = suspects::verdict(shared, || plain.digest()) {
             shared.meters.held.inc();
-            (held, come_back_ms) = (true, Some(ms));
+            (attempt.held, attempt.come_back_ms) = (true, Some(ms));
             break;
         }
-        let Some(target) = choose(shared, route, &tried, salt) else {
+        let Some(target) = choose(shared, route, &attempt.tried, salt) else {
             if shared.world.borrow().stopping {
                 break;
             }
             if let hold::Next::Reject(ms) = hold::next(sight(shared, route, salt, left_ms)) {
-                come_back_ms = Some(ms);
+                attempt.come_back_ms = Some(ms);
                 break;
             }
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let last = tried.len() + 1 >= attempts as usize;
+        let last = attempt.tried.len() + 1 >= route.attempts.max(1) as usize;
         let limit_ms = match route.repeat {
             Repeat::Safe if !last => patience(route).min(left_ms),
             _ => left_ms,
@@ -173,40 +222,16 @@
             let took_ms = shared.now().since(now);
             shared.world.borrow_mut().sights.answered(&target.id, took_ms);
         }
-        match sent {
-            Sent::Answered(whole) if whole.status != StatusCode::INTERNAL_SERVER_ERROR => {
-                return Verdict::Answered(whole);
-            }
-            Sent::Answered(whole) => {
-                tried.push(target.id);
-                ran = true;
-                if route.repeat != Repeat::Safe {
-                    return Verdict::Answered(whole);
-                }
-                failed = Some(whole);
-            }
-            Sent::NotRun => tried.push(target.id),
-            Sent::Maybe | Sent::Ended => {
-                ends += u32::from(matches!(sent, Sent::Ended));
-                tried.push(target.id);
-                ran = true;
-                if route.repeat != Repeat::Safe || ends >= MOST_ENDS {
-                    break;
-                }
-            }
+        if let Some(whole) = attempt.note(route, target.id, sent) {
+            return Verdict::Answered(whole);
         }
     }
-    if let Some(whole) = failed {
+    if let Some(whole) = attempt.failure {
         return Verdict::Answered(whole);
     }
-    let kind = match (ran, held, tried.is_empty()) {
-        (true, ..) => Kind::OutcomeUnknown,
-        (false, true, _) => Kind::EndsTargets,
-        (false, false, true) => Kind::NoTarget,
-        (false, false, false) => Kind::TargetRefused,
-    };
+    let (kind, tried) = (attempt.kind(), &attempt.tried);
     log::info!("request {} on {}: {}; tried {tried:?}", plain.id, route.name, kind.as_str());
-    Verdict::Refused(kind, come_back_ms)
+    Verdict::Refused(kind, attempt.come_back_ms)
 }
 
 /// What is known of a route's targets where none of them can take a request.
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -151,6 +151,8 @@
     log::info!("{} listens on {}, settings {}", shared.me, settings.listen, path.display());
     let open = Rc::new(ingress::Open::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    // In the order in which they are read from the store at a start: what is
+    // small and needed for every request before the jobs.
     spawn(Box::pin(follow::wishes(shared.clone())));
     spawn(Box::pin(follow::fleet(shared.clone())));
     spawn(Box::pin(news::serve(shared.clone())));
--- a/crates/hollywell/tests/poison.rs
+++ b/crates/hollywell/tests/poison.rs
@@ -289,6 +289,23 @@
     assert_eq!(here.verdict(START_MS + 10, culprit), Verdict::Suspect);
 }
 
+#[test]
+fn ends_beyond_those_that_are_remembered_are_not_counted_again_by_telling() {
+    let culprit = digest(0);
+    let (mut here, mut there) = (State::default(), State::default());
+    for end in 0..20 {
+        here.ended(START_MS, culprit, &format!("a/{end}"));
+        there.ended(START_MS, culprit, &format!("b/{end}"));
+    }
+    let before = here.verdict(START_MS, culprit);
+    for _ in 0..10 {
+        let (ours, theirs) = (here.record(culprit).unwrap(), there.record(culprit).unwrap());
+        here.read(START_MS, culprit, &theirs).unwrap();
+        there.read(START_MS, culprit, &ours).unwrap();
+    }
+    assert_eq!(here.verdict(START_MS, culprit), before);
+}
+
 #[test]
 fn what_cannot_be_read_changes_nothing() {
     let mut state = State::default();
