What was never sent to a target is not to blame for its end

Cause: a sample whose connection was refused ended as one that broke off, and was then found at a target that has ended: three engines that end for other reasons, and a sample that waits for them, and it would be held back. Change: End::Unreached, which is no run.

--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -72,6 +72,8 @@
     Impossible,
     /// The connection broke, or what came was no answer.
     Broken,
+    /// No connection was made, so that nothing was sent.
+    Unreached,
     /// The sample's request could not be read from the store; no target was
     /// asked.
     Unready,
@@ -459,7 +461,7 @@
             return;
         };
         sights.ended(now, &running.target);
-        if end == End::Broken || end == End::WrongVersion {
+        if matches!(end, End::Broken | End::Unreached | End::WrongVersion) {
             sights.closed(&running.target);
         }
         let Some(open) = self.jobs.get_mut(&running.slot.job) else {
@@ -478,7 +480,7 @@
             End::Full | End::Misdirected | End::Stale => sights.full(now, &running.target),
             End::Unready => progress.not_before = now.after(UNREADY_MS),
             End::Held => progress.not_before = now.after(HELD_MS),
-            End::Broken => {
+            End::Broken | End::Unreached => {
                 sights.broke(now, &running.target);
                 progress.not_before = now.after(BACKOFF_MS);
             }
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -159,11 +159,11 @@
         shared.meters.held.inc();
         return End::Held;
     }
-    let known = |shared: &Shared| shared.world.borrow().texts.get(slot).map_or(0, |t| t.last);
-    let before = known(shared);
+    let last_event = || shared.world.borrow().texts.get(slot).map_or(0, |text| text.last);
+    let before = last_event();
     let end = exchange(shared, run, slot, target, digest, request).await;
     // A sample that has got further is none that ends its targets.
-    let may_have_ended = matches!(end, End::Broken | End::Stale) && known(shared) == before;
+    let may_have_ended = matches!(end, End::Broken | End::Stale) && last_event() == before;
     if may_have_ended && suspects::look(shared, target, digest).await {
         return End::Broken;
     }
@@ -194,7 +194,7 @@
         Err(Error::Stale) => return End::Stale,
         Err(error) => {
             log::info!("sample {}/{} at {}: {error}", slot.job, slot.at, target.id);
-            return End::Broken;
+            return if error.is_not_sent() { End::Unreached } else { End::Broken };
         }
     };
     let headers = &shared.dialect.headers;
