--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -14,10 +14,10 @@
         batch,
         ending::{Effect, Event},
         room::Use,
-        roster,
     },
     entry::{
         jobs::Reply,
+        peers,
         shared::{JOBS, Shared},
         store::{Append, Appended, Fault, Part},
     },
@@ -27,9 +27,6 @@
 pub const PATH: &str = "/ends";
 /// Most bytes of a peer's word: some hundred ids.
 const WORD_BYTES: usize = 1 << 20;
-/// Time that telling a peer may take. It is told again where it did not
-/// confirm.
-const TELL: Duration = Duration::from_millis(600);
 /// How long to wait for an end whose append got no answer to be read.
 const LOOK_FOR: Duration = Duration::from_millis(2_500);
 /// Pause between looks.
@@ -145,33 +142,10 @@
 }
 
 async fn tell_peer(shared: Rc<Shared>, member: String, jobs: Vec<String>) {
-    let Some(address) = roster::address(&member) else {
-        log::warn!("instance {member} has no address in its name");
-        return;
-    };
     let word = Word { by: shared.me.clone(), jobs };
-    let request = Request::post(PATH)
-        .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::from(word.encode_to_vec())));
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => {
-            log::error!("telling {member} of ends: {error}");
-            return;
-        }
-    };
-    let answer = match shared.pool.send(address, request, TELL).await {
-        Ok(answer) => answer,
-        Err(error) => {
-            log::info!("telling {member} of {} ends: {error}", word.jobs.len());
-            return;
-        }
-    };
-    let taken = answer.head.status == StatusCode::OK;
-    // Read to its end, so that the connection can be kept.
-    let read = answer.whole(WORD_BYTES, TELL).await;
-    if taken && read.is_ok() {
-        tell(&shared, &Event::Confirmed { member, jobs: word.jobs });
+    match peers::post(&shared, &member, PATH, word.encode_to_vec().into()).await {
+        Ok(()) => tell(&shared, &Event::Confirmed { member, jobs: word.jobs }),
+        Err(why) => log::info!("telling {member} of {} ends: {why}", word.jobs.len()),
     }
 }
 
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -18,13 +18,46 @@
     time::sleep,
 };
 
-use crate::entry::{ends, relay, shared::Shared, suspects};
+use crate::{
+    core::roster,
+    entry::{ends, relay, shared::Shared, suspects},
+};
 
 /// How long a peer's connection may be idle.
 const IDLE: Duration = Duration::from_secs(15);
+/// Time that telling a peer may take. It is told again where it did not
+/// confirm.
+const TELL: Duration = Duration::from_millis(600);
+/// Most bytes of a peer's answer to what it is told: it has none.
+const ANSWER_BYTES: usize = 1 << 20;
 /// Pause after a connection could not be accepted.
 const RETRY: Duration = Duration::from_millis(50);
 
+/// Tells a member of the group something.
+///
+/// # Errors
+///
+/// Why it may not have taken it.
+pub(super) async fn post(
+    shared: &Shared,
+    member: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<(), String> {
+    let address = roster::address(member).ok_or("no address in its name")?;
+    let request = Request::post(path)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(body))
+        .map_err(|error| error.to_string())?;
+    let sent = shared.pool.send(address, request, TELL).await;
+    let answer = sent.map_err(|error| error.to_string())?;
+    let status = answer.head.status;
+    // Read to its end, so that the connection can be kept.
+    let read = answer.whole(ANSWER_BYTES, TELL).await;
+    read.map_err(|error| error.to_string())?;
+    if status == StatusCode::OK { Ok(()) } else { Err(status.to_string()) }
+}
+
 /// Serves peers until the process ends.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     loop {
--- a/crates/hollywell/src/entry/suspects.rs
+++ b/crates/hollywell/src/entry/suspects.rs
@@ -16,10 +16,9 @@
         fleet::Announcement,
         poison::{Digest, Verdict},
         room::Use,
-        roster,
     },
     entry::{
-        follow,
+        follow, peers,
         shared::{Shared, wall_ms},
         store::{Append, Fault, Part},
     },
@@ -40,8 +39,6 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// See [`RETRY`].
 const RETRY_MOST: Duration = Duration::from_secs(5);
-/// Time that telling a peer may take.
-const TELL: Duration = Duration::from_millis(600);
 
 /// What one peer tells another.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -186,26 +183,8 @@
 }
 
 async fn tell(shared: Rc<Shared>, member: String, word: Bytes) {
-    let Some(address) = roster::address(&member) else {
-        log::warn!("instance {member} has no address in its name");
-        return;
-    };
-    let request =
-        Request::post(PATH).header(http::header::HOST, address.to_string()).body(Full::new(word));
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => {
-            log::error!("telling {member} of suspects: {error}");
-            return;
-        }
-    };
-    let told = match shared.pool.send(address, request, TELL).await {
-        // Read to its end, so that the connection can be kept.
-        Ok(answer) => answer.whole(WORD_BYTES, TELL).await.map(|_| ()),
-        Err(error) => Err(error),
-    };
-    if let Err(error) = told {
-        log::info!("telling {member} of suspects: {error}");
+    if let Err(why) = peers::post(&shared, &member, PATH, word).await {
+        log::info!("telling {member} of suspects: {why}");
     }
 }
 
