What becomes known while the store is away is told at once

Cause: after a failed append an instance waited 0.2 to 5 s before it took the next suspects, and told peers only then; with the store away for long, a culprit ended services for as long at other instances. Change: new suspects end the wait.

--- a/crates/hollywell/src/entry/suspects.rs
+++ b/crates/hollywell/src/entry/suspects.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prost::Message as _;
-use tokio::{sync::Notify, time::sleep};
+use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     core::{
@@ -70,6 +70,11 @@
         self.changed.notify_one();
     }
 
+    /// Keeps what the store did not take for the next append.
+    fn put_back(&self, digests: Vec<Digest>) {
+        self.digests.borrow_mut().extend(digests);
+    }
+
     fn take(&self) -> Vec<Digest> {
         let mut digests = self.digests.borrow_mut();
         std::iter::from_fn(|| digests.pop_first()).take(AT_ONCE).collect()
@@ -150,9 +155,11 @@
             Err(fault) => {
                 log::info!("{} suspects are kept for another append: {fault}", said.len());
                 tell_all(&shared, &said);
-                sleep(pause).await;
+                shared.unsaved.put_back(digests);
+                // What becomes known meanwhile does not wait: peers must know
+                // it however long the store has been away.
+                let _woken = timeout(pause, shared.unsaved.changed.notified()).await;
                 pause = (pause * 2).min(RETRY_MOST);
-                digests.into_iter().for_each(|digest| shared.unsaved.add(digest));
             }
         }
     }
