--- a/crates/hollywell/tests/poison.rs
+++ b/crates/hollywell/tests/poison.rs
@@ -298,10 +298,15 @@
         there.ended(START_MS, culprit, &format!("b/{end}"));
     }
     let before = here.verdict(START_MS, culprit);
-    for _ in 0..10 {
+    let mut exchange = || {
         let (ours, theirs) = (here.record(culprit).unwrap(), there.record(culprit).unwrap());
         here.read(START_MS, culprit, &theirs).unwrap();
         there.read(START_MS, culprit, &ours).unwrap();
+        here.record(culprit).unwrap()
+    };
+    let told_once = exchange();
+    for _ in 0..10 {
+        assert_eq!(exchange(), told_once);
     }
     assert_eq!(here.verdict(START_MS, culprit), before);
 }
