Peers: one way to read a word and to answer nothing; a request's digest once

Cause: the reading of a peer's word stood in ends and suspects, the answer without a body in four places; a request's digest was taken up to four times in one attempt while suspects are known, over a body of up to 32 MB. Change: peers::word, peers::nothing; Plain keeps its digest once it was asked for. No behaviour changed but the words of two log lines, which name the path now. Looked at and left: what follow() is called with in news and suspects is different in each; the pairs of constants and of test worlds are alike in shape only.

--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prost::Message as _;
 use tokio::time::{Instant, sleep};
@@ -25,8 +25,6 @@
 
 /// The path on which peers tell of ends.
 pub const PATH: &str = "/ends";
-/// Most bytes of a peer's word: some hundred ids.
-const WORD_BYTES: usize = 1 << 20;
 /// How long to wait for an end whose append got no answer to be read.
 const LOOK_FOR: Duration = Duration::from_millis(2_500);
 /// Pause between looks.
@@ -175,29 +173,12 @@
 
 /// Takes in what a peer tells.
 pub async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let answer = |status| {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = status;
-        response
+    let Word { by, jobs } = match peers::word(request).await {
+        Ok(word) => word,
+        Err(status) => return peers::nothing(status),
     };
-    let body = match Limited::new(request.into_body(), WORD_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            log::info!("a peer's word was cut short: {error}");
-            return answer(StatusCode::BAD_REQUEST);
-        }
-    };
-    match Word::decode(body) {
-        Ok(Word { by, jobs }) => {
-            log::info!("{by} tells of ends of {}", jobs.join(" "));
-            let (_read, open): (Vec<_>, Vec<_>) =
-                jobs.into_iter().partition(|job| is_ended(shared, job));
-            tell(shared, &Event::Told { by, jobs: open });
-            answer(StatusCode::OK)
-        }
-        Err(error) => {
-            log::warn!("a peer's word cannot be read: {error}");
-            answer(StatusCode::BAD_REQUEST)
-        }
-    }
+    log::info!("{by} tells of ends of {}", jobs.join(" "));
+    let (_read, open): (Vec<_>, Vec<_>) = jobs.into_iter().partition(|job| is_ended(shared, job));
+    tell(shared, &Event::Told { by, jobs: open });
+    peers::nothing(StatusCode::OK)
 }
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -6,7 +6,7 @@
 //! sent to another target instead. What it leaves out: streams of text
 //! ([`crate::entry::run`]) and where an answer goes.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
@@ -74,15 +74,19 @@
     pub body: Bytes,
     /// When the caller stops waiting.
     pub deadline: Time,
+    /// Its digest, once it was asked for: a body may be many MB.
+    pub digest: OnceCell<Digest>,
 }
 
 impl Plain {
     /// What it has in common with the same request asked again.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        let caller = self.headers.get(header::AUTHORIZATION).map_or(&[][..], |key| key.as_bytes());
-        let caller = String::from_utf8_lossy(caller);
-        Digest::of(&[self.method.as_str(), &self.host, &self.target, &caller], &self.body)
+        *self.digest.get_or_init(|| {
+            let caller = self.headers.get(header::AUTHORIZATION);
+            let caller = String::from_utf8_lossy(caller.map_or(&[][..], |key| key.as_bytes()));
+            Digest::of(&[self.method.as_str(), &self.host, &self.target, &caller], &self.body)
+        })
     }
 }
 
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -3,7 +3,12 @@
 //! A caller that leaves ends its request's future, and with it whatever the
 //! request was doing at a target.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    convert::Infallible,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -257,6 +262,7 @@
         headers: head.headers,
         body,
         deadline: arrived.after(deadline_ms),
+        digest: OnceCell::new(),
     };
     forwarded(shared, &plan, &route, &plain).await
 }
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -4,7 +4,7 @@
 //! What it leaves out: bringing results to the store
 //! ([`crate::entry::outbox`]).
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -420,6 +420,7 @@
             headers: http::HeaderMap::new(),
             body: scorer.body.clone(),
             deadline: shared.now().after(SCORE_MS),
+            digest: OnceCell::new(),
         };
         // Reading the request may have taken long.
         if !shared.may_send(&slot) {
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -8,7 +8,7 @@
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
@@ -28,8 +28,8 @@
 /// Time that telling a peer may take. It is told again where it did not
 /// confirm.
 const TELL: Duration = Duration::from_millis(600);
-/// Most bytes of a peer's answer to what it is told: it has none.
-const ANSWER_BYTES: usize = 1 << 20;
+/// Most bytes of a peer's word, and of the answer to one: some hundred ids.
+const WORD_BYTES: usize = 1 << 20;
 /// Pause after a connection could not be accepted.
 const RETRY: Duration = Duration::from_millis(50);
 
@@ -53,7 +53,7 @@
     let answer = sent.map_err(|error| error.to_string())?;
     let status = answer.head.status;
     // Read to its end, so that the connection can be kept.
-    let read = answer.whole(ANSWER_BYTES, TELL).await;
+    let read = answer.whole(WORD_BYTES, TELL).await;
     read.map_err(|error| error.to_string())?;
     if status == StatusCode::OK { Ok(()) } else { Err(status.to_string()) }
 }
@@ -91,10 +91,33 @@
         Method::POST if path == ends::PATH => ends::hear(shared, request).await,
         Method::POST if path == suspects::PATH => suspects::hear(shared, request).await,
         Method::GET if path.starts_with(relay::PATH) => relay::answer(shared, &path).await,
-        _ => {
-            let mut response = Response::new(Full::default());
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            response
-        }
+        _ => nothing(StatusCode::NOT_FOUND),
     }
 }
+
+/// An answer without a body.
+pub(super) fn nothing(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// What a peer tells.
+///
+/// # Errors
+///
+/// What it is to be answered, where that cannot be read.
+pub(super) async fn word<T>(request: Request<Incoming>) -> Result<T, StatusCode>
+where
+    T: prost::Message + Default,
+{
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), WORD_BYTES).collect().await.map_err(|error| {
+        log::info!("a peer's word on {path} was cut short: {error}");
+        StatusCode::BAD_REQUEST
+    })?;
+    T::decode(body.to_bytes()).map_err(|error| {
+        log::warn!("a peer's word on {path} cannot be read: {error}");
+        StatusCode::BAD_REQUEST
+    })
+}
--- a/crates/hollywell/src/entry/relay.rs
+++ b/crates/hollywell/src/entry/relay.rs
@@ -15,6 +15,7 @@
 use crate::{
     core::{batch::Record, relay, roster, time::Time},
     entry::{
+        peers,
         shared::{JOBS, Shared},
         store::{Part, Records},
     },
@@ -209,13 +210,8 @@
 /// read lately, once it is read if this instance is reading itself, or not at
 /// all if it was read long ago.
 pub async fn answer(shared: &Rc<Shared>, path: &str) -> Response<Full<Bytes>> {
-    let plain = |status| {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = status;
-        response
-    };
     let Some((number, part)) = named(shared, path) else {
-        return plain(StatusCode::NOT_FOUND);
+        return peers::nothing(StatusCode::NOT_FOUND);
     };
     let until = Instant::now() + HOLD;
     loop {
@@ -226,10 +222,10 @@
             return response;
         }
         if shared.world.borrow().shelves[number].loaded {
-            return plain(StatusCode::NOT_FOUND);
+            return peers::nothing(StatusCode::NOT_FOUND);
         }
         if timeout_at(until, changed).await.is_err() {
-            return plain(StatusCode::SERVICE_UNAVAILABLE);
+            return peers::nothing(StatusCode::SERVICE_UNAVAILABLE);
         }
     }
 }
--- a/crates/hollywell/src/entry/suspects.rs
+++ b/crates/hollywell/src/entry/suspects.rs
@@ -5,7 +5,7 @@
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prost::Message as _;
 use tokio::{sync::Notify, time::timeout};
@@ -33,8 +33,6 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Most records of one append or one peer's word.
 const AT_ONCE: usize = 256;
-/// Most bytes of a peer's word.
-const WORD_BYTES: usize = 1 << 20;
 /// Pause after a failed append, at first and at most.
 const RETRY: Duration = Duration::from_millis(200);
 /// See [`RETRY`].
@@ -197,26 +195,12 @@
 
 /// Takes in what a peer tells.
 pub async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let status = match Limited::new(request.into_body(), WORD_BYTES).collect().await {
-        Ok(body) => match Word::decode(body.to_bytes()) {
-            Ok(word) => {
-                let records = word.records.iter();
-                records.for_each(|said| take(shared, &said.digest, &said.record));
-                StatusCode::OK
-            }
-            Err(error) => {
-                log::warn!("a peer's suspects cannot be read: {error}");
-                StatusCode::BAD_REQUEST
-            }
-        },
-        Err(error) => {
-            log::info!("a peer's suspects were cut short: {error}");
-            StatusCode::BAD_REQUEST
-        }
+    let Word { records } = match peers::word(request).await {
+        Ok(word) => word,
+        Err(status) => return peers::nothing(status),
     };
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
+    records.iter().for_each(|said| take(shared, &said.digest, &said.record));
+    peers::nothing(StatusCode::OK)
 }
 
 /// Takes a record in, the store's or a peer's.
