Organisations: keys are looked up at the edge, jobs are an organisation's

Cause: the configuration's organisations, public routes and keys were not read.

Change: keys are decoded into digests; only the organisation's name travels on, into a job's head, to targets and into the blame of requests that end their targets. 401 and 404 are said only by a configuration known to be new enough; else one reading is awaited by all, and 503 is the answer where none comes. Peers tell the configuration where the store does not.

Left: parts of organisations where requests wait, priority of organisations.

--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -103,6 +103,17 @@
     pub samples: Vec<Sample>,
 }
 
+impl Submission {
+    /// Drops headers of all samples, named in lower case, that are not the
+    /// caller's to set.
+    pub fn drop_headers(&mut self, names: &[&str]) {
+        let is_own = |header: &Header| names.contains(&header.name.to_ascii_lowercase().as_str());
+        for sample in &mut self.samples {
+            sample.headers.retain(|header| !is_own(header));
+        }
+    }
+}
+
 /// Where a whole text lies in the store.
 ///
 /// Texts have a topic of their own and are written before the result that
@@ -223,6 +234,9 @@
     /// Where the samples' requests lie.
     #[prost(message, repeated, tag = "9")]
     pub bundles: Vec<TextRef>,
+    /// The organisation whose job it is; empty if it is anybody's.
+    #[prost(string, tag = "10")]
+    pub organisation: String,
 }
 
 /// How far the times of day of two machines may be apart, in milliseconds:
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -37,6 +37,7 @@
 pub mod id;
 pub mod lease;
 pub mod member;
+pub mod organisation;
 pub mod owner;
 pub mod pace;
 pub mod patience;
--- a/crates/hollywell/src/core/plan.rs
+++ b/crates/hollywell/src/core/plan.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::core::organisation::Directory;
+
 /// What may be done with requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
@@ -51,6 +53,8 @@
     pub single_version: bool,
     /// Whether a stream may go on at another target.
     pub resumable: bool,
+    /// Whether anybody may use it, without a key.
+    pub public: bool,
 }
 
 /// One pool of targets.
@@ -75,6 +79,8 @@
     pub routes: Vec<Route>,
     /// All pools.
     pub pools: Vec<Pool>,
+    /// Who may ask; `None` if anybody may.
+    pub organisations: Option<Directory>,
     /// Longest request body, in bytes.
     pub body_bytes: usize,
     /// How long a caller's connection may be idle, in milliseconds.
@@ -96,7 +102,7 @@
     ///     name: name.into(), host: "h".into(), prefix: prefix.into(),
     ///     repeat: Repeat::Safe, timeout_ms: 1_500, target_ms: 150, priority: 2,
     ///     pools: vec![], attempts: 2, due_ms: 0, keep_ms: 0,
-    ///     single_version: false, resumable: false,
+    ///     single_version: false, resumable: false, public: false,
     /// };
     /// let plan = Plan {
     ///     routes: vec![route("wide", "/a/"), route("narrow", "/a/b/")],
@@ -112,6 +118,13 @@
         self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
     }
 
+    /// Whether jobs of a host may be anybody's.
+    #[must_use]
+    pub fn has_public_jobs(&self, host: &str) -> bool {
+        let is_one = |route: &Route| route.repeat == Repeat::Batch && route.public;
+        self.routes.iter().any(|route| route.host == host && is_one(route))
+    }
+
     /// The pool of that name.
     #[must_use]
     pub fn pool(&self, name: &str) -> Option<&Pool> {
--- a/crates/hollywell/src/entry/dialect.rs
+++ b/crates/hollywell/src/entry/dialect.rs
@@ -37,6 +37,8 @@
     pub priority: HeaderName,
     /// How long a read may be held.
     pub hold: HeaderName,
+    /// The organisation that asks, for targets.
+    pub organisation: HeaderName,
 }
 
 /// What a caller asks for.
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -19,7 +19,7 @@
     },
     entry::{
         dialect::Wish,
-        relay,
+        plans, relay,
         shared::{JOBS, Shared, World},
         store::{Fault, Newest, Part, Read, Records},
     },
@@ -257,10 +257,13 @@
         |_| WISHES_PAUSE,
         None,
         true,
-        |shared, records, _| {
+        |shared, records, from| {
             for record in &records.records {
                 wish(shared, record);
             }
+            if let Some(asked_at) = from.asked_at {
+                plans::current(shared, asked_at);
+            }
             shared.open_waiting();
         },
     )
@@ -272,22 +275,12 @@
         return;
     };
     match (shared.dialect.wish)(&record.key, value) {
-        Ok(Some(Wish::Plan(plan))) => {
-            let mut world = shared.world.borrow_mut();
-            let before = world.plan.as_ref().map_or(0, |plan| plan.version);
-            if plan.version > before {
-                log::info!("configuration {} in force, was {before}", plan.version);
-                world.fleet.configure(plan.pools.iter().map(|pool| pool.name.as_str()));
-                world.plan = Some(Rc::new(plan));
-            }
-        }
-        Ok(Some(Wish::Version { model, version })) => {
-            let mut world = shared.world.borrow_mut();
-            let named = world.models.named.entry(model.clone()).or_insert(version);
-            *named = (*named).max(version);
-            log::info!("model {model} is named version {version}");
-        }
+        Ok(Some(Wish::Plan(plan))) => plans::take(shared, plan, "the store"),
+        Ok(Some(Wish::Version { model, version })) => plans::named(shared, &model, version),
         Ok(None) => {}
-        Err(why) => log::warn!("record {:?} of the operator skipped: {why}", record.key),
+        Err(why) => {
+            shared.meters.plans_skipped.inc();
+            log::warn!("record {:?} of the operator skipped: {why}", record.key);
+        }
     }
 }
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -71,6 +71,8 @@
     pub host: String,
     /// The id of the caller's attempt.
     pub id: String,
+    /// The organisation that asks; empty if that is nobody's business.
+    pub organisation: String,
     /// All other headers of the caller.
     pub headers: HeaderMap,
     /// Its body.
@@ -86,8 +88,11 @@
     #[must_use]
     pub fn digest(&self) -> Digest {
         *self.digest.get_or_init(|| {
-            let caller = self.headers.get(header::AUTHORIZATION);
-            let caller = String::from_utf8_lossy(caller.map_or(&[][..], |key| key.as_bytes()));
+            // A key that was replaced must not clear a culprit.
+            let caller = match self.headers.get(header::AUTHORIZATION) {
+                Some(key) => String::from_utf8_lossy(key.as_bytes()),
+                None => self.organisation.as_str().into(),
+            };
             Digest::of(&[self.method.as_str(), &self.host, &self.target, &caller], &self.body)
         })
     }
@@ -469,5 +474,8 @@
     set(&names.request_id, &plain.id);
     set(&names.deadline, &left_ms.to_string());
     set(&names.target, &target.id);
+    if !plain.organisation.is_empty() {
+        set(&names.organisation, &plain.organisation);
+    }
     request
 }
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -23,6 +23,7 @@
         time::Time,
     },
     entry::{
+        caller::{self, Caller},
         dialect::Ask,
         forward::{self, Plain, Verdict},
         jobs::{self, Reply},
@@ -156,19 +157,27 @@
     ask: Ask,
     arrived: Time,
 ) -> Reply200 {
+    let caller = match ask {
+        Ask::Ready => return ready(shared),
+        Ask::Routed => return routed(shared, request, arrived).await,
+        _ => caller::of_job(shared, request.headers()).await,
+    };
+    let caller = match caller {
+        Ok(caller) => caller,
+        Err(kind) => return refuse(shared, kind),
+    };
     match ask {
-        Ask::Ready => ready(shared),
+        Ask::Ready | Ask::Routed => refuse(shared, Kind::Internal),
         Ask::Results { job, after } => {
             let names = &shared.dialect.headers;
             let hold = number(request.headers(), &names.hold).unwrap_or(0).min(HOLD_MS);
             let hold = Duration::from_millis(hold);
-            reply(shared, jobs::results(shared, &job, after, hold).await)
+            reply(shared, jobs::results(shared, &caller, &job, after, hold).await)
         }
         Ask::SampleBody { job, sample } => {
-            reply(shared, jobs::sample_body(shared, &job, &sample).await)
+            reply(shared, jobs::sample_body(shared, &caller, &job, &sample).await)
         }
-        Ask::EndJob { job } => reply(shared, jobs::end(shared, &job).await),
-        Ask::Routed => routed(shared, request, arrived).await,
+        Ask::EndJob { job } => reply(shared, jobs::end(shared, &caller, &job).await),
     }
 }
 
@@ -225,15 +234,23 @@
 }
 
 async fn routed(shared: &Rc<Shared>, request: Request<Incoming>, arrived: Time) -> Reply200 {
+    let (mut head, body) = request.into_parts();
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    let host = host.to_owned();
+    let (route, caller) = match caller::routed(shared, &host, head.uri.path(), &head.headers).await
+    {
+        Ok(judged) => judged,
+        Err(kind) => return refuse(shared, kind),
+    };
     let Some(plan) = known_plan(shared) else {
         return refuse(shared, Kind::StoreAway);
     };
-    let (head, body) = request.into_parts();
-    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
-    let Some(route) = plan.route(host, head.uri.path()).cloned() else {
-        log::info!("no route for {host} {} in configuration {}", head.uri.path(), plan.version);
-        return refuse(shared, Kind::NoRoute);
-    };
+    let names = &shared.dialect.headers;
+    if plan.organisations.is_some() {
+        // The key goes no further, and who asks is not the caller's to say.
+        head.headers.remove(header::AUTHORIZATION);
+        head.headers.remove(&names.organisation);
+    }
     let limit = if plan.body_bytes == 0 { BODY_BYTES } else { plan.body_bytes };
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
@@ -243,13 +260,12 @@
             return refuse(shared, if too_large { Kind::TooLarge } else { Kind::Malformed });
         }
     };
-    let names = &shared.dialect.headers;
     let id = head.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
     let Some(id) = id.map(str::to_owned) else {
         return refuse(shared, Kind::Malformed);
     };
     if route.repeat == Repeat::Batch {
-        return submit(shared, &id, host, head.uri.path(), &body).await;
+        return submit(shared, &caller, &id, &host, head.uri.path(), &body).await;
     }
     let timeout_ms = if route.timeout_ms == 0 { DEADLINE_MS } else { route.timeout_ms };
     let deadline_ms = number(&head.headers, &names.deadline).unwrap_or(timeout_ms).min(timeout_ms);
@@ -257,8 +273,9 @@
     let plain = Plain {
         method: head.method,
         target,
-        host: host.to_owned(),
+        host,
         id,
+        organisation: caller.organisation().to_owned(),
         headers: head.headers,
         body,
         deadline: arrived.after(deadline_ms),
@@ -287,15 +304,26 @@
     }
 }
 
-async fn submit(shared: &Rc<Shared>, id: &str, host: &str, path: &str, raw: &[u8]) -> Reply200 {
-    let decoded = match (shared.dialect.submission)(raw) {
+async fn submit(
+    shared: &Rc<Shared>,
+    caller: &Caller,
+    id: &str,
+    host: &str,
+    path: &str,
+    raw: &[u8],
+) -> Reply200 {
+    let mut decoded = match (shared.dialect.submission)(raw) {
         Ok(decoded) => decoded,
         Err(why) => {
             log::info!("job {id} is malformed: {why}");
             return refuse(shared, Kind::Malformed);
         }
     };
-    let done = jobs::submit(shared, id, host, path, &decoded).await;
+    if *caller != Caller::Anybody {
+        let own = [header::AUTHORIZATION.as_str(), shared.dialect.headers.organisation.as_str()];
+        decoded.drop_headers(&own);
+    }
+    let done = jobs::submit(shared, caller, id, host, path, &decoded).await;
     let accepted = done == Reply::Done;
     let mut response = reply(shared, done);
     if accepted {
@@ -325,9 +353,13 @@
     *response.status_mut() =
         StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
-    if answer.outcome == crate::error::Outcome::NotRun && answer.status >= 429 {
+    let says_so = answer.status >= 429 || kind == Kind::UnknownCaller;
+    if answer.outcome == crate::error::Outcome::NotRun && says_so {
         headers.insert(shared.dialect.headers.not_run.clone(), HeaderValue::from_static("1"));
     }
+    if kind == Kind::UnknownCaller {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
     match answer.retry_after_s {
         Some(_) => come_back(response, COME_BACK_MS),
         None => response,
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -17,6 +17,7 @@
         room::Use,
     },
     entry::{
+        caller::Caller,
         dialect::{Delivered, Results},
         ends,
         forward::{self, Plain, Verdict},
@@ -80,14 +81,15 @@
 /// Takes a job in. [`Reply::Done`] means that it is kept from now on.
 pub async fn submit(
     shared: &Rc<Shared>,
+    caller: &Caller,
     job: &str,
     host: &str,
     path: &str,
     decoded: &Submission,
 ) -> Reply {
     let part = shared.part_of(job);
-    if known(shared, part, job) {
-        return Reply::Done;
+    if let Some(reply) = accepted(shared, caller, part, job) {
+        return reply;
     }
     if !batch::is_id(job) || decoded.samples.iter().any(|sample| !batch::is_id(&sample.id)) {
         return Reply::Malformed(format!(
@@ -98,8 +100,8 @@
     // Another instance may just have accepted it. Where that cannot be read,
     // the two heads that there may be name the same samples.
     let current = catch_up(shared, part).await;
-    if known(shared, part, job) {
-        return Reply::Done;
+    if let Some(reply) = accepted(shared, caller, part, job) {
+        return reply;
     }
     log::debug!("job {job} is new here, partition {part} read to its end: {current}");
     if let Err(come_back_ms) = room::admit(shared, decoded) {
@@ -128,6 +130,7 @@
         groups_wanted: decoded.groups_wanted,
         samples,
         bundles,
+        organisation: caller.organisation().to_owned(),
     };
     let (key, value) = batch::head_record(job, &head);
     let most = shared.settings.store.record_bytes;
@@ -187,6 +190,22 @@
     shared.world.borrow().shelves[part].book.jobs.contains_key(job)
 }
 
+/// Whether a job is known that the caller may see.
+fn is_seen(shared: &Shared, caller: &Caller, part: usize, job: &str) -> bool {
+    let world = shared.world.borrow();
+    let head = world.shelves[part].book.jobs.get(job).map(|job| &job.head);
+    head.is_some_and(|head| caller.may_see(&head.organisation))
+}
+
+/// What a submission is answered whose job is there. Another organisation's
+/// job of that id is none that this caller is told of.
+fn accepted(shared: &Shared, caller: &Caller, part: usize, job: &str) -> Option<Reply> {
+    if !known(shared, part, job) {
+        return None;
+    }
+    Some(if is_seen(shared, caller, part, job) { Reply::Done } else { Reply::Missing })
+}
+
 /// Waits until something that may have been appended is read.
 async fn look_for(shared: &Rc<Shared>, part: usize, there: impl Fn(&Shared) -> bool) -> Reply {
     let until = Instant::now() + LOOK_FOR;
@@ -237,7 +256,13 @@
 /// Trainers wait for a number of whole groups, and come back half a second
 /// after each answer. With an answer at the first result, the last one that a
 /// step needed often came right after an answer that was of no use.
-pub async fn results(shared: &Rc<Shared>, job: &str, after: usize, hold: Duration) -> Reply {
+pub async fn results(
+    shared: &Rc<Shared>,
+    caller: &Caller,
+    job: &str,
+    after: usize,
+    hold: Duration,
+) -> Reply {
     let part = shared.part_of(job);
     let until = Instant::now() + hold;
     let listed = |shared: &Shared| {
@@ -250,6 +275,9 @@
     if listed(shared).is_none_or(|(len, _)| len < after) && !catch_up(shared, part).await {
         return Reply::Unsure;
     }
+    if !is_seen(shared, caller, part, job) {
+        return Reply::Missing;
+    }
     let _waits = Waits::new(shared, part);
     loop {
         let notified = shared.listed[part].notified();
@@ -344,11 +372,14 @@
 }
 
 /// The body of a sample that is not listed.
-pub async fn sample_body(shared: &Rc<Shared>, job: &str, sample: &str) -> Reply {
+pub async fn sample_body(shared: &Rc<Shared>, caller: &Caller, job: &str, sample: &str) -> Reply {
     let part = shared.part_of(job);
     if !known(shared, part, job) && !catch_up(shared, part).await {
         return Reply::Unsure;
     }
+    if !is_seen(shared, caller, part, job) {
+        return Reply::Missing;
+    }
     let at = {
         let world = shared.world.borrow();
         let found = world.shelves[part].book.jobs.get(job);
@@ -366,12 +397,15 @@
 
 /// Ends a job. It stops at once and at all instances, whatever the store
 /// does ([`ends`]).
-pub async fn end(shared: &Rc<Shared>, job: &str) -> Reply {
+pub async fn end(shared: &Rc<Shared>, caller: &Caller, job: &str) -> Reply {
     if !batch::is_id(job) {
         return Reply::Missing;
     }
     let part = shared.part_of(job);
     let current = known(shared, part, job) || catch_up(shared, part).await;
+    if known(shared, part, job) && !is_seen(shared, caller, part, job) {
+        return Reply::Missing;
+    }
     let ended = {
         let world = shared.world.borrow();
         world.shelves[part].book.jobs.get(job).map(|job| job.ended)
@@ -417,6 +451,7 @@
             target: scorer.path.clone(),
             host: scorer.host.clone(),
             id: scorer.id.clone(),
+            organisation: String::new(),
             headers: http::HeaderMap::new(),
             body: scorer.body.clone(),
             deadline: shared.now().after(SCORE_MS),
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -35,6 +35,10 @@
     pub held: IntCounter,
     /// Records of suspects that could not be read.
     pub suspects_skipped: IntCounter,
+    /// Records of the operator that could not be understood.
+    pub plans_skipped: IntCounter,
+    /// Requests of callers that are not known, by why.
+    pub strangers: IntCounterVec,
     /// Entries of targets that could not be understood.
     pub entries_skipped: IntCounter,
     /// Bytes in the store, as far as is known.
@@ -116,6 +120,15 @@
                 "hollywell_entry_suspects_skipped_total",
                 "Records of suspects not understood.",
             )?,
+            plans_skipped: count(
+                "hollywell_entry_plans_skipped_total",
+                "Records of the operator not understood.",
+            )?,
+            strangers: counter(
+                "hollywell_entry_strangers_total",
+                "Requests of unknown callers.",
+                &["why"],
+            )?,
             entries_skipped: count(
                 "hollywell_entry_target_entries_skipped_total",
                 "Entries of targets not understood.",
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -12,6 +12,7 @@
 //! with half a core a second thread only adds a wake-up to every decision,
 //! and wake-ups are what such a machine pays for.
 
+pub mod caller;
 pub mod carry;
 pub mod clean;
 pub mod dialect;
@@ -28,6 +29,7 @@
 pub mod orders;
 pub mod outbox;
 pub mod peers;
+pub mod plans;
 pub mod reader;
 pub mod relay;
 pub mod reload;
--- /dev/null
+++ b/crates/hollywell/src/entry/plans.rs
@@ -0,0 +1,162 @@
+//! The configuration in force, and how old what is known of it is.
+//!
+//! It comes from the store, and from peers where the store does not answer
+//! this instance: the store may turn some instances away while it serves the
+//! operator and the others, and a key that was taken away must not work there
+//! for as long. A peer tells the configuration as it has decoded it, without
+//! any key, and how old its knowledge is.
+//!
+//! What it leaves out: what follows from the age ([`crate::entry::caller`]).
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+use rand::seq::IndexedRandom as _;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    core::{plan::Plan, roster, time::Time},
+    entry::{peers, shared::Shared},
+};
+
+/// The path on which peers ask; the version that they have follows.
+pub const PATH: &str = "/configuration/";
+/// Time between looks at how old the configuration is.
+const LOOK: Duration = Duration::from_millis(250);
+/// Age from which on peers are asked, in milliseconds: a read of the store
+/// that waits in vain takes less.
+const BEHIND_MS: u64 = 1_500;
+/// Peers that are asked at once: one may be behind for the same reason.
+const ASKED: usize = 3;
+/// Time that a peer's answer may take.
+const ANSWER: Duration = Duration::from_millis(400);
+/// Largest answer of a peer: thousands of organisations.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// What a peer tells.
+#[derive(Debug, Serialize, Deserialize)]
+struct Word {
+    /// How old it is, in milliseconds.
+    age_ms: u64,
+    /// The configuration's version.
+    version: u64,
+    /// The configuration, if it is newer than the asker's.
+    plan: Option<Plan>,
+    /// Newest weights of each model.
+    named: BTreeMap<String, u64>,
+}
+
+/// Puts a configuration in force, if it is newer.
+pub(super) fn take(shared: &Shared, plan: Plan, from: &str) {
+    let mut world = shared.world.borrow_mut();
+    let before = world.plan.as_ref().map_or(0, |plan| plan.version);
+    if plan.version > before {
+        log::info!("configuration {} in force, was {before}, from {from}", plan.version);
+        world.fleet.configure(plan.pools.iter().map(|pool| pool.name.as_str()));
+        world.plan = Some(Rc::new(plan));
+    }
+}
+
+/// Takes over which weights of a model are the newest.
+pub(super) fn named(shared: &Shared, model: &str, version: u64) {
+    let mut world = shared.world.borrow_mut();
+    let named = world.models.named.entry(model.to_owned()).or_insert(0);
+    if *named < version {
+        *named = version;
+        log::info!("model {model} is named version {version}");
+    }
+}
+
+/// Notes that the operator's topic, as it was at an instant, is known.
+pub(super) fn current(shared: &Shared, at: Time) {
+    let mut world = shared.world.borrow_mut();
+    world.plan_at = world.plan_at.max(Some(at));
+    shared.configured.notify_waiters();
+}
+
+/// How old what is known of the configuration is, in milliseconds.
+#[must_use]
+pub fn age_ms(shared: &Shared) -> Option<u64> {
+    let at = shared.world.borrow().plan_at?;
+    Some(shared.now().since(at))
+}
+
+/// Asks peers while the store does not tell.
+pub async fn serve(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        if age_ms(&shared).is_some_and(|age| age < BEHIND_MS) {
+            continue;
+        }
+        let peers: Vec<String> = {
+            let world = shared.world.borrow();
+            let others = world.roster.members().iter().filter(|member| **member != shared.me);
+            let others: Vec<&String> = others.collect();
+            others.choose_multiple(&mut rand::rng(), ASKED).map(|peer| (*peer).clone()).collect()
+        };
+        let asked: Vec<_> = peers.into_iter().map(|peer| ask(shared.clone(), peer)).collect();
+        let asked: Vec<_> = asked.into_iter().map(tokio::task::spawn_local).collect();
+        for one in asked {
+            if let Err(error) = one.await {
+                log::error!("asking a peer for the configuration: {error}");
+            }
+        }
+    }
+}
+
+async fn ask(shared: Rc<Shared>, peer: String) {
+    let asked_at = shared.now();
+    match word(&shared, &peer).await {
+        Ok(word) => {
+            if let Some(plan) = word.plan {
+                take(&shared, plan, &peer);
+            }
+            word.named.iter().for_each(|(model, version)| named(&shared, model, *version));
+            // What the peer knew is of use for as far as it was taken over.
+            let version = shared.world.borrow().plan.as_ref().map_or(0, |plan| plan.version);
+            if version >= word.version {
+                current(&shared, Time(asked_at.0.saturating_sub(word.age_ms)));
+            }
+            shared.open_waiting();
+        }
+        Err(why) => log::info!("asking {peer} for the configuration: {why}"),
+    }
+}
+
+async fn word(shared: &Shared, peer: &str) -> Result<Word, String> {
+    let address = roster::address(peer).ok_or("no address in its name")?;
+    let have = shared.world.borrow().plan.as_ref().map_or(0, |plan| plan.version);
+    let request = Request::get(format!("{PATH}{have}"))
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .map_err(|error| error.to_string())?;
+    let sent = shared.pool.send(address, request, ANSWER).await;
+    let answer = sent.map_err(|error| error.to_string())?;
+    let status = answer.head.status;
+    let body = answer.whole(ANSWER_BYTES, ANSWER).await.map_err(|error| error.to_string())?;
+    if status != StatusCode::OK {
+        return Err(status.to_string());
+    }
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
+
+/// Tells a peer the configuration, if this instance knows one.
+pub(super) fn answer(shared: &Shared, path: &str) -> Response<Full<Bytes>> {
+    let have: u64 = path.strip_prefix(PATH).and_then(|have| have.parse().ok()).unwrap_or(0);
+    let Some(age_ms) = age_ms(shared) else {
+        return peers::nothing(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let world = shared.world.borrow();
+    let version = world.plan.as_ref().map_or(0, |plan| plan.version);
+    let plan = world.plan.as_deref().filter(|plan| plan.version > have).cloned();
+    let word = Word { age_ms, version, plan, named: world.models.named.clone() };
+    match serde_json::to_vec(&word) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(error) => {
+            log::error!("the configuration cannot be told: {error}");
+            peers::nothing(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -180,8 +180,8 @@
 fn digest(shared: &Shared, slot: &Slot, sample: &Sample) -> Digest {
     let world = shared.world.borrow();
     let job = world.shelves[shared.part_of(&slot.job)].book.jobs.get(&slot.job);
-    let host = job.map_or("", |job| job.head.host.as_str());
-    Digest::of(&["POST", host, &sample.path, ""], &sample.body)
+    let (host, organisation) = job.map_or(("", ""), |job| (&job.head.host, &job.head.organisation));
+    Digest::of(&["POST", host, &sample.path, organisation], &sample.body)
 }
 
 async fn exchange(
@@ -236,6 +236,9 @@
         .header(&headers.request_id, sample.id.as_str())
         .header(&headers.target, target.id.as_str())
         .header(&headers.priority, HeaderValue::from(u16::from(priority)));
+    if !job.head.organisation.is_empty() {
+        request = request.header(&headers.organisation, job.head.organisation.as_str());
+    }
     for header in &sample.headers {
         request = request.header(header.name.as_str(), header.value.as_str());
     }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -27,7 +27,7 @@
         exchange::Pool,
         follow, ingress, member,
         meters::Meters,
-        news, orders, outbox, peers,
+        news, orders, outbox, peers, plans,
         reader::Reader,
         relay::Relay,
         reload,
@@ -90,6 +90,7 @@
     let parts = JOB_PARTS.min(settings.store.parts).max(1) as usize;
     let world = World {
         plan: None,
+        plan_at: None,
         fleet: Fleet::default(),
         sights: Sights::default(),
         dispatch: dispatch::State::new(&me),
@@ -123,6 +124,7 @@
         writer,
         written: Cell::new(0),
         world: RefCell::new(world),
+        configured: Notify::new(),
         regrouped: Notify::new(),
         accepted: (0..parts).map(|_| Notify::new()).collect(),
         readers: (0..parts).map(|_| Cell::new(0)).collect(),
@@ -155,6 +157,7 @@
     // In the order in which they are read from the store at a start: what is
     // small and needed for every request before the jobs.
     spawn(Box::pin(follow::wishes(shared.clone())));
+    spawn(Box::pin(plans::serve(shared.clone())));
     spawn(Box::pin(follow::fleet(shared.clone())));
     spawn(Box::pin(news::serve(shared.clone())));
     spawn(Box::pin(suspects::serve(shared.clone())));
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -61,6 +61,12 @@
     pub lease: Duration,
     /// A job's results are kept for so long after its submission.
     pub status: Duration,
+    /// A configuration is in force everywhere so long after its
+    /// acknowledgement.
+    pub config_apply: Duration,
+    /// Longest time for which a key may be taken for good without news of the
+    /// configuration; `None` for any.
+    pub revoke: Option<Duration>,
 }
 
 impl Times {
@@ -117,6 +123,7 @@
     let store = "store";
     let parts = reader.number(store, "parts", 1, 1..=1_000);
     let times = "times";
+    let revoke_ms = reader.number(times, "revoke_ms", 0, 0..=86_400_000);
     Settings {
         name: reader.text(instance, "name", None),
         domains: reader.list(instance, "domains", &domain),
@@ -138,6 +145,14 @@
             grace: reader.time(times, "grace_s", SECOND, 8.0, 0.1..=MOST_S),
             lease: reader.time(times, "lease_ms", MILLISECOND, 3_000.0, 100.0..=MOST_MS),
             status: reader.time(times, "status_s", SECOND, 120.0, 0.1..=MOST_S),
+            config_apply: reader.time(
+                times,
+                "config_apply_ms",
+                MILLISECOND,
+                2_000.0,
+                1.0..=MOST_MS,
+            ),
+            revoke: (revoke_ms > 0).then(|| Duration::from_millis(revoke_ms)),
         },
         level: level.parse().unwrap_or(log::LevelFilter::Info),
     }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -108,6 +108,9 @@
 pub struct World {
     /// The configuration in force, once one was read.
     pub plan: Option<Rc<Plan>>,
+    /// When the operator's topic was as this instance knows it; `None` before
+    /// it was read.
+    pub plan_at: Option<Time>,
     /// The targets.
     pub fleet: Fleet,
     /// What was seen of them.
@@ -202,6 +205,8 @@
     pub meters: Meters,
     /// Mutable state.
     pub world: RefCell<World>,
+    /// Told when the operator's topic was read, here or by a peer.
+    pub configured: Notify,
     /// Told when the group of instances changed.
     pub regrouped: Notify,
     /// Told when a job was accepted in a partition of jobs.
--- a/crates/hollywell/src/error.rs
+++ b/crates/hollywell/src/error.rs
@@ -39,6 +39,8 @@
     TooLarge,
     /// No such path or method.
     NoRoute,
+    /// The caller sent no key, or none that an organisation has.
+    UnknownCaller,
     /// The table has no row for the trainer.
     UnknownTrainer,
     /// No target of that pool has ever been listed.
@@ -102,10 +104,11 @@
 
 impl Kind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Kind; 21] = [
+    pub const ALL: [Kind; 22] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::NoRoute,
+        Kind::UnknownCaller,
         Kind::UnknownTrainer,
         Kind::UnknownPool,
         Kind::KeyMismatch,
@@ -149,6 +152,7 @@
             Kind::Malformed => answer(400, NotRun, None, "the request is malformed"),
             Kind::TooLarge => answer(413, NotRun, None, "the request is too large"),
             Kind::NoRoute => answer(404, NotRun, None, "no such path or method"),
+            Kind::UnknownCaller => answer(401, NotRun, None, "no key of any organisation"),
             Kind::UnknownTrainer => answer(404, NotRun, None, "the table has no such trainer"),
             Kind::UnknownPool => answer(404, NotRun, None, "no such pool of targets"),
             Kind::KeyMismatch => answer(422, Unknown, None, "the key belongs to another request"),
@@ -179,6 +183,7 @@
             Kind::Malformed => "malformed",
             Kind::TooLarge => "too_large",
             Kind::NoRoute => "no_route",
+            Kind::UnknownCaller => "unknown_caller",
             Kind::UnknownTrainer => "unknown_trainer",
             Kind::UnknownPool => "unknown_pool",
             Kind::KeyMismatch => "key_mismatch",
