Usage is counted, decided in the store and reported by one holder

Change: instances bring what they count to the store, window by window, by way of peers where the store turns them away. Whoever holds the lease on duties adds a window up, writes the sum down where the log ends as it was read, and only then reports it; a successor repeats it to the byte. The lease of orders to engines is now `entry::lease`, and this is its second user. Few instances of each failure domain compete for it.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -55,3 +55,4 @@
 pub mod table;
 pub mod tenure;
 pub mod time;
+pub mod usage;
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -66,6 +66,8 @@
     News,
     /// What is known against a request.
     Suspect,
+    /// What an instance counted, and what was decided of it.
+    Usage,
     /// A sample's result, without its text.
     Outcome,
     /// A sample's whole text.
@@ -96,6 +98,7 @@
             Use::Claim => "claim",
             Use::News => "news",
             Use::Suspect => "suspect",
+            Use::Usage => "usage",
             Use::Outcome => "outcome",
             Use::Text => "text",
             Use::Unfinished => "unfinished",
@@ -109,7 +112,7 @@
     const fn share(self) -> f64 {
         match self {
             Use::End | Use::Drop => f64::INFINITY,
-            Use::Claim | Use::News | Use::Suspect => 0.97,
+            Use::Claim | Use::News | Use::Suspect | Use::Usage => 0.97,
             Use::Outcome | Use::Text => 0.94,
             Use::Unfinished => 0.8,
             Use::Head | Use::Requests => 0.75,
--- a/crates/hollywell/src/core/roster.rs
+++ b/crates/hollywell/src/core/roster.rs
@@ -49,6 +49,38 @@
     Some(instance(member).rsplit_once('+')?.1)
 }
 
+/// The members of a failure domain that compete for something that one
+/// instance does at a time: at most so many, chosen alike by all, and the same
+/// ones after a restart.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::roster::candidates;
+///
+/// let member = |name: &str, domain: u8| format!("{name}@10.0.0.1:80+{domain}/1");
+/// let members = [member("a", 0), member("b", 0), member("c", 0), member("d", 1)];
+/// assert_eq!(candidates(&members, Some("0"), "duty", 2).len(), 2);
+/// assert_eq!(candidates(&members, Some("1"), "duty", 2), [&members[3]]);
+/// ```
+#[must_use]
+pub fn candidates<'a>(
+    members: &'a [String],
+    of_domain: Option<&str>,
+    what: &str,
+    most: usize,
+) -> Vec<&'a str> {
+    let is_here = |member: &&String| domain(member) == of_domain;
+    let mut here: Vec<&str> = members.iter().filter(is_here).map(String::as_str).collect();
+    let weight = |member: &&str| {
+        let seed = xxhash_rust::xxh3::xxh3_64(what.as_bytes());
+        xxhash_rust::xxh3::xxh3_64_with_seed(instance(member).as_bytes(), seed)
+    };
+    here.sort_by_key(weight);
+    here.truncate(most);
+    here
+}
+
 /// The live members as one instance believes them to be.
 ///
 /// # Example
--- a/crates/hollywell/src/entry/dialect.rs
+++ b/crates/hollywell/src/entry/dialect.rs
@@ -12,6 +12,7 @@
     choice::Load,
     fleet::Announcement,
     plan::Plan,
+    usage::Counts,
 };
 
 /// Names of headers.
@@ -39,6 +40,10 @@
     pub hold: HeaderName,
     /// The organisation that asks, for targets.
     pub organisation: HeaderName,
+    /// Who holds a duty.
+    pub holder: HeaderName,
+    /// The holder's fencing number.
+    pub fence: HeaderName,
 }
 
 /// What a caller asks for.
@@ -166,6 +171,9 @@
     pub load: fn(&str) -> Option<Load>,
     /// Decodes one event of a stream of text: its lines.
     pub piece: fn(&str) -> Result<Piece, String>,
+    /// Where and how a window's usage is reported; the same counts give the
+    /// same bytes.
+    pub usage: fn(u64, &Counts) -> (&'static str, Bytes),
     /// Where and how an order is sent.
     pub order: fn(&VersionOrder) -> (&'static str, Bytes),
     /// Where an engine reports.
--- /dev/null
+++ b/crates/hollywell/src/entry/duties.rs
@@ -0,0 +1,249 @@
+//! Duties that one instance has at a time: reports to the platform's API.
+//!
+//! A lease says whose they are and gives the fencing number. What is to be
+//! reported is in the store before it is reported ([`crate::core::usage`]), so
+//! that a successor goes on with the same bytes. Nothing here touches serving:
+//! the API may be slow or away.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::time::sleep;
+
+use crate::{
+    core::{
+        room::Use,
+        roster,
+        usage::{self, Ledger, Next},
+    },
+    entry::{
+        lease::Lease,
+        settings::Duties,
+        shared::Shared,
+        store::{Append, Fault, Newest, Part, Records},
+        usage as counted,
+    },
+};
+
+/// The topic of the lease.
+const LEASE: &str = "duties";
+/// The topic of what was decided and reported; one partition.
+const TOPIC: &str = "keyed.duties";
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(200);
+/// How long before something is due the lease announces it.
+const AHEAD_MS: u64 = 500;
+/// Time that a call may take: well within what is left of a lease.
+const CALL: Duration = Duration::from_millis(1_000);
+/// Most time between calls that failed, in full jitter; doubled each time.
+const RETRY: Duration = Duration::from_millis(250);
+/// Doublings of that time.
+const RETRY_DOUBLINGS: u32 = 3;
+/// Instances of each failure domain that compete for the lease. Each reads it
+/// all the time; with one lost there is another, and other domains have theirs.
+const CANDIDATES: usize = 2;
+/// Largest answer of the API.
+const ANSWER_BYTES: usize = 64 << 10;
+
+/// One instance's part in the duties.
+struct Office {
+    duties: Duties,
+    lease: Rc<Lease>,
+    /// The window in which this instance first held the lease.
+    from: Option<u64>,
+    /// Nothing is due before, in milliseconds since 1970.
+    due_ms: u64,
+    /// Calls that failed in a row.
+    failures: u32,
+}
+
+/// Does the duties whenever this instance holds them.
+pub async fn serve(shared: Rc<Shared>) {
+    let Some(duties) = shared.settings.duties else {
+        return;
+    };
+    let lease = Lease::new(&shared, Part::new(LEASE, 0), LEASE);
+    tokio::task::spawn_local(lease.clone().keep(shared.clone(), is_candidate));
+    let mut office = Office { duties, lease, from: None, due_ms: 0, failures: 0 };
+    loop {
+        sleep(TICK).await;
+        if !office.lease.is_held() {
+            (office.due_ms, office.failures) = (0, 0);
+            continue;
+        }
+        let now_ms = counted::day_ms(&shared);
+        office.from.get_or_insert(duties.usage.window(now_ms));
+        let is_near = now_ms + AHEAD_MS >= office.due_ms;
+        office.lease.want(is_near);
+        if now_ms >= office.due_ms && !shared.world.borrow().stopping {
+            office.step(&shared, now_ms).await;
+        }
+    }
+}
+
+/// Whether this instance competes: few of each failure domain do, chosen
+/// alike by all from the members.
+fn is_candidate(shared: &Shared) -> bool {
+    let world = shared.world.borrow();
+    if world.stopping {
+        return false;
+    }
+    let domain = roster::domain(&shared.me);
+    roster::candidates(world.roster.members(), domain, LEASE, CANDIDATES)
+        .contains(&shared.me.as_str())
+}
+
+impl Office {
+    /// Reads what the store holds and does the next thing that is due.
+    async fn step(&mut self, shared: &Rc<Shared>, now_ms: u64) {
+        let (ledger, end, spent) = match read(shared).await {
+            Ok(read) => read,
+            Err(fault) => {
+                log::info!("reading what is due: {fault}");
+                return self.failed().await;
+            }
+        };
+        let from = self.from.unwrap_or_default();
+        let done = match ledger.next(now_ms, self.duties.usage, from) {
+            Next::Wait(until_ms) => {
+                self.due_ms = until_ms;
+                drop_spent(shared, spent).await;
+                return;
+            }
+            Next::Decide(window, counts) => {
+                let (_, report) = (shared.dialect.usage)(window, &counts);
+                log::info!("usage of window {window} is decided: {} organisations", counts.len());
+                write(shared, vec![usage::decision(window, report)], end).await
+            }
+            Next::Report(window, report) => self.report(shared, window, report, end).await,
+        };
+        if done {
+            self.failures = 0;
+        } else {
+            self.failed().await;
+        }
+    }
+
+    async fn failed(&mut self) {
+        let most = RETRY * (1 << self.failures.min(RETRY_DOUBLINGS));
+        self.failures += 1;
+        sleep(most.mul_f64(rand::random_range(0.0..=1.0))).await;
+    }
+
+    /// Reports a window and notes that it is done; returns whether it is.
+    async fn report(&self, shared: &Rc<Shared>, window: u64, report: Bytes, end: u64) -> bool {
+        let (path, _) = (shared.dialect.usage)(window, &usage::Counts::new());
+        // Asked last: reading may have taken long, or the process been paused.
+        let Some(fence) = self.lease.fence(shared, CALL) else {
+            return false;
+        };
+        self.lease.used(shared);
+        let status = self.call(shared, path, fence, report).await;
+        let name = match status {
+            Ok(status) => status.as_str().to_owned(),
+            Err(ref why) => why.clone(),
+        };
+        log::info!("usage of window {window} reported, fence {fence}: {name}");
+        let label = match status {
+            Ok(ref status) => status.as_str(),
+            Err(_) => "no_answer",
+        };
+        shared.meters.reports.with_label_values(&[label]).inc();
+        match status {
+            Ok(StatusCode::OK) => {
+                shared.meters.reported.set(i64::try_from(window).unwrap_or(i64::MAX));
+                write(shared, usage::reported(window), end).await
+            }
+            // A holder of a later grant was there first.
+            Ok(StatusCode::CONFLICT) => {
+                self.lease.give_up(shared).await;
+                false
+            }
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    async fn call(
+        &self,
+        shared: &Rc<Shared>,
+        path: &str,
+        fence: u64,
+        body: Bytes,
+    ) -> Result<StatusCode, String> {
+        let address = self.duties.address;
+        let names = &shared.dialect.headers;
+        let request = Request::post(path)
+            .header(http::header::HOST, address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(&names.holder, shared.settings.name.as_str())
+            .header(&names.fence, fence)
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        let answer =
+            shared.pool.send(address, request, CALL).await.map_err(|error| error.to_string())?;
+        let status = answer.head.status;
+        answer.whole(ANSWER_BYTES, CALL).await.map_err(|error| error.to_string())?;
+        Ok(status)
+    }
+}
+
+/// What the store holds of usage, the end of the partition of decisions, and
+/// the keys of pieces that nothing needs any more.
+async fn read(shared: &Shared) -> Result<(Ledger, u64, Vec<String>), Fault> {
+    let decided = newest(shared, TOPIC).await?;
+    let pieces = newest(shared, counted::TOPIC).await?;
+    let mut ledger = Ledger::default();
+    let mut skipped = Vec::new();
+    for record in &decided.records {
+        let value = record.value.clone().unwrap_or_default();
+        skipped.extend(ledger.duty(&record.key, &value).err());
+    }
+    for record in &pieces.records {
+        let value = record.value.clone().unwrap_or_default();
+        skipped.extend(ledger.piece(&record.key, &value).err());
+    }
+    for error in skipped {
+        shared.meters.usage_skipped.inc();
+        log::warn!("{error}");
+    }
+    let keys = pieces.records.into_iter().map(|record| record.key);
+    let spent = keys.filter(|key| ledger.is_spent(key)).collect();
+    Ok((ledger, decided.end, spent))
+}
+
+async fn newest(shared: &Shared, topic: &str) -> Result<Records, Fault> {
+    let mut newest = Newest::default();
+    let read = shared.reader.newest_on(&Part::new(topic, 0), &mut newest).await;
+    shared.store_did(read.is_ok());
+    read?;
+    Ok(newest.into_records())
+}
+
+/// Writes records of decisions where their log ended when it was read;
+/// returns whether they were taken.
+async fn write(shared: &Shared, records: Vec<(String, Bytes)>, end: u64) -> bool {
+    let records = records.into_iter().map(|(key, value)| (Some(key), value)).collect();
+    let (part, purpose) = (Part::new(TOPIC, 0), Use::Usage);
+    let append = Append { part, records, expected_end: Some(end), purpose };
+    match shared.append(append).await {
+        Ok(_) => true,
+        Err(fault) => {
+            log::info!("writing down what is due: {fault}");
+            false
+        }
+    }
+}
+
+/// Drops pieces of windows that were reported.
+async fn drop_spent(shared: &Shared, keys: Vec<String>) {
+    if keys.is_empty() {
+        return;
+    }
+    let records = keys.into_iter().map(|key| (Some(key), Bytes::new())).collect();
+    let (part, purpose) = (Part::new(counted::TOPIC, 0), Use::Drop);
+    if let Err(fault) = shared.append(Append { part, records, expected_end: None, purpose }).await {
+        log::info!("dropping counts that were reported: {fault}");
+    }
+}
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -6,7 +6,11 @@
 //! sent to another target instead. What it leaves out: streams of text
 //! ([`crate::entry::run`]) and where an answer goes.
 
-use std::{cell::OnceCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
@@ -25,6 +29,7 @@
         exchange::{Answer, Error},
         shared::Shared,
         suspects::{self, Trial},
+        usage,
     },
     error::Kind,
 };
@@ -79,6 +84,8 @@
     pub body: Bytes,
     /// When the caller stops waiting.
     pub deadline: Time,
+    /// The window of usage in which it began, once it has.
+    pub began: Cell<Option<u64>>,
     /// Its digest, once it was asked for: a body may be many MB.
     pub digest: OnceCell<Digest>,
 }
@@ -98,6 +105,22 @@
     }
 }
 
+impl Plain {
+    /// Counts it for its organisation as it is sent for the first time.
+    fn begin(&self, shared: &Shared) {
+        if self.began.get().is_none() {
+            self.began.set(usage::begin(shared, &self.organisation));
+        }
+    }
+
+    /// Takes that back.
+    fn undo_begin(&self, shared: &Shared) {
+        if let Some(window) = self.began.take() {
+            usage::undo(shared, window, &self.organisation);
+        }
+    }
+}
+
 /// A target's whole answer.
 #[derive(Clone, Debug)]
 pub struct Whole {
@@ -247,8 +270,12 @@
             Repeat::Safe if !last => patience(route).min(left_ms),
             _ => left_ms,
         };
+        let began = plain.began.get();
         let sent = send(shared, route, plain, &target, left_ms, limit_ms).await;
         drop(turn);
+        if matches!(sent, Sent::NotRun) && began.is_none() {
+            plain.undo_begin(shared);
+        }
         if let Sent::Answered(_) = &sent {
             let took_ms = shared.now().since(now);
             shared.world.borrow_mut().sights.answered(&target.id, took_ms);
@@ -337,8 +364,12 @@
     let _count = Counted { shared, id: &target.id };
     let limit = Duration::from_millis(limit_ms);
     let started = shared.now();
-    let mut answer =
-        shared.pool.send(target.address, request(shared, plain, target, left_ms), limit).await;
+    let answer =
+        shared.pool.send_if(target.address, request(shared, plain, target, left_ms), limit, || {
+            plain.begin(shared);
+            true
+        });
+    let mut answer = answer.await;
     // A kept connection that had ended says nothing about a target that
     // lives; what may be repeated goes out again at once, on another one.
     let may_have_run = matches!(answer, Err(Error::Stale));
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -279,6 +279,7 @@
         headers: head.headers,
         body,
         deadline: arrived.after(deadline_ms),
+        began: Cell::new(None),
         digest: OnceCell::new(),
     };
     forwarded(shared, &plan, &route, &plain).await
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -4,7 +4,11 @@
 //! What it leaves out: bringing results to the store
 //! ([`crate::entry::outbox`]).
 
-use std::{cell::OnceCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -455,6 +459,7 @@
             headers: http::HeaderMap::new(),
             body: scorer.body.clone(),
             deadline: shared.now().after(SCORE_MS),
+            began: Cell::new(None),
             digest: OnceCell::new(),
         };
         // Reading the request may have taken long.
--- /dev/null
+++ b/crates/hollywell/src/entry/lease.rs
@@ -0,0 +1,186 @@
+//! A lease on something that one instance does at a time, kept up on a
+//! partition of its own. [`crate::core::tenure`] decides; this makes the calls.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::{sync::Notify, time::sleep};
+
+use crate::{
+    core::{
+        room::Use,
+        tenure::{Claim, Tenure, Terms},
+    },
+    entry::{
+        shared::Shared,
+        store::{Append, Fault, Part, Read},
+    },
+};
+
+/// Pause after a claim that failed.
+const CLAIM_RETRY: Duration = Duration::from_millis(100);
+/// How long a claim holds, in milliseconds. Short, since whatever depends on a
+/// holder that died waits for so long, and long enough for some lost calls.
+const TERM_MS: u64 = 1_800;
+/// Time between a holder's claims; the others read them as they come.
+const RENEW: Duration = Duration::from_millis(400);
+
+/// A lease as one instance sees it.
+#[derive(Debug)]
+pub(super) struct Lease {
+    part: Part,
+    /// What it is on, for logs.
+    what: String,
+    terms: Terms,
+    tenure: RefCell<Tenure>,
+    /// There is something to do for its holder.
+    wanted: Cell<bool>,
+    /// Told when a claim must come before the next regular one.
+    urgent: Notify,
+}
+
+impl Lease {
+    /// A lease that nobody is known to hold.
+    pub(super) fn new(shared: &Shared, part: Part, what: &str) -> Rc<Lease> {
+        let apart_ms = u64::try_from(shared.settings.times.lease.as_millis()).unwrap_or(u64::MAX);
+        Rc::new(Lease {
+            part,
+            what: what.to_owned(),
+            terms: Terms { term_ms: TERM_MS, apart_ms },
+            tenure: RefCell::default(),
+            wanted: Cell::new(false),
+            urgent: Notify::new(),
+        })
+    }
+
+    /// Whether this instance holds it, as far as it knows.
+    pub(super) fn is_held(&self) -> bool {
+        self.tenure.borrow().is_held()
+    }
+
+    /// Says whether there is something to do.
+    pub(super) fn want(&self, wanted: bool) {
+        self.wanted.set(wanted);
+        if wanted && self.tenure.borrow().must_announce() {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// The fencing number, if a call that starts now and takes at most `call`
+    /// ends within the lease.
+    pub(super) fn fence(&self, shared: &Shared, call: Duration) -> Option<u64> {
+        let margin_ms = u64::try_from(call.as_millis()).unwrap_or_default();
+        self.tenure.borrow().fence(shared.now(), margin_ms)
+    }
+
+    /// Notes that a call goes out under the fencing number.
+    pub(super) fn used(&self, shared: &Shared) {
+        self.tenure.borrow_mut().ordered(shared.now());
+    }
+
+    /// Gives the lease up, if it is held.
+    pub(super) async fn give_up(&self, shared: &Rc<Shared>) {
+        let released = self.tenure.borrow().release(&shared.me, shared.now());
+        if let Some(claim) = released {
+            self.append(shared, claim).await;
+        }
+    }
+
+    /// Keeps the lease up, or waits for its holder to fall silent or give it
+    /// up, for as long as the instance is a candidate.
+    pub(super) async fn keep(
+        self: Rc<Lease>,
+        shared: Rc<Shared>,
+        is_candidate: impl Fn(&Shared) -> bool,
+    ) {
+        let mut stop = shared.stop.subscribe();
+        while !*stop.borrow() {
+            if !self.is_held() {
+                if !is_candidate(&shared) {
+                    sleep(RENEW).await;
+                    continue;
+                }
+                self.read(&shared).await;
+            }
+            self.claim(&shared).await;
+            if self.is_held() {
+                tokio::select! {
+                    () = sleep(RENEW) => {}
+                    () = self.urgent.notified() => {}
+                    _ = stop.changed() => {}
+                }
+            }
+        }
+        self.give_up(&shared).await;
+    }
+
+    async fn read(&self, shared: &Rc<Shared>) {
+        let from = self.tenure.borrow().end;
+        let read = Read { part: self.part.clone(), from, wait: RENEW, most_kb: None };
+        match shared.reader.read(read).await {
+            Ok(records) => {
+                shared.store_did(true);
+                let mut tenure = self.tenure.borrow_mut();
+                for record in &records.records {
+                    let value = record.value.clone().unwrap_or_default();
+                    match serde_json::from_slice::<Claim>(&value) {
+                        Ok(claim) => tenure.read(&shared.me, shared.now(), record.offset, &claim),
+                        Err(error) => log::warn!("claim at {} skipped: {error}", record.offset),
+                    }
+                }
+                tenure.read_to(records.end);
+            }
+            Err(Fault::Gone(first)) => self.tenure.borrow_mut().end = first,
+            Err(fault) => {
+                shared.store_did(false);
+                log::info!("reading the lease of {}: {fault}", self.what);
+                sleep(RENEW).await;
+            }
+        }
+    }
+
+    async fn claim(&self, shared: &Rc<Shared>) {
+        let claim = {
+            let tenure = self.tenure.borrow();
+            tenure.claim(&shared.me, shared.now(), self.terms, rank(shared), self.wanted.get())
+        };
+        if let Some(claim) = claim {
+            self.append(shared, claim).await;
+        }
+    }
+
+    async fn append(&self, shared: &Rc<Shared>, claim: Claim) {
+        let sent = shared.now();
+        let value = Bytes::from(serde_json::to_vec(&claim).unwrap_or_default());
+        let expected_end = Some(self.tenure.borrow().end);
+        let (part, records) = (self.part.clone(), vec![(None, value)]);
+        let append = Append { part, records, expected_end, purpose: Use::Claim };
+        match shared.append(append).await {
+            Ok(appended) => {
+                if claim.renews.is_none() {
+                    log::info!("lease of {} granted, fence {}", self.what, appended.offset);
+                }
+                self.tenure.borrow_mut().granted(sent, appended.offset, &claim, self.terms);
+            }
+            Err(Fault::Moved(_)) => {
+                // Whose claim came first, or whether it was one of this
+                // instance's whose answer was lost, is read next.
+                self.read(shared).await;
+            }
+            Err(fault) => {
+                log::info!("claiming the lease of {}: {fault}", self.what);
+                sleep(CLAIM_RETRY).await;
+            }
+        }
+    }
+}
+
+/// This instance's place among the candidates, so that challenges do not all
+/// come at once.
+fn rank(shared: &Shared) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(shared.me.as_bytes()) % 8
+}
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -35,6 +35,12 @@
     pub held: IntCounter,
     /// Records of suspects that could not be read.
     pub suspects_skipped: IntCounter,
+    /// Reports of usage, by what they were answered.
+    pub reports: IntCounterVec,
+    /// The newest window of usage that this instance reported.
+    pub reported: IntGauge,
+    /// Records of usage that could not be understood.
+    pub usage_skipped: IntCounter,
     /// Records of the operator that could not be understood.
     pub plans_skipped: IntCounter,
     /// Requests of callers that are not known, by why.
@@ -120,6 +126,12 @@
                 "hollywell_entry_suspects_skipped_total",
                 "Records of suspects not understood.",
             )?,
+            reports: counter("hollywell_entry_reports_total", "Reports of usage.", &["answer"])?,
+            reported: gauge("hollywell_entry_reported_window", "Newest window reported here.")?,
+            usage_skipped: count(
+                "hollywell_entry_usage_skipped_total",
+                "Records of usage not understood.",
+            )?,
             plans_skipped: count(
                 "hollywell_entry_plans_skipped_total",
                 "Records of the operator not understood.",
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -9,35 +9,25 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use tokio::{sync::Notify, time::sleep};
+use tokio::time::sleep;
 
 use crate::{
-    core::{
-        roll::{self, Order, Step},
-        room::Use,
-        tenure::{Claim, Tenure, Terms},
-    },
+    core::roll::{self, Order, Step},
     entry::{
         dialect::VersionOrder,
+        lease::Lease,
         news::{self, News},
         shared::{Shared, World},
-        store::{Append, Fault, Part, Read},
+        store::Part,
     },
 };
 
 /// The topic of leases, one partition for each failure domain.
 const LEASES: &str = "leases";
-/// Pause after a claim that failed.
-const CLAIM_RETRY: Duration = Duration::from_millis(100);
 /// Time between looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(100);
 /// Time that one call to an engine may take.
 const CALL: Duration = Duration::from_millis(600);
-/// How long a claim holds, in milliseconds. Short, since the engines of a
-/// holder that died wait for so long, and long enough for some lost calls.
-const TERM_MS: u64 = 1_800;
-/// Time between a holder's claims; the others read them as they come.
-const RENEW: Duration = Duration::from_millis(400);
 /// First look whether a load is done; it takes 0.9 s alone.
 const LOADED: Duration = Duration::from_millis(920);
 /// Time between later looks.
@@ -48,12 +38,8 @@
 const REPORT_BYTES: usize = 1 << 20;
 
 struct Office {
-    tenure: Tenure,
-    roll: roll::State,
-    /// There are orders to give.
-    wanted: bool,
-    /// Told when a claim must come before the next regular one.
-    urgent: Rc<Notify>,
+    lease: Rc<Lease>,
+    roll: RefCell<roll::State>,
 }
 
 /// Competes for the failure domain's lease and gives orders while it is
@@ -62,13 +48,9 @@
     let domain = shared.settings.domain.clone();
     let number = shared.settings.domains.iter().position(|name| *name == domain);
     let part = Part::at(LEASES, number.unwrap_or_default());
-    let office = Rc::new(RefCell::new(Office {
-        tenure: Tenure::default(),
-        roll: roll::State::default(),
-        wanted: false,
-        urgent: Rc::new(Notify::new()),
-    }));
-    tokio::task::spawn_local(hold(shared.clone(), part, office.clone()));
+    let lease = Lease::new(&shared, part, &domain);
+    tokio::task::spawn_local(lease.clone().keep(shared.clone(), |_| true));
+    let office = Rc::new(Office { lease, roll: RefCell::default() });
     loop {
         sleep(TICK).await;
         if !shared.world.borrow().stopping {
@@ -77,32 +59,23 @@
     }
 }
 
-/// Orders may be given only if a call started now ends within the lease.
-fn fence(shared: &Shared, office: &RefCell<Office>) -> Option<u64> {
-    let margin_ms = u64::try_from(CALL.as_millis()).unwrap_or_default();
-    office.borrow().tenure.fence(shared.now(), margin_ms)
-}
-
-fn give(shared: &Rc<Shared>, office: &Rc<RefCell<Office>>, domain: &str) {
+fn give(shared: &Rc<Shared>, office: &Rc<Office>, domain: &str) {
     let now = shared.now();
+    if !office.lease.is_held() {
+        return;
+    }
     {
         let world = shared.world.borrow();
-        let office = &mut *office.borrow_mut();
-        if !office.tenure.is_held() {
-            return;
-        }
-        office.wanted = roll::is_due(domain, &world.models, &world.fleet);
-        if office.wanted && office.tenure.must_announce() {
-            office.urgent.notify_one();
-        }
+        office.lease.want(roll::is_due(domain, &world.models, &world.fleet));
     }
-    if fence(shared, office).is_none() {
+    // Orders may be given only if a call started now ends within the lease.
+    if office.lease.fence(shared, CALL).is_none() {
         return;
     }
     let orders = {
         let world = &mut *shared.world.borrow_mut();
         world.models.steps = steps(world);
-        let roll = &mut office.borrow_mut().roll;
+        let mut roll = office.roll.borrow_mut();
         roll.step(now, domain, &world.models, &world.fleet, &world.sights)
     };
     for order in orders {
@@ -125,9 +98,9 @@
     steps
 }
 
-async fn carry_out(shared: Rc<Shared>, office: Rc<RefCell<Office>>, order: Order) {
+async fn carry_out(shared: Rc<Shared>, office: Rc<Office>, order: Order) {
     let Some(report) = report(&shared, &order.target).await else {
-        office.borrow_mut().roll.failed(&order.target);
+        office.roll.borrow_mut().failed(&order.target);
         return;
     };
     note(&shared, &order, &report);
@@ -136,7 +109,7 @@
         return;
     }
     if !report.busy {
-        let Some(fence) = fence(&shared, &office) else {
+        let Some(fence) = office.lease.fence(&shared, CALL) else {
             return;
         };
         let asked = VersionOrder {
@@ -147,7 +120,7 @@
             expected: report.orders,
         };
         let (path, body) = (shared.dialect.order)(&asked);
-        office.borrow_mut().tenure.ordered(shared.now());
+        office.lease.used(&shared);
         let status = call(&shared, &order.target, http::Method::POST, path, body).await;
         let status = status.map(|(status, _)| status.as_u16());
         log::info!(
@@ -161,7 +134,7 @@
             // An order without an answer may still be carried out: the next
             // report tells.
             sleep(LOADED_PAUSE).await;
-            office.borrow_mut().roll.failed(&order.target);
+            office.roll.borrow_mut().failed(&order.target);
             return;
         }
     }
@@ -176,7 +149,7 @@
         }
         sleep(LOADED_PAUSE).await;
     }
-    office.borrow_mut().roll.failed(&order.target);
+    office.roll.borrow_mut().failed(&order.target);
 }
 
 fn note(shared: &Shared, order: &Order, report: &crate::entry::dialect::Report) {
@@ -237,104 +210,3 @@
     let body = answer.whole(REPORT_BYTES, CALL).await.ok()?;
     Some((status, body))
 }
-
-/// Keeps up the lease, or waits for its holder to fall silent or give it up.
-async fn hold(shared: Rc<Shared>, part: Part, office: Rc<RefCell<Office>>) {
-    let apart_ms = u64::try_from(shared.settings.times.lease.as_millis()).unwrap_or(u64::MAX);
-    let terms = Terms { term_ms: TERM_MS, apart_ms };
-    let urgent = office.borrow().urgent.clone();
-    let mut stop = shared.stop.subscribe();
-    while !*stop.borrow() {
-        if !office.borrow().tenure.is_held() {
-            read(&shared, &part, &office).await;
-        }
-        claim(&shared, &part, &office, terms).await;
-        if office.borrow().tenure.is_held() {
-            tokio::select! {
-                () = sleep(RENEW) => {}
-                () = urgent.notified() => {}
-                _ = stop.changed() => {}
-            }
-        }
-    }
-    let released = office.borrow().tenure.release(&shared.me, shared.now());
-    if let Some(claim) = released {
-        append(&shared, &part, &office, terms, claim).await;
-    }
-}
-
-async fn read(shared: &Rc<Shared>, part: &Part, office: &RefCell<Office>) {
-    let from = office.borrow().tenure.end;
-    let read = Read { part: part.clone(), from, wait: RENEW, most_kb: None };
-    match shared.reader.read(read).await {
-        Ok(records) => {
-            shared.store_did(true);
-            let tenure = &mut office.borrow_mut().tenure;
-            for record in &records.records {
-                let value = record.value.clone().unwrap_or_default();
-                match serde_json::from_slice::<Claim>(&value) {
-                    Ok(claim) => tenure.read(&shared.me, shared.now(), record.offset, &claim),
-                    Err(error) => log::warn!("claim at {} skipped: {error}", record.offset),
-                }
-            }
-            tenure.read_to(records.end);
-        }
-        Err(Fault::Gone(first)) => office.borrow_mut().tenure.end = first,
-        Err(fault) => {
-            shared.store_did(false);
-            log::info!("reading the lease: {fault}");
-            sleep(RENEW).await;
-        }
-    }
-}
-
-async fn claim(shared: &Rc<Shared>, part: &Part, office: &RefCell<Office>, terms: Terms) {
-    let claim = {
-        let office = office.borrow();
-        office.tenure.claim(&shared.me, shared.now(), terms, rank(shared), office.wanted)
-    };
-    if let Some(claim) = claim {
-        append(shared, part, office, terms, claim).await;
-    }
-}
-
-async fn append(
-    shared: &Rc<Shared>,
-    part: &Part,
-    office: &RefCell<Office>,
-    terms: Terms,
-    claim: Claim,
-) {
-    let sent = shared.now();
-    let value = Bytes::from(serde_json::to_vec(&claim).unwrap_or_default());
-    let expected_end = Some(office.borrow().tenure.end);
-    let (to, records) = (part.clone(), vec![(None, value)]);
-    let append = Append { part: to, records, expected_end, purpose: Use::Claim };
-    match shared.append(append).await {
-        Ok(appended) => {
-            if claim.renews.is_none() {
-                log::info!(
-                    "lease of {} granted, fence {}",
-                    shared.settings.domain,
-                    appended.offset
-                );
-            }
-            office.borrow_mut().tenure.granted(sent, appended.offset, &claim, terms);
-        }
-        Err(Fault::Moved(_)) => {
-            // Whose claim came first, or whether it was one of this
-            // instance's whose answer was lost, is read next.
-            read(shared, part, office).await;
-        }
-        Err(fault) => {
-            log::info!("claiming the lease: {fault}");
-            sleep(CLAIM_RETRY).await;
-        }
-    }
-}
-
-/// This instance's place among its failure domain's, so that challenges do
-/// not all come at once.
-fn rank(shared: &Shared) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(shared.me.as_bytes()) % 8
-}
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -23,7 +23,7 @@
     entry::{
         self, clean,
         dialect::Dialect,
-        ends,
+        duties, ends,
         exchange::Pool,
         follow, ingress, member,
         meters::Meters,
@@ -36,6 +36,7 @@
         store::Client,
         suspects,
         texts::Texts,
+        usage,
     },
 };
 
@@ -133,6 +134,7 @@
         texts: Texts::default(),
         unshown: Cell::new(false),
         suspect_turn: suspects::Turn::default(),
+        usage: usage::Usage::default(),
         unsaved: suspects::Unsaved::default(),
         orphans: clean::Orphans::default(),
         stop: watch::channel(false).0,
@@ -168,6 +170,8 @@
     spawn(Box::pin(member::stay(shared.clone())));
     spawn(Box::pin(member::watch(shared.clone())));
     spawn(Box::pin(orders::serve(shared.clone())));
+    spawn(Box::pin(usage::save(shared.clone())));
+    spawn(Box::pin(duties::serve(shared.clone())));
     spawn(Box::pin(clean::serve(shared.clone())));
     spawn(Box::pin(peers::serve(shared.clone(), peer_listener)));
     spawn(Box::pin(ends::watch(shared.clone())));
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -6,7 +6,10 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use crate::settings::{self, Fault, Reader};
+use crate::{
+    core::usage,
+    settings::{self, Fault, Reader},
+};
 
 /// All settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,10 +32,22 @@
     pub store: Store,
     /// Times that the platform promises or demands.
     pub times: Times,
+    /// Duties that one instance has at a time, where the platform asks for
+    /// them.
+    pub duties: Option<Duties>,
     /// Least severe level of log lines.
     pub level: log::LevelFilter,
 }
 
+/// Duties that one instance has at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Duties {
+    /// The address of the platform's API.
+    pub address: SocketAddr,
+    /// Windows of usage.
+    pub usage: usage::Terms,
+}
+
 /// The store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Store {
@@ -154,6 +169,19 @@
             ),
             revoke: (revoke_ms > 0).then(|| Duration::from_millis(revoke_ms)),
         },
+        duties: read_duties(reader),
         level: level.parse().unwrap_or(log::LevelFilter::Info),
     }
 }
+
+fn read_duties(reader: &mut Reader<'_>) -> Option<Duties> {
+    const SECOND: Duration = Duration::from_secs(1);
+    const MOST_S: f64 = 86_400.0;
+    let section = "duties";
+    let is_set = reader.optional(section, "address").is_some();
+    let window = reader.time(section, "report_window_s", SECOND, 5.0, 0.1..=MOST_S);
+    let late = reader.time(section, "usage_late_s", SECOND, 10.0, 0.1..=MOST_S);
+    let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let usage = usage::Terms { window_ms: ms(window), late_ms: ms(late) };
+    is_set.then(|| Duties { address: reader.address(section, "address"), usage })
+}
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -45,6 +45,7 @@
         store::{Append, Appended, Client, Fault, Part, Records},
         suspects,
         texts::Texts,
+        usage,
     },
 };
 
@@ -225,6 +226,8 @@
     pub unsaved: suspects::Unsaved,
     /// Whose turn it is of the requests that are suspected.
     pub suspect_turn: suspects::Turn,
+    /// What is counted here of organisations' requests.
+    pub usage: usage::Usage,
     /// Records that nothing may name.
     pub orphans: clean::Orphans,
     /// Turns true when the instance stops.
--- /dev/null
+++ b/crates/hollywell/src/entry/usage.rs
@@ -0,0 +1,174 @@
+//! Usage of organisations as this instance counts it, and its way to the
+//! store. [`crate::core::usage`] says what counts.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use prost::Message as _;
+use rand::seq::IndexedRandom as _;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    core::{
+        room::Use,
+        usage::{self, Day, Tally},
+    },
+    entry::{
+        peers,
+        shared::{Shared, wall_ms},
+        store::{Append, Fault, Part},
+    },
+};
+
+/// The path on which peers bring what they could not store.
+pub const PATH: &str = "/usage";
+/// The topic of what instances counted, of one partition: it is read whole,
+/// once a window, by whoever holds the duty.
+pub(super) const TOPIC: &str = "keyed.usage";
+/// Time in which counts are gathered before they are stored: what the loss of
+/// an instance costs. Longer with many instances, as they share the store's
+/// rate.
+const GATHER: Duration = Duration::from_millis(250);
+/// Instances up to which it is that short.
+const GATHER_MEMBERS: f64 = 50.0;
+/// How long the store may take before peers are asked: a window is added up
+/// some seconds after its end, and a silent store lets calls hang for as long.
+const PATIENCE: Duration = Duration::from_millis(600);
+/// Most time between tries to store counts.
+const RETRY: Duration = Duration::from_millis(1_000);
+/// Peers that are asked to store what the store does not take from here.
+const CARRIERS: usize = 2;
+/// Records that are carried for peers at most.
+const MOST_CARRIED: usize = 1_024;
+
+/// What a peer is asked to store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Word {
+    #[prost(message, repeated, tag = "1")]
+    records: Vec<Said>,
+}
+
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Said {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(bytes = "bytes", tag = "2")]
+    value: Bytes,
+}
+
+/// What this instance counted and has not stored.
+#[derive(Debug, Default)]
+pub struct Usage {
+    tally: RefCell<Tally>,
+    day: RefCell<Day>,
+    /// Records of peers that could not store them.
+    carried: RefCell<BTreeMap<String, Bytes>>,
+    changed: Notify,
+}
+
+/// The true time of day, in milliseconds since 1970, as far as it is known.
+pub(super) fn day_ms(shared: &Shared) -> u64 {
+    shared.usage.day.borrow_mut().read(shared.now(), wall_ms())
+}
+
+/// Counts a request of an organisation that begins now; its window, if it is
+/// counted at all.
+pub(super) fn begin(shared: &Shared, organisation: &str) -> Option<u64> {
+    let duties = shared.settings.duties.filter(|_| !organisation.is_empty())?;
+    let window = duties.usage.window(day_ms(shared));
+    shared.usage.tally.borrow_mut().begin(window, organisation);
+    shared.usage.changed.notify_one();
+    Some(window)
+}
+
+/// Takes one back that did not begin after all.
+pub(super) fn undo(shared: &Shared, window: u64, organisation: &str) {
+    shared.usage.tally.borrow_mut().undo(window, organisation);
+    shared.usage.changed.notify_one();
+}
+
+/// Brings what is counted here to the store until the process ends, by way
+/// of peers where the store does not take it.
+pub async fn save(shared: Rc<Shared>) {
+    let mut is_failing = false;
+    loop {
+        shared.usage.changed.notified().await;
+        let members = shared.world.borrow().roster.members().len() as f64;
+        sleep(GATHER.mul_f64((members / GATHER_MEMBERS).max(1.0))).await;
+        let own = shared.usage.tally.borrow_mut().take(&shared.writer);
+        let carried = std::mem::take(&mut *shared.usage.carried.borrow_mut());
+        if own.is_empty() && carried.is_empty() {
+            continue;
+        }
+        let all: Vec<_> = own.iter().cloned().chain(carried.clone()).collect();
+        // Whatever is counted while the store fails does not wait for it.
+        if is_failing {
+            carry(&shared, &own);
+        }
+        let appended = append(&shared, &all).await;
+        let failed_before = std::mem::replace(&mut is_failing, appended.is_err());
+        if let Err(fault) = appended {
+            log::info!("usage of {} windows is kept for another append: {fault}", own.len());
+            if !failed_before {
+                carry(&shared, &own);
+            }
+            shared.usage.tally.borrow_mut().put_back(&own);
+            shared.usage.carried.borrow_mut().extend(carried);
+            sleep(RETRY.mul_f64(rand::random_range(0.0..=1.0))).await;
+            shared.usage.changed.notify_one();
+        }
+    }
+}
+
+/// Appends keyed records of usage.
+async fn append(shared: &Shared, records: &[(String, Bytes)]) -> Result<(), Fault> {
+    let records = records.iter().map(|(key, value)| (Some(key.clone()), value.clone())).collect();
+    let (part, purpose) = (Part::new(TOPIC, 0), Use::Usage);
+    let append = shared.append(Append { part, records, expected_end: None, purpose });
+    // Where it is done after all, the same records come twice.
+    let late = |_| Fault::Unknown(String::from("no answer in time"));
+    timeout(PATIENCE, append).await.map_err(late)?.map(|_| ())
+}
+
+/// Asks some peers to store records for this instance.
+fn carry(shared: &Rc<Shared>, records: &[(String, Bytes)]) {
+    let said = |(key, value): &(String, Bytes)| Said { key: key.clone(), value: value.clone() };
+    let word = Bytes::from(Word { records: records.iter().map(said).collect() }.encode_to_vec());
+    let peers: Vec<String> = {
+        let world = shared.world.borrow();
+        let others = world.roster.members().iter().filter(|member| **member != shared.me);
+        let others: Vec<&String> = others.collect();
+        others.choose_multiple(&mut rand::rng(), CARRIERS).map(|peer| (*peer).clone()).collect()
+    };
+    for peer in peers {
+        let (shared, word) = (shared.clone(), word.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(why) = peers::post(&shared, &peer, PATH, word).await {
+                log::info!("{peer} does not carry usage: {why}");
+            }
+        });
+    }
+}
+
+/// Takes in what a peer could not store.
+pub(super) async fn hear(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let Word { records } = match peers::word(request).await {
+        Ok(word) => word,
+        Err(status) => return peers::nothing(status),
+    };
+    {
+        let mut carried = shared.usage.carried.borrow_mut();
+        for Said { key, value } in records {
+            if carried.len() < MOST_CARRIED {
+                carried.insert(usage::carried_key(&key, &shared.writer), value);
+            }
+        }
+    }
+    shared.usage.changed.notify_one();
+    peers::nothing(StatusCode::OK)
+}
