Engines that keep a model up follow the work: a crowd of them loads little

Cause: every engine kept its models up, half of them each version.

Change: of a model's engines as many keep it up as hold one and a half times the samples of its steps on each half, with one failure domain lost. Where the work needs them all nothing changes.

Test: 560 engines, work for 56: 280 loads a version before, at most 122 now, and whichever domain is lost the newest step has its places.

--- a/crates/hollywell/src/core/roll.rs
+++ b/crates/hollywell/src/core/roll.rs
@@ -19,7 +19,10 @@
 //!
 //! What it leaves out: the lease ([`crate::core::tenure`]) and the calls.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +52,11 @@
 /// error 0.012).
 const KEPT: f64 = 1.5;
 
+/// Places that a model's engines are to have for each sample of a step, those
+/// that cannot serve it yet left out: the samples of the step before are still
+/// there, and engines differ.
+const PLACES: f64 = 1.5;
+
 /// Versions behind the newest at which an engine can serve no step that is
 /// still to come.
 const BEHIND: u64 = 2;
@@ -61,6 +69,8 @@
     pub named: BTreeMap<String, u64>,
     /// Tokens of a step, as its samples' estimates say.
     pub tokens: BTreeMap<String, u64>,
+    /// Samples of a step, the most of the steps seen lately.
+    pub samples: BTreeMap<String, u64>,
     /// Steps that are open, by model.
     pub steps: BTreeMap<String, Vec<Step>>,
 }
@@ -74,23 +84,47 @@
     pub samples: u64,
 }
 
+/// A step's number of samples counts for less by this part of it with each
+/// smaller step that follows.
+const MOST_FADES: u64 = 8;
 /// A trainer's demand must differ by this share of what was noted before it
 /// is noted anew: each change moves engines from one model to another.
 const DEMAND_CHANGE: f64 = 0.3;
 
 impl Models {
-    /// Notes the tokens that a step of a model asks for.
-    pub fn asked(&mut self, model: &str, tokens: u64) {
+    /// Notes what a step of a model asks for.
+    pub fn asked(&mut self, model: &str, tokens: u64, samples: u64) {
+        let most = self.samples.entry(model.to_owned()).or_insert(samples);
+        // It fades, so that a trainer whose steps got smaller frees engines.
+        *most = samples.max(*most - *most / MOST_FADES);
         let noted = self.tokens.entry(model.to_owned()).or_insert(tokens);
         if tokens.abs_diff(*noted) as f64 > *noted as f64 * DEMAND_CHANGE {
             *noted = tokens;
         }
     }
 
+    /// How many engines of so many keep up a model, of those that hold it, so
+    /// that its step finds places at once: half of them have its version by
+    /// then, and a failure domain may be lost. Fewer of a crowd of engines:
+    /// with all of them, 300 engines loaded each version for a step that had
+    /// work for 40.
+    fn engines_needed(&self, all: &[&Target], model: &str) -> usize {
+        let Some(samples) = self.samples.get(model) else {
+            return all.len();
+        };
+        let places: u64 = all.iter().map(|target| u64::from(target.said.slots.max(1))).sum();
+        let each = places as f64 / all.len().max(1) as f64;
+        let domains: BTreeSet<&str> = all.iter().map(|t| t.said.domain.as_str()).collect();
+        let left = 1.0 - 1.0 / domains.len().max(2) as f64;
+        let needed = 2.0 * *samples as f64 * PLACES / each / left;
+        (needed.ceil() as usize).min(all.len())
+    }
+
     /// Whether an engine keeps up a model. `place` is the engine's place
     /// among all, from 0 to 1: models follow one another around the engines,
-    /// each with [`KEPT`] times its share of the tokens that are asked for.
-    fn is_kept(&self, held: &BTreeMap<String, u64>, place: f64, model: &str) -> bool {
+    /// each with [`KEPT`] times its share of the tokens that are asked for, and
+    /// no more than the share `most`.
+    fn is_kept(&self, held: &BTreeMap<String, u64>, place: f64, model: &str, most: f64) -> bool {
         let tokens = |model: &String| self.tokens.get(model).copied().unwrap_or(1).max(1) as f64;
         let models = || self.named.keys().filter(|model| held.contains_key(*model));
         let total: f64 = models().map(tokens).sum();
@@ -98,7 +132,7 @@
         let Some(own) = models().find(|other| *other == model).map(tokens) else {
             return false;
         };
-        (place - before / total).rem_euclid(1.0) < own / total * KEPT
+        (place - before / total).rem_euclid(1.0) < (own / total * KEPT).min(most)
     }
 
     /// Samples of a model's open step for each thousand places that may run
@@ -122,10 +156,11 @@
 fn keepers<'a>(fleet: &'a Fleet, models: &Models, model: &str) -> Vec<(u64, &'a str)> {
     let holds = |target: &&Target| target.said.versions.contains_key(model);
     let all: Vec<&Target> = fleet.taking().filter(holds).collect();
+    let most = models.engines_needed(&all, model) as f64 / all.len().max(1) as f64;
     let mut keepers = Vec::new();
     for (n, target) in all.iter().enumerate() {
         let place = (n as f64 + 0.5) / all.len() as f64;
-        if models.is_kept(&target.said.versions, place, model) {
+        if models.is_kept(&target.said.versions, place, model, most) {
             keepers.push((target.said.versions[model], target.said.id.as_str()));
         }
     }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -497,7 +497,7 @@
                 done: job.done.clone(),
             };
             let tokens = head.samples.iter().map(|sample| u64::from(sample.tokens)).sum();
-            world.models.asked(&head.model, tokens);
+            world.models.asked(&head.model, tokens, head.samples.len() as u64);
             work.samples = carry::items(&mut world.shelves, part, &work.job, &head);
             work
         };
--- a/crates/hollywell/tests/roll.rs
+++ b/crates/hollywell/tests/roll.rs
@@ -90,6 +90,46 @@
     }
 }
 
+/// A trainer whose steps have work for 56 engines of the 560 that there are.
+/// With all engines kept up each version was loaded 280 times, which took
+/// longer than a step, and cost more than all the rest of a day.
+#[test]
+fn a_crowd_of_engines_loads_no_more_than_the_work_needs() {
+    const DOMAINS: usize = 4;
+    const SAMPLES: u64 = 224;
+    let mut fleet = fleet(560, &["m"], 1);
+    for (n, target) in fleet.targets.values_mut().enumerate() {
+        target.said.domain = format!("d{}", n % DOMAINS);
+    }
+    let sights = Sights::default();
+    for version in 2..8 {
+        let mut models = named(&[("m", version)]);
+        models.asked("m", 100_000, SAMPLES);
+        let mut states = vec![State::default(); DOMAINS];
+        let mut loads = 0;
+        for now in 1..100 {
+            for (domain, state) in states.iter_mut().enumerate() {
+                let name = format!("d{domain}");
+                for order in state.step(Time(now), &name, &models, &fleet, &sights) {
+                    fleet.answered(&order.target, order.born, &order.model, order.version);
+                    loads += 1;
+                }
+            }
+        }
+        // Twice what its samples take, each version on half of the engines.
+        assert!(loads <= 2 * 560 / 10 + 10, "{loads} loads for version {version}");
+        // Whichever failure domain is lost, the newest step has its places.
+        for lost in 0..DOMAINS {
+            let lost = format!("d{lost}");
+            let can = fleet.targets.values().filter(|target| {
+                target.said.domain != lost && target.said.versions["m"] + 1 >= version
+            });
+            let places: u64 = can.map(|target| u64::from(target.said.slots)).sum();
+            assert!(places >= SAMPLES, "{places} places without {lost} for version {version}");
+        }
+    }
+}
+
 #[test]
 fn the_model_whose_samples_have_the_fewest_places_loads_first() {
     let fleet = fleet(12, &["calm", "waits"], 1);
@@ -195,8 +235,8 @@
 fn engines_are_dealt_out_by_the_tokens_that_are_asked_for() {
     let mut fleet = fleet(12, &["large", "small"], 1);
     let mut models = named(&[("large", 3), ("small", 3)]);
-    models.asked("large", 90_000);
-    models.asked("small", 30_000);
+    models.asked("large", 90_000, 100);
+    models.asked("small", 30_000, 100);
     settle(&mut fleet, &models);
     let kept = |model: &str| {
         fleet.targets.values().filter(|target| target.said.versions[model] == 3).count()
@@ -204,7 +244,7 @@
     // 9 and 3 of 12 places, one and a half times, no more than there are.
     assert_eq!((kept("large"), kept("small")), (12, 4));
     // A step that is somewhat larger moves no engine.
-    models.asked("small", 36_000);
+    models.asked("small", 36_000, 100);
     assert!(!is_due("d", &models, &fleet));
 }
 
