Few read the store where its rate is small, and the others follow them

Cause: each instance reads some twelve times a second in calm, and every target's every heartbeat. 299 of them ask a store for 3,600 reads where it serves 2,000, and for 224 MB a second of heartbeats where it sends 80 (worked out): the configuration, ends and targets that leave waited behind that.

Change: where the instances' reads would take more than half of the store's rate, four of each failure domain read it and hand on what they read, with its age; entries of targets that say nothing new are left out. Fewer instances compete for the lease on orders.

--- /dev/null
+++ b/crates/hollywell/src/entry/feed.rs
@@ -0,0 +1,293 @@
+//! Following the store's partitions through another instance.
+//!
+//! A store serves so many calls a second to all instances together, and shares
+//! one bandwidth among them. Where there are many, a few of each failure domain
+//! read it and hand on what they read; [`crate::core::relay`] says who. What
+//! is handed on keeps its offsets and says how old it is, so that whoever
+//! follows knows what it knows as if it had read the store. Of targets' entries
+//! only those go on that say something new.
+//!
+//! What it leaves out: the first reading of a partition, and the
+//! configuration, which every instance reads itself.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use prost::Message as _;
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    core::{batch::Record, fleet::Announcement, relay, roster, time::Time},
+    entry::{
+        peers,
+        shared::Shared,
+        store::{Part, Records},
+    },
+};
+
+/// What the path begins with; topic, partition and the first offset wanted
+/// follow.
+pub const PATH: &str = "/feed/";
+/// How long whoever asks is kept where nothing is new. With the wait of the
+/// read that it depends on, two of these must end before a partition counts as
+/// out of date.
+const WAIT: Duration = Duration::from_millis(400);
+/// Silence after which another source is asked, or the store.
+const SILENCE: Duration = Duration::from_millis(700);
+/// Age from which on a source is of no use, in milliseconds: its own read is
+/// overdue.
+const MOST_AGE_MS: u64 = 1_300;
+/// Records and bytes of each partition that are handed on: some seconds.
+const MOST_RECORDS: usize = 8_192;
+/// See [`MOST_RECORDS`].
+const MOST_BYTES: usize = 4 << 20;
+/// Largest answer of a source.
+const ANSWER_BYTES: usize = 16 << 20;
+/// Sources that are asked before the store.
+const TRIES: usize = 2;
+
+/// A record on its way between instances.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Passed {
+    #[prost(uint64, tag = "1")]
+    offset: u64,
+    #[prost(string, tag = "2")]
+    key: String,
+    /// Absent where the key was dropped.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    value: Option<Bytes>,
+}
+
+/// What a source hands on.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Word {
+    /// All before this offset was read.
+    #[prost(uint64, tag = "1")]
+    end: u64,
+    /// How long ago, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    records: Vec<Passed>,
+}
+
+/// What was read lately of one partition.
+#[derive(Debug, Default)]
+struct Log {
+    /// Nothing is missing from here on.
+    first: u64,
+    end: u64,
+    asked_at: Time,
+    records: VecDeque<Record>,
+    bytes: usize,
+    /// What targets said last.
+    said: HashMap<String, Announcement>,
+}
+
+impl Log {
+    /// Whether a target's entry says something new; heartbeats mostly do not.
+    fn is_news(&mut self, shared: &Shared, record: &Record) -> bool {
+        let Some(value) = &record.value else {
+            self.said.remove(&record.key);
+            return true;
+        };
+        let Ok(said) = (shared.dialect.announcement)(&record.key, value) else {
+            return true;
+        };
+        let said = Announcement { beats: 0, ..said };
+        self.said.insert(record.key.clone(), said.clone()) != Some(said)
+    }
+
+    fn push(&mut self, record: &Record) {
+        self.bytes += size(record);
+        self.records.push_back(record.clone());
+        while self.records.len() > MOST_RECORDS || self.bytes > MOST_BYTES {
+            let Some(oldest) = self.records.pop_front() else {
+                return;
+            };
+            self.bytes -= size(&oldest);
+            self.first = oldest.offset + 1;
+        }
+    }
+
+    /// What follows an offset, unless some of it is not known here.
+    fn since(&self, now: Time, from: u64) -> Option<Word> {
+        if !(self.first..=self.end).contains(&from) {
+            return None;
+        }
+        let passed = |record: &Record| Passed {
+            offset: record.offset,
+            key: record.key.clone(),
+            value: record.value.clone(),
+        };
+        let records = self.records.iter().filter(|record| record.offset >= from);
+        let records = records.map(passed).collect();
+        Some(Word { end: self.end, age_ms: now.since(self.asked_at), records })
+    }
+}
+
+fn size(record: &Record) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
+
+/// What this instance hands on.
+#[derive(Debug, Default)]
+pub struct Feed {
+    logs: RefCell<HashMap<Part, Log>>,
+    changed: Notify,
+    /// Who fed each partition last.
+    source: RefCell<HashMap<Part, String>>,
+}
+
+impl Feed {
+    /// Notes who feeds a partition; returns whether that has changed.
+    fn note_source(&self, part: &Part, source: &str) -> bool {
+        let mut known = self.source.borrow_mut();
+        if known.get(part).is_some_and(|known| known == source) {
+            return false;
+        }
+        known.insert(part.clone(), source.to_owned());
+        true
+    }
+}
+
+/// Whom this instance follows, the first choice first; nobody if it reads
+/// the store itself.
+fn sources(shared: &Shared) -> Vec<String> {
+    let world = shared.world.borrow();
+    let rate = shared.settings.store.reads_per_s;
+    let all = relay::sources(world.roster.members(), &shared.me, rate);
+    all.into_iter().map(str::to_owned).collect()
+}
+
+/// Whether this instance follows others.
+pub(super) fn is_follower(shared: &Shared) -> bool {
+    !sources(shared).is_empty()
+}
+
+/// How many instances read the store's partitions, as far as is known.
+pub(super) fn readers(shared: &Shared) -> usize {
+    match is_source(shared) {
+        true => relay::ROOTS * shared.settings.domains.len(),
+        false => shared.world.borrow().roster.members().len(),
+    }
+}
+
+/// Whether others follow this instance.
+pub(super) fn is_source(shared: &Shared) -> bool {
+    let rate = shared.settings.store.reads_per_s;
+    relay::is_source(shared.world.borrow().roster.members(), &shared.me, rate)
+}
+
+/// Keeps what was read of a partition from an offset on for those who follow
+/// this instance.
+pub(super) fn keep(shared: &Shared, part: &Part, from: u64, read: &Records, asked_at: Time) {
+    let mut logs = shared.feed.logs.borrow_mut();
+    let log = logs.entry(part.clone()).or_default();
+    if log.end != from {
+        *log = Log { first: from, end: from, ..Log::default() };
+    }
+    for record in &read.records {
+        let is_entry = part.topic == shared.dialect.announcements;
+        if !is_entry || log.is_news(shared, record) {
+            log.push(record);
+        }
+        log.end = log.end.max(record.offset + 1);
+    }
+    log.asked_at = asked_at;
+    if !read.records.is_empty() {
+        shared.feed.changed.notify_waiters();
+    }
+}
+
+/// What follows an offset of a partition, from whomever this instance
+/// follows, and when the store was asked for it; `None` if the store is to be
+/// read.
+pub(super) async fn ask(shared: &Rc<Shared>, part: &Part, from: u64) -> Option<(Records, Time)> {
+    for source in sources(shared).into_iter().take(TRIES) {
+        let asked_at = shared.now();
+        match ask_one(shared, part, from, &source).await {
+            Ok(word) if word.age_ms <= MOST_AGE_MS => {
+                if shared.feed.note_source(part, &source) {
+                    log::info!("{}/{} is fed by {source}", part.topic, part.number);
+                }
+                let record = |passed: Passed| Record {
+                    offset: passed.offset,
+                    key: passed.key,
+                    value: passed.value,
+                };
+                let records = word.records.into_iter().map(record).collect();
+                let at = Time(asked_at.0.saturating_sub(word.age_ms));
+                return Some((Records { end: word.end, records, beyond: vec![] }, at));
+            }
+            Ok(word) => log::info!("{source} has read {part:?} {} ms ago", word.age_ms),
+            Err(why) => log::info!("{part:?} from {from} on is not to be had from {source}: {why}"),
+        }
+    }
+    None
+}
+
+async fn ask_one(
+    shared: &Rc<Shared>,
+    part: &Part,
+    from: u64,
+    source: &str,
+) -> Result<Word, String> {
+    let address = roster::address(source).ok_or("no address in its name")?;
+    let request = Request::get(format!("{PATH}{}/{}/{from}", part.topic, part.number))
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let sent = shared.pool.send(address, request, SILENCE).await;
+    let answer = sent.map_err(|error| error.to_string())?;
+    let status = answer.head.status;
+    let body = answer.whole_unless_silent(ANSWER_BYTES, SILENCE).await;
+    let body = body.map_err(|error| error.to_string())?;
+    if status != StatusCode::OK {
+        return Err(status.to_string());
+    }
+    let word = Word::decode(body).map_err(|error| error.to_string())?;
+    let is_whole = word.end >= from
+        && word.records.iter().all(|record| (from..word.end).contains(&record.offset))
+        && word.records.is_sorted_by(|a, b| a.offset < b.offset);
+    if is_whole { Ok(word) } else { Err(String::from("records that do not follow")) }
+}
+
+/// Hands on what follows an offset, once there is something.
+pub(super) async fn answer(shared: &Rc<Shared>, path: &str) -> Response<Full<Bytes>> {
+    let Some((part, from)) = named(path) else {
+        return peers::nothing(StatusCode::NOT_FOUND);
+    };
+    let until = Instant::now() + WAIT;
+    loop {
+        let changed = shared.feed.changed.notified();
+        let word = {
+            let logs = shared.feed.logs.borrow();
+            logs.get(&part).and_then(|log| log.since(shared.now(), from))
+        };
+        let Some(word) = word else {
+            return peers::nothing(StatusCode::GONE);
+        };
+        if word.end > from || timeout_at(until, changed).await.is_err() {
+            return Response::new(Full::new(word.encode_to_vec().into()));
+        }
+    }
+}
+
+/// The partition and the offset that a path names.
+fn named(path: &str) -> Option<(Part, u64)> {
+    let mut parts = path.strip_prefix(PATH)?.rsplitn(3, '/');
+    let from = parts.next()?.parse().ok()?;
+    let number = parts.next()?.parse().ok()?;
+    Some((Part::new(parts.next()?, number), from))
+}
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -19,7 +19,7 @@
     },
     entry::{
         dialect::Wish,
-        plans, relay,
+        feed, plans, relay,
         shared::{JOBS, Shared, World},
         store::{Fault, Newest, Part, Read, Records},
     },
@@ -32,6 +32,8 @@
 /// end within the two seconds after which a partition is out of date: one
 /// that nobody writes to is not.
 const WAIT: Duration = Duration::from_millis(900);
+/// The same for an instance that others follow: theirs comes on top.
+const SOURCE_WAIT: Duration = Duration::from_millis(450);
 /// Least time between reads of a partition of jobs: what one read more costs
 /// against what a result that is known sooner earns. It grows with the
 /// number of instances beyond [`JOBS_MEMBERS`], as all share the store's
@@ -77,13 +79,34 @@
         Position { next, newest: Newest::default(), wait: WAIT, failures: 0 }
     }
 
-    async fn read(&mut self, shared: &Shared, part: &Part) -> Result<Records, Fault> {
+    /// Reads on, and returns when the store was asked: through another
+    /// instance where this one follows any.
+    async fn read(
+        &mut self,
+        shared: &Rc<Shared>,
+        part: &Part,
+        is_fed: bool,
+    ) -> Result<(Records, Time), Fault> {
+        let asked_at = shared.now();
         let Some(from) = self.next else {
             shared.reader.newest_on(part, &mut self.newest).await?;
-            return Ok(std::mem::take(&mut self.newest).into_records());
+            shared.store_did(true);
+            return Ok((std::mem::take(&mut self.newest).into_records(), asked_at));
         };
-        let read = Read { part: part.clone(), from, wait: self.wait, most_kb: None };
-        shared.reader.read(read).await
+        if is_fed && let Some((records, asked_at)) = feed::ask(shared, part, from).await {
+            // Records that say nothing new are left out.
+            self.next = Some(records.end);
+            return Ok((records, asked_at));
+        }
+        let is_source = is_fed && feed::is_source(shared);
+        let wait = if is_source { self.wait.min(SOURCE_WAIT) } else { self.wait };
+        let read = Read { part: part.clone(), from, wait, most_kb: None };
+        let records = shared.reader.read(read).await?;
+        shared.store_did(true);
+        if is_source {
+            feed::keep(shared, part, from, &records, asked_at);
+        }
+        Ok((records, asked_at))
     }
 
     /// Goes on behind what was read. A read ends at its last record, the
@@ -118,6 +141,8 @@
 ) {
     // Jobs are what is large at a start.
     let is_relayed = part.topic == JOBS;
+    // The configuration is vital: everybody reads it, beside what peers tell.
+    let is_fed = part.topic != shared.dialect.wishes;
     let mut position = Position::new(keyed);
     if is_relayed && let Some((records, age_ms)) = relay::ask(&shared, &part).await {
         relay::keep(&shared, &part, &records, age_ms);
@@ -126,11 +151,9 @@
     }
     loop {
         let started = Instant::now();
-        let asked_at = shared.now();
         let anew = position.next.is_none();
-        match position.read(&shared, &part).await {
-            Ok(records) => {
-                shared.store_did(true);
+        match position.read(&shared, &part, is_fed).await {
+            Ok((records, asked_at)) => {
                 if part.topic != JOBS {
                     shared.read_of(&part, &records);
                 }
@@ -165,11 +188,10 @@
 }
 
 fn jobs_pause(shared: &Shared, part: usize) -> Duration {
-    if shared.readers[part].get() > 0 {
+    if shared.readers[part].get() > 0 || feed::is_follower(shared) {
         return JOBS_PAUSE;
     }
-    let members = shared.world.borrow().roster.members().len() as f64;
-    JOBS_PAUSE.mul_f64((members / JOBS_MEMBERS).max(1.0))
+    JOBS_PAUSE.mul_f64((feed::readers(shared) as f64 / JOBS_MEMBERS).max(1.0))
 }
 
 /// Follows one partition of batch jobs.
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -19,6 +19,7 @@
 pub mod duties;
 pub mod ends;
 pub mod exchange;
+pub mod feed;
 pub mod follow;
 pub mod forward;
 pub mod ingress;
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -12,7 +12,10 @@
 use tokio::time::sleep;
 
 use crate::{
-    core::roll::{self, Order, Step},
+    core::{
+        roll::{self, Order, Step},
+        roster,
+    },
     entry::{
         dialect::VersionOrder,
         lease::Lease,
@@ -24,6 +27,9 @@
 
 /// The topic of leases, one partition for each failure domain.
 const LEASES: &str = "leases";
+/// Instances of a failure domain that compete for its lease. Each reads it all
+/// the time, and the store's rate is everybody's.
+const CANDIDATES: usize = 4;
 /// Time between looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(100);
 /// Time that one call to an engine may take.
@@ -49,7 +55,7 @@
     let number = shared.settings.domains.iter().position(|name| *name == domain);
     let part = Part::at(LEASES, number.unwrap_or_default());
     let lease = Lease::new(&shared, part, &domain);
-    tokio::task::spawn_local(lease.clone().keep(shared.clone(), |_| true));
+    tokio::task::spawn_local(lease.clone().keep(shared.clone(), is_candidate));
     let office = Rc::new(Office { lease, roll: RefCell::default() });
     loop {
         sleep(TICK).await;
@@ -59,6 +65,15 @@
     }
 }
 
+/// Whether this instance competes for its failure domain's lease.
+fn is_candidate(shared: &Shared) -> bool {
+    let world = shared.world.borrow();
+    let domain = roster::domain(&shared.me);
+    let all = roster::candidates(world.roster.members(), domain, LEASES, CANDIDATES);
+    // Before the members are known, everybody does.
+    all.is_empty() || all.contains(&shared.me.as_str())
+}
+
 fn give(shared: &Rc<Shared>, office: &Rc<Office>, domain: &str) {
     let now = shared.now();
     if !office.lease.is_held() {
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     core::roster,
-    entry::{ends, plans, relay, shared::Shared, suspects, usage},
+    entry::{ends, feed, plans, relay, shared::Shared, suspects, usage},
 };
 
 /// How long a peer's connection may be idle.
@@ -91,6 +91,7 @@
         Method::POST if path == ends::PATH => ends::hear(shared, request).await,
         Method::POST if path == suspects::PATH => suspects::hear(shared, request).await,
         Method::POST if path == usage::PATH => usage::hear(shared, request).await,
+        Method::GET if path.starts_with(feed::PATH) => feed::answer(shared, &path).await,
         Method::GET if path.starts_with(relay::PATH) => relay::answer(shared, &path).await,
         Method::GET if path.starts_with(plans::PATH) => plans::answer(shared, &path),
         _ => nothing(StatusCode::NOT_FOUND),
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -65,6 +65,8 @@
     pub retention: Duration,
     /// Bytes that all topics together may take.
     pub room_bytes: u64,
+    /// Reading calls that it serves all instances in a second.
+    pub reads_per_s: u64,
 }
 
 /// Times that the platform promises or demands.
@@ -154,6 +156,7 @@
             call_bytes: reader.size(store, "call_bytes", 2_097_152, 4_096..=MOST_BYTES),
             ttl_min: reader.time(store, "ttl_min_ms", MILLISECOND, 1_000.0, 1.0..=MOST_MS),
             retention: reader.time(store, "retention_s", SECOND, 300.0, 1.0..=MOST_S),
+            reads_per_s: reader.number(store, "reads_per_s", 2_000, 1..=u64::MAX),
             room_bytes: reader.number(store, "room_bytes", ROOM_BYTES, 65_536..=u64::MAX),
         },
         times: Times {
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -34,6 +34,7 @@
         dialect::Dialect,
         ends,
         exchange::Pool,
+        feed::Feed,
         jobs,
         meters::Meters,
         outbox,
@@ -190,6 +191,8 @@
     pub store: Client,
     /// Reads of the store.
     pub reader: Reader,
+    /// What others follow through this instance.
+    pub feed: Feed,
     /// What others of the failure domain may take instead of reading it.
     pub relay: Relay,
     /// Connections to targets and peers.
