--- a/crates/hollywell/src/core/poison.rs
+++ b/crates/hollywell/src/core/poison.rs
@@ -9,8 +9,10 @@
 //! When a target ends, whatever ran there breaks off, and mostly one request
 //! of many is to blame. Nobody can tell which by that one end. A request that
 //! is answered after all is innocent, and is forgotten at once; one that was
-//! at several ends is to blame, where no other was there that was at as many.
-//! Where two were at the same ends, both are tried again.
+//! at several ends without any that is still suspected is to blame. Whoever
+//! else was at as many waits, longer with each end: that does not depend on
+//! what becomes of others, so that culprits that always come together cannot
+//! speak for each other.
 //!
 //! Times are of the day, in milliseconds since 1970: a record outlives the
 //! instances that wrote it, and is minutes old before its age matters.
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -157,27 +157,36 @@
     ask: Ask,
     arrived: Time,
 ) -> Reply200 {
-    let caller = match ask {
-        Ask::Ready => return ready(shared),
-        Ask::Routed => return routed(shared, request, arrived).await,
-        _ => caller::of_job(shared, request.headers()).await,
-    };
-    let caller = match caller {
-        Ok(caller) => caller,
-        Err(kind) => return refuse(shared, kind),
-    };
+    let headers = request.headers();
     match ask {
-        Ask::Ready | Ask::Routed => refuse(shared, Kind::Internal),
+        Ask::Ready => ready(shared),
+        Ask::Routed => routed(shared, request, arrived).await,
         Ask::Results { job, after } => {
             let names = &shared.dialect.headers;
-            let hold = number(request.headers(), &names.hold).unwrap_or(0).min(HOLD_MS);
+            let hold = number(headers, &names.hold).unwrap_or(0).min(HOLD_MS);
             let hold = Duration::from_millis(hold);
-            reply(shared, jobs::results(shared, &caller, &job, after, hold).await)
+            let read = async |caller: &_| jobs::results(shared, caller, &job, after, hold).await;
+            by_caller(shared, headers, read).await
         }
         Ask::SampleBody { job, sample } => {
-            reply(shared, jobs::sample_body(shared, &caller, &job, &sample).await)
+            let read = async |caller: &_| jobs::sample_body(shared, caller, &job, &sample).await;
+            by_caller(shared, headers, read).await
         }
-        Ask::EndJob { job } => reply(shared, jobs::end(shared, &caller, &job).await),
+        Ask::EndJob { job } => {
+            by_caller(shared, headers, async |caller| jobs::end(shared, caller, &job).await).await
+        }
+    }
+}
+
+/// Does what is asked about a job for whoever asks, if that is known.
+async fn by_caller(
+    shared: &Rc<Shared>,
+    headers: &http::HeaderMap,
+    job_call: impl AsyncFnOnce(&Caller) -> Reply,
+) -> Reply200 {
+    match caller::of_job(shared, headers).await {
+        Ok(caller) => reply(shared, job_call(&caller).await),
+        Err(kind) => refuse(shared, kind),
     }
 }
 
