Peers are asked in one place; a report is encoded once

Cause: asking a peer for something stood three times (relay, feed, plans), and drawing some peers twice (plans, usage). The path of a report was had by encoding an empty one. Members were hashed at each comparison of a sort.

Change: peers::get and peers::some; dialect has usage_path beside report_path; ranks are taken once a member; a getter that nobody called is gone.

--- a/crates/hollywell/src/core/organisation.rs
+++ b/crates/hollywell/src/core/organisation.rs
@@ -114,12 +114,6 @@
         Ok(directory)
     }
 
-    /// All organisations.
-    #[must_use]
-    pub fn all(&self) -> &[Organisation] {
-        &self.organisations
-    }
-
     /// The organisation whose key a caller sent, given the values of all
     /// headers that may hold one.
     ///
--- a/crates/hollywell/src/core/relay.rs
+++ b/crates/hollywell/src/core/relay.rs
@@ -113,7 +113,7 @@
     let domain = roster::domain(me);
     let mut line: Vec<&str> = members.iter().map(String::as_str).collect();
     line.retain(|member| domain.is_some() && roster::domain(member) == domain);
-    line.sort_by_key(|member| rank(member));
+    line.sort_by_cached_key(|member| rank(member));
     line
 }
 
--- a/crates/hollywell/src/entry/dialect.rs
+++ b/crates/hollywell/src/entry/dialect.rs
@@ -171,9 +171,10 @@
     pub load: fn(&str) -> Option<Load>,
     /// Decodes one event of a stream of text: its lines.
     pub piece: fn(&str) -> Result<Piece, String>,
-    /// Where and how a window's usage is reported; the same counts give the
-    /// same bytes.
-    pub usage: fn(u64, &Counts) -> (&'static str, Bytes),
+    /// Where usage is reported.
+    pub usage_path: &'static str,
+    /// Encodes a window's usage; the same counts give the same bytes.
+    pub usage: fn(u64, &Counts) -> Bytes,
     /// Where and how an order is sent.
     pub order: fn(&VersionOrder) -> (&'static str, Bytes),
     /// Where an engine reports.
--- a/crates/hollywell/src/entry/duties.rs
+++ b/crates/hollywell/src/entry/duties.rs
@@ -113,7 +113,7 @@
                 return;
             }
             Next::Decide(window, counts) => {
-                let (_, report) = (shared.dialect.usage)(window, &counts);
+                let report = (shared.dialect.usage)(window, &counts);
                 log::info!("usage of window {window} is decided: {} organisations", counts.len());
                 write(shared, vec![usage::decision(window, report)], end).await
             }
@@ -134,13 +134,12 @@
 
     /// Reports a window and notes that it is done; returns whether it is.
     async fn report(&self, shared: &Rc<Shared>, window: u64, report: Bytes, end: u64) -> bool {
-        let (path, _) = (shared.dialect.usage)(window, &usage::Counts::new());
         // Asked last: reading may have taken long, or the process been paused.
         let Some(fence) = self.lease.fence(shared, CALL) else {
             return false;
         };
         self.lease.used(shared);
-        let status = self.call(shared, path, fence, report).await;
+        let status = self.call(shared, fence, report).await;
         let name = match status {
             Ok(status) => status.as_str().to_owned(),
             Err(ref why) => why.clone(),
@@ -168,13 +167,12 @@
     async fn call(
         &self,
         shared: &Rc<Shared>,
-        path: &str,
         fence: u64,
         body: Bytes,
     ) -> Result<StatusCode, String> {
         let address = self.duties.address;
         let names = &shared.dialect.headers;
-        let request = Request::post(path)
+        let request = Request::post(shared.dialect.usage_path)
             .header(http::header::HOST, address.to_string())
             .header(http::header::CONTENT_TYPE, "application/json")
             .header(&names.holder, shared.settings.name.as_str())
--- a/crates/hollywell/src/entry/feed.rs
+++ b/crates/hollywell/src/entry/feed.rs
@@ -18,7 +18,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Response, StatusCode};
 use http_body_util::Full;
 use prost::Message as _;
 use tokio::{
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    core::{batch::Record, fleet::Announcement, relay, roster, time::Time},
+    core::{batch::Record, fleet::Announcement, relay, time::Time},
     entry::{
         peers,
         shared::Shared,
@@ -243,13 +243,8 @@
     from: u64,
     source: &str,
 ) -> Result<Word, String> {
-    let address = roster::address(source).ok_or("no address in its name")?;
-    let request = Request::get(format!("{PATH}{}/{}/{from}", part.topic, part.number))
-        .header(header::HOST, address.to_string())
-        .body(Full::default())
-        .map_err(|error| error.to_string())?;
-    let sent = shared.pool.send(address, request, SILENCE).await;
-    let answer = sent.map_err(|error| error.to_string())?;
+    let path = format!("{PATH}{}/{}/{from}", part.topic, part.number);
+    let answer = peers::get(shared, source, &path, SILENCE).await?;
     let status = answer.head.status;
     let body = answer.whole_unless_silent(ANSWER_BYTES, SILENCE).await;
     let body = body.map_err(|error| error.to_string())?;
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -13,6 +13,7 @@
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::seq::IndexedRandom as _;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::sleep,
@@ -20,7 +21,7 @@
 
 use crate::{
     core::roster,
-    entry::{ends, feed, plans, relay, shared::Shared, suspects, usage},
+    entry::{ends, exchange::Answer, feed, plans, relay, shared::Shared, suspects, usage},
 };
 
 /// How long a peer's connection may be idle.
@@ -44,13 +45,7 @@
     path: &str,
     body: Bytes,
 ) -> Result<(), String> {
-    let address = roster::address(member).ok_or("no address in its name")?;
-    let request = Request::post(path)
-        .header(http::header::HOST, address.to_string())
-        .body(Full::new(body))
-        .map_err(|error| error.to_string())?;
-    let sent = shared.pool.send(address, request, TELL).await;
-    let answer = sent.map_err(|error| error.to_string())?;
+    let answer = send(shared, member, Request::post(path), body, TELL).await?;
     let status = answer.head.status;
     // Read to its end, so that the connection can be kept.
     let read = answer.whole(WORD_BYTES, TELL).await;
@@ -58,6 +53,42 @@
     if status == StatusCode::OK { Ok(()) } else { Err(status.to_string()) }
 }
 
+/// Asks a member of the group for something; `limit` is how long the head of
+/// its answer may take.
+///
+/// # Errors
+///
+/// Why there is no answer.
+pub(super) async fn get(
+    shared: &Shared,
+    member: &str,
+    path: &str,
+    limit: Duration,
+) -> Result<Answer, String> {
+    send(shared, member, Request::get(path), Bytes::new(), limit).await
+}
+
+async fn send(
+    shared: &Shared,
+    member: &str,
+    request: http::request::Builder,
+    body: Bytes,
+    limit: Duration,
+) -> Result<Answer, String> {
+    let address = roster::address(member).ok_or("no address in its name")?;
+    let request = request.header(http::header::HOST, address.to_string()).body(Full::new(body));
+    let request = request.map_err(|error| error.to_string())?;
+    shared.pool.send(address, request, limit).await.map_err(|error| error.to_string())
+}
+
+/// Some of the other members of the group, so many at most.
+pub(super) fn some(shared: &Shared, most: usize) -> Vec<String> {
+    let world = shared.world.borrow();
+    let others = world.roster.members().iter().filter(|member| **member != shared.me);
+    let others: Vec<&String> = others.collect();
+    others.choose_multiple(&mut rand::rng(), most).map(|peer| (*peer).clone()).collect()
+}
+
 /// Serves peers until the process ends.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     loop {
--- a/crates/hollywell/src/entry/plans.rs
+++ b/crates/hollywell/src/entry/plans.rs
@@ -12,12 +12,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode};
-use rand::seq::IndexedRandom as _;
+use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    core::{plan::Plan, roster, time::Time},
+    core::{plan::Plan, time::Time},
     entry::{peers, shared::Shared},
 };
 
@@ -90,12 +89,7 @@
         if age_ms(&shared).is_some_and(|age| age < BEHIND_MS) {
             continue;
         }
-        let peers: Vec<String> = {
-            let world = shared.world.borrow();
-            let others = world.roster.members().iter().filter(|member| **member != shared.me);
-            let others: Vec<&String> = others.collect();
-            others.choose_multiple(&mut rand::rng(), ASKED).map(|peer| (*peer).clone()).collect()
-        };
+        let peers = peers::some(&shared, ASKED);
         let asked: Vec<_> = peers.into_iter().map(|peer| ask(shared.clone(), peer)).collect();
         let asked: Vec<_> = asked.into_iter().map(tokio::task::spawn_local).collect();
         for one in asked {
@@ -126,14 +120,8 @@
 }
 
 async fn word(shared: &Shared, peer: &str) -> Result<Word, String> {
-    let address = roster::address(peer).ok_or("no address in its name")?;
     let have = shared.world.borrow().plan.as_ref().map_or(0, |plan| plan.version);
-    let request = Request::get(format!("{PATH}{have}"))
-        .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(|error| error.to_string())?;
-    let sent = shared.pool.send(address, request, ANSWER).await;
-    let answer = sent.map_err(|error| error.to_string())?;
+    let answer = peers::get(shared, peer, &format!("{PATH}{have}"), ANSWER).await?;
     let status = answer.head.status;
     let body = answer.whole(ANSWER_BYTES, ANSWER).await.map_err(|error| error.to_string())?;
     if status != StatusCode::OK {
--- a/crates/hollywell/src/entry/relay.rs
+++ b/crates/hollywell/src/entry/relay.rs
@@ -4,7 +4,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Response, StatusCode, header};
 use http_body_util::Full;
 use prost::Message as _;
 use tokio::{
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    core::{batch::Record, relay, roster, time::Time},
+    core::{batch::Record, relay, time::Time},
     entry::{
         peers,
         shared::{JOBS, Shared},
@@ -184,13 +184,8 @@
     part: &Part,
     parent: &str,
 ) -> Result<Option<(Records, u64)>, String> {
-    let address = roster::address(parent).ok_or("no address in its name")?;
-    let request = Request::get(format!("{PATH}{}/{}", part.topic, part.number))
-        .header(header::HOST, address.to_string())
-        .body(Full::default())
-        .map_err(|error| error.to_string())?;
-    let sent = shared.pool.send(address, request, SILENCE).await;
-    let answer = sent.map_err(|error| error.to_string())?;
+    let path = format!("{PATH}{}/{}", part.topic, part.number);
+    let answer = peers::get(shared, parent, &path, SILENCE).await?;
     let (status, age) = (answer.head.status, answer.header(&header::AGE).map(str::to_owned));
     let body = answer.whole_unless_silent(BYTES, SILENCE).await;
     let body = body.map_err(|error| error.to_string())?;
--- a/crates/hollywell/src/entry/usage.rs
+++ b/crates/hollywell/src/entry/usage.rs
@@ -7,7 +7,6 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prost::Message as _;
-use rand::seq::IndexedRandom as _;
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -26,7 +25,7 @@
 };
 
 /// The path on which peers bring what they could not store.
-pub const PATH: &str = "/usage";
+pub const PATH: &str = "/counts";
 /// The topic of what instances counted, of one partition: it is read whole,
 /// once a window, by whoever holds the duty.
 pub(super) const TOPIC: &str = "keyed.usage";
@@ -139,13 +138,7 @@
 fn carry(shared: &Rc<Shared>, records: &[(String, Bytes)]) {
     let said = |(key, value): &(String, Bytes)| Said { key: key.clone(), value: value.clone() };
     let word = Bytes::from(Word { records: records.iter().map(said).collect() }.encode_to_vec());
-    let peers: Vec<String> = {
-        let world = shared.world.borrow();
-        let others = world.roster.members().iter().filter(|member| **member != shared.me);
-        let others: Vec<&String> = others.collect();
-        others.choose_multiple(&mut rand::rng(), CARRIERS).map(|peer| (*peer).clone()).collect()
-    };
-    for peer in peers {
+    for peer in peers::some(shared, CARRIERS) {
         let (shared, word) = (shared.clone(), word.clone());
         tokio::task::spawn_local(async move {
             if let Err(why) = peers::post(&shared, &peer, PATH, word).await {
