A group that nobody has joined is not full

Cause: the first reading of an empty group showed 0 members on 0 partitions, which counted as full, so the first instances dealt out four times the topics, again and again, up to 64: 3,072 rows a listing for 985 members. Now a group is full only if at least the first topics are dealt out, and grows by three: 24 topics at 985, 64 at 2,000 (tests/group.rs, the new case fails before).

--- a/crates/hollywell/src/core/group.rs
+++ b/crates/hollywell/src/core/group.rs
@@ -19,15 +19,13 @@
 /// Most topics: a store has 100 for everything. With 48 partitions each, 2,304
 /// members show.
 pub const MOST: u32 = 64;
-/// Topics are added when so many quarters of the partitions are a member's
-/// only one: members come in crowds.
-const FULL_QUARTERS: usize = 3;
-/// All partitions are taken as good as where so many of sixteen are a member's
-/// only one: members come while they are dealt out.
+/// The group is full where so many of sixteen partitions are a member's only
+/// one: members come while they are dealt out.
 const FULL_SIXTEENTHS: usize = 15;
-/// Where all partitions are taken, how many more members there are is not
-/// known, and each reading before it is wasted.
-const FULL_GROWTH: u32 = 4;
+/// How many times as many topics a full group deals out next. How many members
+/// do not show is not known, and each reading before they do is wasted, while
+/// each partition is a row of every later one.
+const FULL_GROWTH: u32 = 3;
 /// A group that has not grown by this factor since the reading before shows
 /// most of its members. Who is followed is then at worst one of twice as many.
 const GROWTH: usize = 2;
@@ -52,9 +50,9 @@
 /// assert_eq!(census.topics(), FIRST);
 /// // 8 topics of 48 partitions each, all of them taken.
 /// census.read(384, 384, 48);
-/// assert_eq!(census.topics(), 4 * FIRST);
+/// assert_eq!(census.topics(), 3 * FIRST);
 /// assert!(!census.is_settled());
-/// census.read(985, 1_536, 48);
+/// census.read(985, 1_152, 48);
 /// assert!(census.is_settled() && !census.is_short());
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,14 +77,12 @@
         let dealt = u32::try_from(partitions).unwrap_or(u32::MAX) / parts;
         // Others may have seen more members already.
         self.topics = self.topics.max(dealt).clamp(FIRST, MOST);
-        let is_full = members * 16 >= partitions * FULL_SIXTEENTHS;
+        // Of a group that nobody has joined yet nothing is dealt out.
+        let is_dealt = dealt >= FIRST;
+        let is_full = is_dealt && members * 16 >= partitions * FULL_SIXTEENTHS;
         if is_full {
             self.topics = self.topics.saturating_mul(FULL_GROWTH).min(MOST);
         }
-        let shows = |topics: u32| topics as usize * parts as usize;
-        while members * 4 > shows(self.topics) * FULL_QUARTERS && self.topics < MOST {
-            self.topics = (self.topics * 2).min(MOST);
-        }
         let is_steady = self.members.is_some_and(|before| members < before.max(1) * GROWTH);
         self.settled |= !is_full && (is_steady || self.was_full);
         self.members = Some(members);
--- a/crates/hollywell/tests/group.rs
+++ b/crates/hollywell/tests/group.rs
@@ -66,6 +66,15 @@
     assert!(census.is_short() && !census.is_settled());
 }
 
+#[test]
+fn a_group_that_nobody_has_joined_is_not_full() {
+    let mut census = Census::default();
+    for (members, partitions) in [(0, 0), (0, 0), (1, 1), (2, 384)] {
+        census.read(members, partitions, PARTS);
+        assert_eq!(census.topics(), FIRST, "{members} on {partitions}");
+    }
+}
+
 #[test]
 fn topics_that_others_have_added_are_kept() {
     let mut census = Census::default();
