A full group deals out no more topics: who does not show runs no samples

Cause: adding topics as the group fills (the change before) made each of 985 members join with another list, and the store deal all partitions anew each time; it also deals out 20 topics at most ('was 8 ... 20 topics' in the log, though 24 and 64 were asked for), so 960 rows at any rate. Instead: the group stays as it was, is known to be full, and an instance that does not show in a full group no longer counts itself. Some 384 of 985 run the samples, all of them serve callers, each group of samples has one owner (before: 600 hidden instances each took itself for one member more, one and a half copies a sample, by arithmetic).

--- a/crates/hollywell/src/core/group.rs
+++ b/crates/hollywell/src/core/group.rs
@@ -1,12 +1,10 @@
-//! How many partitions the store's group of instances deals out, and whether
-//! what was read of it shows all members.
+//! Whether what was read of the store's group of instances shows all members.
 //!
 //! A member shows only while it holds a partition. With fewer partitions than
-//! members the ones without any are seen by nobody, and whatever is decided
-//! over the members (who owns which work, who reads the store for whom) is
-//! decided over a part of them, another part at each reading. Each reading
-//! lists every partition, so there are few of them while the group is small,
-//! and more as it fills.
+//! members the others are seen by nobody, and must not take themselves for
+//! members either: whatever is decided over the members (who owns which work,
+//! who reads the store for whom) would be decided by each of them over another
+//! list. They serve callers all the same.
 //!
 //! Answers the load of a fleet that starts together: what it is worth to know
 //! before the first large read of the store is how many others are about to do
@@ -14,18 +12,13 @@
 //!
 //! What it leaves out: the calls ([`crate::entry::member`]).
 
-/// Topics that are dealt out at first.
-pub const FIRST: u32 = 8;
-/// Most topics: a store has 100 for everything. With 48 partitions each, 2,304
-/// members show.
-pub const MOST: u32 = 64;
+/// Topics that the group deals out. More were tried: each member that joins
+/// with other topics makes the store deal all of them anew, and it deals out
+/// 20 at most.
+pub const TOPICS: u32 = 8;
 /// The group is full where so many of sixteen partitions are a member's only
 /// one: members come while they are dealt out.
 const FULL_SIXTEENTHS: usize = 15;
-/// How many times as many topics a full group deals out next. How many members
-/// do not show is not known, and each reading before they do is wasted, while
-/// each partition is a row of every later one.
-const FULL_GROWTH: u32 = 3;
 /// A group that has not grown by this factor since the reading before shows
 /// most of its members. Who is followed is then at worst one of twice as many.
 const GROWTH: usize = 2;
@@ -44,66 +37,42 @@
 /// # Example
 ///
 /// ```
-/// use hollywell::core::group::{Census, FIRST};
+/// use hollywell::core::group::Census;
 ///
 /// let mut census = Census::default();
-/// assert_eq!(census.topics(), FIRST);
-/// // 8 topics of 48 partitions each, all of them taken.
-/// census.read(384, 384, 48);
-/// assert_eq!(census.topics(), 3 * FIRST);
+/// census.read(2, 384);
 /// assert!(!census.is_settled());
-/// census.read(985, 1_152, 48);
-/// assert!(census.is_settled() && !census.is_short());
+/// census.read(383, 384);
+/// // There may be any number of others.
+/// assert!(census.is_settled() && census.is_full());
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Census {
-    topics: u32,
     members: Option<usize>,
-    was_full: bool,
+    full: bool,
     settled: bool,
 }
 
-impl Default for Census {
-    fn default() -> Census {
-        Census { topics: FIRST, members: None, was_full: false, settled: false }
-    }
-}
-
 impl Census {
-    /// Takes a reading over: how many members it shows on how many
-    /// partitions, where each topic has `parts` of them.
-    pub fn read(&mut self, members: usize, partitions: usize, parts: u32) {
-        let parts = parts.max(1);
-        let dealt = u32::try_from(partitions).unwrap_or(u32::MAX) / parts;
-        // Others may have seen more members already.
-        self.topics = self.topics.max(dealt).clamp(FIRST, MOST);
-        // Of a group that nobody has joined yet nothing is dealt out.
-        let is_dealt = dealt >= FIRST;
-        let is_full = is_dealt && members * 16 >= partitions * FULL_SIXTEENTHS;
-        if is_full {
-            self.topics = self.topics.saturating_mul(FULL_GROWTH).min(MOST);
-        }
+    /// Takes a reading over: how many members it shows on how many partitions.
+    pub fn read(&mut self, members: usize, partitions: usize) {
+        // Of a group that nobody has joined nothing is dealt out.
+        self.full = partitions >= TOPICS as usize && members * 16 >= partitions * FULL_SIXTEENTHS;
         let is_steady = self.members.is_some_and(|before| members < before.max(1) * GROWTH);
-        self.settled |= !is_full && (is_steady || self.was_full);
+        self.settled |= self.full || is_steady;
         self.members = Some(members);
-        self.was_full = is_full;
-    }
-
-    /// How many topics the group is to deal out.
-    #[must_use]
-    pub fn topics(&self) -> u32 {
-        self.topics
     }
 
-    /// Whether most members have been seen since the start.
+    /// Whether most members have been seen since the start, or as many as can
+    /// be.
     #[must_use]
     pub fn is_settled(&self) -> bool {
         self.settled
     }
 
-    /// Whether there may be members that can never show.
+    /// Whether there may be members that do not show.
     #[must_use]
-    pub fn is_short(&self) -> bool {
-        self.was_full && self.topics == MOST
+    pub fn is_full(&self) -> bool {
+        self.full
     }
 }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -19,7 +19,7 @@
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | what becomes of an end that the platform's store has not taken |
 //! | [`hold`] | whether a request that no target can take is held or rejected |
-//! | [`group`] | how many partitions let all members of a group show |
+//! | [`group`] | whether a reading of a group shows all its members |
 //! | [`poison`] | which requests end the targets that run them |
 //! | [`turn`] | what one party of all does at a time |
 //! | [`room`] | what the store's room is left for, and how far a log is trimmed |
--- a/crates/hollywell/src/core/relay.rs
+++ b/crates/hollywell/src/core/relay.rs
@@ -168,7 +168,9 @@
     }
     let line = line(members, me);
     let before = line.iter().filter(|member| rank(member) < rank(me)).count();
-    if line.len() <= FEW || before < ROOTS {
+    // One that does not show among the members is followed by nobody.
+    let is_root = before < ROOTS && line.contains(&me);
+    if line.len() <= FEW || is_root {
         return vec![];
     }
     let mut roots: Vec<&str> = line.into_iter().take(ROOTS).collect();
--- a/crates/hollywell/src/core/roster.rs
+++ b/crates/hollywell/src/core/roster.rs
@@ -132,6 +132,8 @@
     /// Since when members have been missing.
     missing: BTreeMap<String, Time>,
     leaving: bool,
+    /// The group may have members that do not show.
+    full: bool,
 }
 
 impl Roster {
@@ -161,19 +163,27 @@
         self.leaving = true;
     }
 
+    /// Notes whether the group may have members that do not show: then this
+    /// instance is one only while it shows.
+    pub fn is_of_full_group(&mut self, full: bool) {
+        self.full = full;
+    }
+
     /// Takes a reading over; returns whether the members changed. `back_at`
     /// is when the store last came back from an outage.
     pub fn read(&mut self, now: Time, read: &[String], back_at: Option<Time>) -> bool {
         let mut members = read.to_vec();
-        if !self.leaving {
+        let shown: BTreeSet<&str> = read.iter().map(String::as_str).collect();
+        let counts_itself = !self.leaving && !self.full;
+        if counts_itself {
             members.push(self.me.clone());
         }
         let recovering = back_at.is_some_and(|at| now.since(at) < LAPSE_MS);
-        let shown: BTreeSet<&str> = read.iter().map(String::as_str).collect();
         let mut missing = BTreeMap::new();
         for member in self.members.iter().filter(|member| !shown.contains(member.as_str())) {
             let since = self.missing.get(member).copied().unwrap_or(now);
-            if *member != self.me && (recovering || now.since(since) < MISSING_MS) {
+            let may_be_missing = *member != self.me || self.full && !self.leaving;
+            if may_be_missing && (recovering || now.since(since) < MISSING_MS) {
                 missing.insert(member.clone(), since);
                 members.push(member.clone());
             }
--- a/crates/hollywell/src/entry/member.rs
+++ b/crates/hollywell/src/entry/member.rs
@@ -19,7 +19,7 @@
 use crate::{
     core::{
         dispatch::Event,
-        group::{FIRST, Listing},
+        group::{Listing, TOPICS},
         time::Time,
     },
     entry::{
@@ -71,6 +71,9 @@
     /// The members; none where whoever asks knows them.
     #[prost(string, repeated, tag = "3")]
     members: Vec<String>,
+    /// There may be others that do not show.
+    #[prost(bool, tag = "4")]
+    full: bool,
 }
 
 /// What others are told.
@@ -80,8 +83,8 @@
     known_at: Cell<Option<Time>>,
     /// The members were taken anew.
     changed: Notify,
-    /// It was logged that some never show.
-    short: Cell<bool>,
+    /// It was logged that some may not show.
+    full: Cell<bool>,
 }
 
 /// Stays in the group until the instance stops.
@@ -93,11 +96,10 @@
         if *stop.borrow() {
             return;
         }
-        let topics = shared.world.borrow().census.topics();
         let join = Join {
             group: GROUP.to_owned(),
             member: shared.me.clone(),
-            topics: (0..topics).map(|n| format!("deal.{n}")).collect(),
+            topics: (0..TOPICS).map(|n| format!("deal.{n}")).collect(),
             ttl,
             generation,
         };
@@ -116,7 +118,6 @@
         }
         tokio::select! {
             () = sleep(BEAT) => {}
-            () = shared.outgrown.notified() => {}
             _ = stop.changed() => {}
         }
     }
@@ -161,14 +162,12 @@
 
 /// Waits until the group is to be read again.
 async fn pause(shared: &Shared) {
-    let (topics, is_unsettled) = {
+    let is_unsettled = {
         let world = shared.world.borrow();
-        let is_unsettled = world.roster.is_unsettled() || !world.census.is_settled();
-        (world.census.topics(), is_unsettled)
+        world.roster.is_unsettled() || !world.census.is_settled()
     };
     // A reading lists every partition, and all readers share the store.
     let crowd = (feed::readers(shared) as f64 / LOOK_MEMBERS).max(1.0);
-    let crowd = crowd.max(f64::from(topics) / f64::from(FIRST));
     // All instances that start together read it again, but not all at once.
     sleep(LOOK_LEAST.mul_f64(crowd * rand::random_range(SPREAD))).await;
     if !is_unsettled {
@@ -179,19 +178,16 @@
 
 /// Notes how many members a reading of the store shows, of how many may.
 fn note(shared: &Shared, listing: &Listing) {
-    let (before, after) = {
-        let census = &mut shared.world.borrow_mut().census;
-        let before = census.topics();
-        census.read(listing.members.len(), listing.partitions, shared.settings.store.parts);
-        (before, *census)
+    let is_full = {
+        let world = &mut *shared.world.borrow_mut();
+        world.census.read(listing.members.len(), listing.partitions);
+        let is_full = world.census.is_full();
+        world.roster.is_of_full_group(is_full);
+        is_full
     };
-    if after.topics() != before {
-        log::info!("the group deals out {} topics, was {before}", after.topics());
-        shared.outgrown.notify_one();
-    }
-    if after.is_short() && !shared.membership.short.replace(true) {
+    if is_full && !shared.membership.full.replace(true) {
         let most = listing.partitions;
-        log::error!("the group shows {most} instances at most: further ones get no work");
+        log::warn!("the group shows {most} instances at most: others run no samples");
     }
 }
 
@@ -205,7 +201,11 @@
         let asked_at = shared.now();
         match ask(shared, &source).await {
             Ok(word) => {
-                let known = shared.world.borrow().roster.members().to_vec();
+                let known = {
+                    let world = &mut *shared.world.borrow_mut();
+                    world.roster.is_of_full_group(word.full);
+                    world.roster.members().to_vec()
+                };
                 let members = if word.members.is_empty() { known } else { word.members };
                 take(shared, &members, Time(asked_at.0.saturating_sub(word.age_ms)));
                 return true;
@@ -246,13 +246,19 @@
         let Some(known_at) = shared.membership.known_at.get() else {
             return peers::nothing(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let members = shared.world.borrow().roster.members().to_vec();
+        let (members, full) = {
+            let world = shared.world.borrow();
+            (world.roster.members().to_vec(), world.census.is_full())
+        };
         let (mark, age_ms) = (mark(&members), shared.now().since(known_at));
         if mark != known {
-            return Response::new(Full::new(Word { age_ms, mark, members }.encode_to_vec().into()));
+            return Response::new(Full::new(
+                Word { age_ms, mark, members, full }.encode_to_vec().into(),
+            ));
         }
         if timeout_at(until, changed).await.is_err() {
-            let word = Word { age_ms: shared.now().since(known_at), mark, members: vec![] };
+            let age_ms = shared.now().since(known_at);
+            let word = Word { age_ms, mark, members: vec![], full };
             return Response::new(Full::new(word.encode_to_vec().into()));
         }
     }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -134,7 +134,6 @@
         world: RefCell::new(world),
         configured: Notify::new(),
         regrouped: Notify::new(),
-        outgrown: Notify::new(),
         membership: member::Membership::default(),
         accepted: (0..parts).map(|_| Notify::new()).collect(),
         readers: (0..parts).map(|_| Cell::new(0)).collect(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -229,8 +229,6 @@
     pub configured: Notify,
     /// Told when the group of instances changed.
     pub regrouped: Notify,
-    /// Told when the group is to deal out more topics.
-    pub outgrown: Notify,
     /// What others are told of the group.
     pub membership: member::Membership,
     /// Told when a job was accepted in a partition of jobs.
