At a start followers wait for those that they follow; a full group is a crowded store

Before the targets were known the store did not count as crowded (378 shown x 12 calls), so all 985 read it, 370 entries a second each, 109 MB a second of 80; those that others follow were refused like all, answered 410, and their followers went back to the store. Now a group that is full counts as crowded, as how many read is not known, and at a start a follower asks again for up to 4 s where those that it follows live and have not read a partition yet.

--- a/crates/hollywell/src/entry/feed.rs
+++ b/crates/hollywell/src/entry/feed.rs
@@ -90,6 +90,16 @@
     anew: bool,
 }
 
+/// What those that this instance follows say of a partition.
+pub(super) enum Answer {
+    /// This.
+    Fed(Fed),
+    /// They live, and have not read it yet themselves.
+    NotYet,
+    /// There is nobody to follow, or nobody answered.
+    Nobody,
+}
+
 /// What was handed on to this instance.
 pub(super) struct Fed {
     pub records: Records,
@@ -228,7 +238,8 @@
         targets: world.fleet.targets.len(),
         beat_ms: u64::try_from(shared.settings.times.beat.as_millis()).unwrap_or(u64::MAX),
     };
-    relay::is_crowded(shared.settings.store.supply, demand)
+    // How many read it is not known where not all show.
+    world.census.is_full() || relay::is_crowded(shared.settings.store.supply, demand)
 }
 
 /// Whether this instance follows others.
@@ -303,7 +314,8 @@
 /// What follows an offset of a partition, from whomever this instance
 /// follows, and when the store was asked for it; `None` if the store is to be
 /// read.
-pub(super) async fn ask(shared: &Rc<Shared>, part: &Part, from: u64) -> Option<Fed> {
+pub(super) async fn ask(shared: &Rc<Shared>, part: &Part, from: u64) -> Answer {
+    let mut nothing = Answer::Nobody;
     for source in sources(shared).into_iter().take(TRIES) {
         let asked_at = shared.now();
         match ask_one(shared, part, from, &source).await {
@@ -317,17 +329,25 @@
                     value: passed.value,
                 };
                 let records = word.records.into_iter().map(record).collect();
-                return Some(Fed {
+                return Answer::Fed(Fed {
                     records: Records { end: word.end, records, beyond: vec![] },
                     asked_at: Time(asked_at.0.saturating_sub(word.age_ms)),
                     anew: word.anew,
                 });
             }
-            Ok(word) => log::info!("{source} has read {part:?} {} ms ago", word.age_ms),
-            Err(why) => log::info!("{part:?} from {from} on is not to be had from {source}: {why}"),
+            Ok(word) => {
+                log::info!("{source} has read {part:?} {} ms ago", word.age_ms);
+                nothing = Answer::NotYet;
+            }
+            Err(why) => {
+                if why == StatusCode::GONE.to_string() {
+                    nothing = Answer::NotYet;
+                }
+                log::info!("{part:?} from {from} on is not to be had from {source}: {why}");
+            }
         }
     }
-    None
+    nothing
 }
 
 async fn ask_one(
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -54,6 +54,11 @@
 /// Longest pause of a follower: with what a source's own read takes, the end
 /// of a job must be known well before its partition is out of date.
 const JOBS_PAUSE_MOST: Duration = Duration::from_millis(600);
+/// How long those that are followed are asked again at a start, while they have
+/// not read a partition themselves.
+const NOT_YET: Duration = Duration::from_millis(4_000);
+/// Time between two such questions.
+const NOT_YET_PAUSE: Duration = Duration::from_millis(250);
 /// Least time between reads of the targets' announcements. Each heartbeat is
 /// a record; a leaving target must get nothing after two seconds.
 const FLEET_PAUSE: Duration = Duration::from_millis(300);
@@ -82,12 +87,14 @@
     wait: Duration,
     /// Reads that failed in a row.
     failures: u32,
+    /// It was read on from its beginning.
+    is_current: bool,
 }
 
 impl Position {
     fn new(keyed: bool) -> Position {
         let next = (!keyed).then_some(0);
-        Position { next, newest: Newest::default(), wait: WAIT, failures: 0 }
+        Position { next, newest: Newest::default(), wait: WAIT, failures: 0, is_current: false }
     }
 
     /// Reads on: through another instance where this one follows any.
@@ -107,7 +114,7 @@
         if self.next.is_none() && part.topic != shared.dialect.announcements {
             return None;
         }
-        let fed = feed::ask(shared, part, self.next.unwrap_or(0)).await?;
+        let fed = self.ask(shared, part).await?;
         if self.next.is_none() && !fed.anew {
             return None;
         }
@@ -117,6 +124,23 @@
         Some(fed)
     }
 
+    /// Asks those that this instance follows. While they live and have not
+    /// read the partition themselves, all that follow them would only make them
+    /// wait longer at the store.
+    async fn ask(&self, shared: &Rc<Shared>, part: &Part) -> Option<Fed> {
+        let patience = if self.is_current { Duration::ZERO } else { NOT_YET };
+        let until = Instant::now() + patience;
+        loop {
+            match feed::ask(shared, part, self.next.unwrap_or(0)).await {
+                feed::Answer::Fed(fed) => return Some(fed),
+                feed::Answer::NotYet if Instant::now() < until => {
+                    sleep_until(Instant::now() + NOT_YET_PAUSE).await;
+                }
+                feed::Answer::NotYet | feed::Answer::Nobody => return None,
+            }
+        }
+    }
+
     /// Reads the newest record of each key from the store.
     async fn read_newest(
         &mut self,
@@ -204,6 +228,7 @@
                     shared.read_of(&part, &records);
                 }
                 position.advance(&records);
+                position.is_current |= !anew;
                 let asked_at = (!anew).then_some(asked_at);
                 take(&shared, records, From { anew, asked_at });
                 if anew {
