--- a/crates/hollywell/src/core/group.rs
+++ b/crates/hollywell/src/core/group.rs
@@ -12,9 +12,9 @@
 //!
 //! What it leaves out: the calls ([`crate::entry::member`]).
 
-/// Topics that the group deals out. More were tried: each member that joins
-/// with other topics makes the store deal all of them anew, and it deals out
-/// 20 at most.
+/// Topics that the group deals out. Each partition is a row of every reading,
+/// and members that join with another list of topics make the store deal all of
+/// them anew.
 pub const TOPICS: u32 = 8;
 /// The group is full where so many of sixteen partitions are a member's only
 /// one: members come while they are dealt out.
