--- a/crates/hollywell/src/core/dispatch/near.rs
+++ b/crates/hollywell/src/core/dispatch/near.rs
@@ -45,11 +45,6 @@
     pub samples: usize,
 }
 
-/// Whether a target may run a job's samples.
-pub(super) fn fits(work: &Work, target: &Target) -> bool {
-    target.said.versions.get(&work.model).is_none_or(|version| *version >= work.min_version)
-}
-
 impl Near {
     /// Notes that no target picked had a place.
     pub(super) fn ran_dry(&mut self) {
@@ -70,7 +65,9 @@
         if is_kept || is_small(fleet) {
             return;
         }
-        let is_fit = |target: &&Target| fits(work, target) && !sights.avoided(now, &target.said.id);
+        let is_fit = |target: &&Target| {
+            target.may_run(&work.model, work.min_version) && !sights.avoided(now, &target.said.id)
+        };
         let rank = |target: &Target| {
             let id = target.said.id.as_bytes();
             let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id, who.salt);
@@ -88,15 +85,14 @@
     }
 
     /// The targets to look at for a job's samples.
-    pub(super) fn targets<'a>(&self, work: &Work, fleet: &'a Fleet) -> Vec<&'a Announcement> {
-        let is_fit = |target: &&Target| target.said.pool == work.pool && fits(work, target);
+    pub(super) fn targets<'a>(&self, work: &'a Work, fleet: &'a Fleet) -> Vec<&'a Announcement> {
+        let is_fit = |target: &&Target| target.may_run(&work.model, work.min_version);
         if is_small(fleet) {
-            let all = fleet.targets.values().filter(|target| fleet.takes(target)).filter(is_fit);
-            return all.map(|target| &target.said).collect();
+            return fleet.usable(&work.pool).filter(is_fit).map(|target| &target.said).collect();
         }
         let picked = self.ids.iter().filter_map(|id| fleet.targets.get(id));
-        let picked = picked.filter(|target| fleet.takes(target)).filter(is_fit);
-        picked.map(|target| &target.said).collect()
+        let is_usable = |target: &&Target| target.said.pool == work.pool && fleet.takes(target);
+        picked.filter(is_usable).filter(is_fit).map(|target| &target.said).collect()
     }
 }
 
--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -101,6 +101,15 @@
     pub withheld: bool,
 }
 
+impl Target {
+    /// Whether it may run what asks for a version of a model or a newer one,
+    /// as far as it tells.
+    #[must_use]
+    pub fn may_run(&self, model: &str, min_version: u64) -> bool {
+        self.said.versions.get(model).is_none_or(|version| *version >= min_version)
+    }
+}
+
 /// The last entry of a target that is gone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Gone {
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -39,6 +39,7 @@
 pub mod hold;
 pub mod id;
 pub mod lease;
+mod malformed;
 pub mod member;
 pub mod organisation;
 pub mod owner;
--- a/crates/hollywell/src/core/poison.rs
+++ b/crates/hollywell/src/core/poison.rs
@@ -33,6 +33,8 @@
 use prost::Message as _;
 use sha2::{Digest as _, Sha256};
 
+pub use crate::core::malformed::Malformed;
+
 /// Bytes of a digest that are kept: so many that no caller can make one that
 /// names another caller's request.
 const DIGEST_BYTES: usize = 16;
@@ -97,18 +99,6 @@
     }
 }
 
-/// A record that cannot be read, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Malformed(String);
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for Malformed {}
-
 /// Targets that a request has ended before it is held back. Targets end for
 /// reasons of their own, now and then two while one request is retried.
 pub const ENOUGH: u32 = 3;
--- a/crates/hollywell/src/core/relay.rs
+++ b/crates/hollywell/src/core/relay.rs
@@ -53,9 +53,7 @@
     if line.len() <= FEW {
         return None;
     }
-    let before = line.iter().filter(|member| rank(member) < rank(me)).count();
-    let parent = before.checked_sub(ROOTS)? / FANOUT;
-    line.get(parent).copied()
+    line.get(above(place(&line, me))?).copied()
 }
 
 /// Steps from an instance to one that reads the store itself.
@@ -75,10 +73,10 @@
     if line.len() <= FEW {
         return 0;
     }
-    let mut at = line.iter().filter(|member| rank(member) < rank(me)).count();
+    let mut at = place(&line, me);
     let mut steps = 0;
-    while at >= ROOTS {
-        at = (at - ROOTS) / FANOUT;
+    while let Some(next) = above(at) {
+        at = next;
         steps += 1;
     }
     steps
@@ -167,7 +165,7 @@
         return vec![];
     }
     let line = line(members, me);
-    let before = line.iter().filter(|member| rank(member) < rank(me)).count();
+    let before = place(&line, me);
     // One that does not show among the members is followed by nobody.
     let is_root = before < ROOTS && line.contains(&me);
     if line.len() <= FEW || is_root {
@@ -183,7 +181,7 @@
 /// about.
 #[must_use]
 pub fn followers(members: &[String], me: &str) -> usize {
-    line(members, me).len().saturating_sub(ROOTS).div_ceil(ROOTS)
+    in_domain(members, me).saturating_sub(ROOTS).div_ceil(ROOTS)
 }
 
 /// Whether others take what they follow from an instance.
@@ -202,7 +200,19 @@
     line
 }
 
-/// An instance's place in the order, the same in all its runs: the wider its
+/// How many of a line come before an instance.
+fn place(line: &[&str], me: &str) -> usize {
+    let own = rank(me);
+    line.iter().filter(|member| rank(member) < own).count()
+}
+
+/// The place from which the one at a place of the tree takes records; `None` if
+/// it reads the store.
+fn above(place: usize) -> Option<usize> {
+    Some(place.checked_sub(ROOTS)? / FANOUT)
+}
+
+/// An instance's rank in the order, the same in all its runs: the wider its
 /// link, the earlier. A start hands some MB to each instance, which takes a
 /// narrow link a second for three of them.
 fn rank(member: &str) -> (Reverse<u64>, u64, &str) {
@@ -215,7 +225,13 @@
 /// domain.
 #[must_use]
 pub fn is_used(members: &[String], me: &str) -> bool {
-    let domain = roster::domain(me);
-    let same = |member: &&String| roster::domain(member) == domain;
-    domain.is_some() && members.iter().filter(same).count() > FEW
+    in_domain(members, me) > FEW
+}
+
+/// Members of an instance's failure domain; none if it has none.
+fn in_domain(members: &[String], me: &str) -> usize {
+    let Some(domain) = roster::domain(me) else {
+        return 0;
+    };
+    members.iter().filter(|member| roster::domain(member) == Some(domain)).count()
 }
--- a/crates/hollywell/src/core/usage.rs
+++ b/crates/hollywell/src/core/usage.rs
@@ -25,6 +25,8 @@
 
 use crate::core::time::Time;
 
+pub use crate::core::malformed::Malformed;
+
 /// Requests by organisation.
 pub type Counts = BTreeMap<String, u64>;
 
@@ -47,18 +49,6 @@
     counts: Counts,
 }
 
-/// A record that cannot be read, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Malformed(String);
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for Malformed {}
-
 /// What one instance counts.
 ///
 /// # Example
--- a/crates/hollywell/src/entry/feed.rs
+++ b/crates/hollywell/src/entry/feed.rs
@@ -312,14 +312,13 @@
 }
 
 /// What follows an offset of a partition, from whomever this instance
-/// follows, and when the store was asked for it; `None` if the store is to be
-/// read.
+/// follows.
 pub(super) async fn ask(shared: &Rc<Shared>, part: &Part, from: u64) -> Answer {
     let mut nothing = Answer::Nobody;
     for source in sources(shared).into_iter().take(TRIES) {
         let asked_at = shared.now();
         match ask_one(shared, part, from, &source).await {
-            Ok(word) if word.age_ms <= MOST_AGE_MS => {
+            Ok(Some(word)) if word.age_ms <= MOST_AGE_MS => {
                 if shared.feed.note_source(part, &source) {
                     log::info!("{}/{} is fed by {source}", part.topic, part.number);
                 }
@@ -335,14 +334,15 @@
                     anew: word.anew,
                 });
             }
-            Ok(word) => {
+            Ok(Some(word)) => {
                 log::info!("{source} has read {part:?} {} ms ago", word.age_ms);
                 nothing = Answer::NotYet;
             }
+            Ok(None) => {
+                log::info!("{source} does not know what follows {from} of {part:?}");
+                nothing = Answer::NotYet;
+            }
             Err(why) => {
-                if why == StatusCode::GONE.to_string() {
-                    nothing = Answer::NotYet;
-                }
                 log::info!("{part:?} from {from} on is not to be had from {source}: {why}");
             }
         }
@@ -350,26 +350,29 @@
     nothing
 }
 
+/// Asks one of them; `None` if it does not know what follows the offset.
 async fn ask_one(
     shared: &Rc<Shared>,
     part: &Part,
     from: u64,
     source: &str,
-) -> Result<Word, String> {
+) -> Result<Option<Word>, String> {
     let path = format!("{PATH}{}/{}/{from}", part.topic, part.number);
     let answer = peers::get(shared, source, &path, SILENCE).await?;
     let status = answer.head.status;
     let body = answer.whole_unless_silent(ANSWER_BYTES, SILENCE).await;
     let body = body.map_err(|error| error.to_string())?;
-    if status != StatusCode::OK {
-        return Err(status.to_string());
+    match status {
+        StatusCode::OK => {}
+        StatusCode::GONE => return Ok(None),
+        other => return Err(other.to_string()),
     }
     let word = Word::decode(body).map_err(|error| error.to_string())?;
     let first = if word.anew { 0 } else { from };
     let is_whole = word.end >= from
         && word.records.iter().all(|record| (first..word.end).contains(&record.offset))
         && word.records.is_sorted_by(|a, b| a.offset < b.offset);
-    if is_whole { Ok(word) } else { Err(String::from("records that do not follow")) }
+    if is_whole { Ok(Some(word)) } else { Err(String::from("records that do not follow")) }
 }
 
 /// Hands on what follows an offset, once there is something.
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -370,7 +370,7 @@
 
 /// Ends evacuations that were taken back while nothing was read here.
 fn evacuations_left(shared: &Rc<Shared>, newest: &Records) {
-    let domain = |key: &str| match (shared.dialect.wish)(key, Some(&[])) {
+    let domain = |key: &str| match (shared.dialect.wish)(key, None) {
         Ok(Some(Wish::Evacuation { domain, .. })) => Some(domain),
         _ => None,
     };
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -171,12 +171,6 @@
         self.shelves[part].is_stale(now, &self.fleet)
     }
 
-    /// Whether samples of a job run here, or have got anywhere.
-    #[must_use]
-    pub fn runs_of(&self, job: &str) -> bool {
-        self.texts.keys().any(|slot| slot.job == job)
-    }
-
     /// Which partitions became out of date or are so no longer. It is asked before each event, not now and then: an instance that
     /// wakes up from a pause must not act on what it knew before.
     fn staleness(&mut self, now: Time) -> Vec<Event> {
@@ -455,7 +449,7 @@
         let now = self.now();
         let world = self.world.borrow();
         let part = self.part_of(&slot.job);
-        world.wants(part, slot) && !world.shelves[part].is_stale(now, &world.fleet)
+        world.wants(part, slot) && !world.is_stale(now, part)
     }
 
     /// Whether a target's failure domain may get something new. It is asked
--- a/crates/hollywell/src/entry/suspects.rs
+++ b/crates/hollywell/src/entry/suspects.rs
@@ -16,10 +16,11 @@
         fleet::Announcement,
         poison::{self, Digest, Verdict},
         room::Use,
+        time::Time,
     },
     entry::{
         follow, peers,
-        shared::{Shared, wall_ms},
+        shared::{Shared, World, wall_ms},
         store::{Append, Fault, Part},
     },
 };
@@ -125,17 +126,20 @@
 /// Where a suspect may be tried among a pool's targets.
 pub fn trial(shared: &Shared, pool: &str, digest: Digest) -> Trial {
     let (now, world) = (shared.now(), shared.world.borrow());
-    let all = || world.fleet.usable(pool).map(|target| &target.said);
-    let sound = all().filter(|said| !world.sights.is_broken(now, &said.id));
-    let sound: Vec<&str> = sound.map(|said| said.id.as_str()).collect();
     let since_ms = world.poison.since_end_ms(wall_ms(), digest).unwrap_or(u64::MAX);
-    let id = poison::trial(&sound, since_ms);
-    match id.and_then(|id| all().find(|said| said.id == id)) {
-        Some(said) => Trial::At(Box::new(said.clone())),
+    let id = poison::trial(&sound(&world, now, pool), since_ms);
+    match id.and_then(|id| world.fleet.targets.get(id)) {
+        Some(target) => Trial::At(Box::new(target.said.clone())),
         None => Trial::Nowhere,
     }
 }
 
+/// A pool's targets at which no exchange broke a moment ago.
+fn sound<'a>(world: &'a World, now: Time, pool: &'a str) -> Vec<&'a str> {
+    let all = world.fleet.usable(pool).map(|target| target.said.id.as_str());
+    all.filter(|id| !world.sights.is_broken(now, id)).collect()
+}
+
 /// Whether a suspect's last end is so long ago that it is alone where it is
 /// tried.
 pub fn is_settled(shared: &Shared, digest: Digest) -> bool {
@@ -146,13 +150,11 @@
 /// The target of a pool that is kept free for suspects, while any may be
 /// tried soon.
 pub fn reserved(shared: &Shared, pool: &str) -> Option<String> {
-    if !shared.world.borrow().poison.is_trying(wall_ms()) {
+    let (now, world) = (shared.now(), shared.world.borrow());
+    if !world.poison.is_trying(wall_ms()) {
         return None;
     }
-    let (now, world) = (shared.now(), shared.world.borrow());
-    let all = world.fleet.usable(pool).map(|target| target.said.id.as_str());
-    let sound: Vec<&str> = all.filter(|id| !world.sights.is_broken(now, id)).collect();
-    poison::trial(&sound, 0).map(str::to_owned)
+    poison::trial(&sound(&world, now, pool), 0).map(str::to_owned)
 }
 
 /// The turn to try a suspect at a pool, which one of all instances has at a
--- a/crates/hollywell/src/entry/unbegun.rs
+++ b/crates/hollywell/src/entry/unbegun.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::sleep;
 
-use crate::entry::shared::Shared;
+use crate::{core::fleet::Target, entry::shared::Shared};
 
 /// Time in which a job that was accepted begins: its samples are read, sent
 /// and mostly whole by then.
@@ -68,7 +68,7 @@
     let Some(job) = shelf.book.jobs.get(id) else {
         return (!world.ending.holds(id)).then_some(Why::Unread);
     };
-    let is_here = world.runs_of(id);
+    let is_here = world.texts.keys().any(|slot| slot.job == id);
     if job.ended || is_here || !job.listed.is_empty() || !job.partials.is_empty() {
         return None;
     }
@@ -84,10 +84,7 @@
     if world.roster.members().is_empty() {
         return Some(Why::Alone);
     }
-    let fits = |target: &crate::core::fleet::Target| {
-        let version = target.said.versions.get(&job.head.model);
-        version.is_none_or(|version| *version >= job.head.min_version)
-    };
+    let fits = |target: &Target| target.may_run(&job.head.model, job.head.min_version);
     let is_served = world.fleet.usable(pool).any(fits);
     Some(if is_served { Why::Waits } else { Why::NoTarget })
 }
