Decode what the parts on hard load need, and take the start of samples out of dispatch

Cause: the reducer knew neither who waits for a job nor until when, nor what a sample takes in a target's memory, and the adapter dropped the fourth figure of a load header and the memory that the configuration states.

Nothing decides by the new facts yet. A load of 2^32 requests overflowed (a panic in a debug build) and counts as full now.

Ruled out: a field for each part as it comes; four parts would change the same lines.

--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -78,6 +78,15 @@
     /// Request that scores the sample, if any.
     #[prost(message, optional, tag = "7")]
     pub scorer: Option<Scorer>,
+    /// Tokens of the prompt; 0 if the submission does not state them.
+    #[prost(uint32, tag = "8")]
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt's parts that all samples of the group share.
+    #[prost(uint32, tag = "9")]
+    pub shared_tokens: u32,
+    /// Limit on the tokens that are generated; 0 if there is none.
+    #[prost(uint32, tag = "10")]
+    pub max_tokens: u32,
 }
 
 /// Samples that are stored in one record.
@@ -203,6 +212,15 @@
     /// Index of the sample within that bundle.
     #[prost(uint32, tag = "5")]
     pub at: u32,
+    /// Tokens of the prompt; 0 if the submission does not state them.
+    #[prost(uint32, tag = "6")]
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt's parts that all samples of the group share.
+    #[prost(uint32, tag = "7")]
+    pub shared_tokens: u32,
+    /// Limit on the tokens that are generated; 0 if there is none.
+    #[prost(uint32, tag = "8")]
+    pub max_tokens: u32,
 }
 
 /// Metadata of a job, which every instance folds.
@@ -295,6 +313,9 @@
             tokens: sample.tokens_hint,
             bundle: u32::try_from(bundle).unwrap_or(u32::MAX),
             at: u32::try_from(at).unwrap_or(u32::MAX),
+            prompt_tokens: sample.prompt_tokens,
+            shared_tokens: sample.shared_tokens,
+            max_tokens: sample.max_tokens,
         });
     }
     (metadata, bundles)
--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -71,6 +71,9 @@
     pub waiting: u32,
     /// Requests that it can run at the same time.
     pub slots: u32,
+    /// How long work takes there at the moment, in percent of the usual time;
+    /// `None` if the target does not state it. It changes many times a second.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// What was observed of one target.
@@ -159,7 +162,7 @@
     pub fn record_load(&mut self, now: Time, id: &str, load: Load) {
         let observation = self.entry(id);
         observation.other_requests =
-            (load.running + load.waiting).saturating_sub(observation.own_requests);
+            load.running.saturating_add(load.waiting).saturating_sub(observation.own_requests);
         observation.other_requests_at = now;
         observation.last_response_at = now;
     }
--- a/crates/hollywell/src/core/configuration.rs
+++ b/crates/hollywell/src/core/configuration.rs
@@ -80,6 +80,10 @@
     pub max_connections: u32,
     /// Models that its targets hold; empty for plain services.
     pub models: Vec<String>,
+    /// Tokens that one target's memory holds; 0 if the configuration does not
+    /// state it.
+    #[serde(default)]
+    pub memory_tokens: u64,
 }
 
 /// A complete configuration.
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -9,9 +9,9 @@
 //! instances may run the same sample for a while; the order of records in the
 //! store decides which result counts ([`crate::core::batch`]).
 //!
-//! `leave` decides which runs should move away from their target, `locality`
-//! selects the targets to consider in a large pool, and `owners` assigns groups
-//! to instances.
+//! `start` starts waiting samples, `leave` decides which runs should move away
+//! from their target, `locality` selects the targets to consider in a large
+//! pool, and `owners` assigns groups to instances.
 //!
 //! Generated text never passes through the reducer: the driver keeps the text,
 //! the reducer only counts stream events.
@@ -19,25 +19,18 @@
 mod leave;
 mod locality;
 mod owners;
+mod start;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
-use locality::{Locality, Selector};
+use locality::Locality;
 pub use owners::owner;
 use owners::{Change, Owners};
 
-use crate::core::{
-    choice::{Need, Observations},
-    fleet::Fleet,
-    time::Time,
-};
+use crate::core::{choice::Observations, fleet::Fleet, time::Time};
 
-/// Highest load at which requests are still sent to a target: requests of all
-/// instances per slot. Above it a sample waits in this instance, where it can
-/// still go to whichever target has a free slot first.
-const MAX_LOAD: f64 = 1.6;
 /// Number of events by which another instance's stored text must be ahead
 /// before a run is restarted from that text.
 const RESTART_LEAD_EVENTS: u32 = 12;
@@ -108,12 +101,40 @@
     pub group: String,
     /// Estimated number of tokens to generate.
     pub tokens: u32,
+    /// Tokens that the sample takes in a target's memory.
+    #[serde(default)]
+    pub size: Size,
     /// The sample was already requested by an earlier step and is resumed. The
     /// trainer waits for all resumed samples, however many others are complete.
     #[serde(rename = "carried")]
     pub resumed: bool,
 }
 
+/// Tokens that a sample takes in a target's memory.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Tokens of the prompt; 0 if the submission does not state them.
+    pub prompt: u32,
+    /// Tokens of the prompt's parts that all samples of the group share.
+    pub shared: u32,
+    /// Limit on the tokens that are generated; 0 if the submission does not
+    /// state one.
+    pub limit: u32,
+}
+
+/// Who waits for a job, and until when.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The organisation that owns the job; empty if there are none.
+    pub organisation: String,
+    /// Priority of the organisation, or else of the route; 0 is the highest.
+    pub priority: u8,
+    /// When the results are due; `None` if the route does not state it.
+    pub due: Option<Time>,
+    /// Number of complete groups that the trainer waits for; 0 stands for all.
+    pub groups_wanted: usize,
+}
+
 /// What the reducer needs to know of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -132,6 +153,9 @@
     pub max_attempts: u32,
     /// The time after which unfinished samples may be given up.
     pub keep_until: Time,
+    /// Who waits for the job, and until when.
+    #[serde(default)]
+    pub demand: Demand,
     /// The samples, in the order of the submission.
     pub samples: Vec<SampleSpec>,
     /// For each sample, whether its result was already in the store.
@@ -580,79 +604,4 @@
             }
         }
     }
-
-    fn start_samples(
-        &mut self,
-        now: Time,
-        fleet: &Fleet,
-        observations: &mut Observations,
-        effects: &mut Vec<Effect>,
-    ) {
-        let salt = xxhash_rust::xxh3::xxh3_64(self.own_id.as_bytes());
-        for job in &self.arrival {
-            let Some(active) = self.jobs.get_mut(job) else {
-                continue;
-            };
-            if self.stale.contains(&active.spec.part) {
-                continue;
-            }
-            let longest = active.spec.samples.iter().map(|item| item.tokens).max().unwrap_or(1);
-            let is_due = |progress: &Progress| {
-                progress.assigned && progress.stage == Stage::Idle && now >= progress.not_before
-            };
-            if !active.progress.iter().any(is_due) {
-                continue;
-            }
-            let samples = active.progress.iter().filter(|progress| progress.assigned).count();
-            let selector = Selector { salt, domain: &self.domain, samples };
-            active.locality.refresh(now, selector, &active.spec, fleet, observations);
-            let spec = &active.spec;
-            let targets = active.locality.targets(spec, fleet);
-            for &at in &active.order {
-                let progress = &mut active.progress[at];
-                if !is_due(progress) {
-                    continue;
-                }
-                let need = Need {
-                    events: f64::from(spec.samples[at].tokens) / TOKENS_PER_EVENT,
-                    max_load: MAX_LOAD,
-                    instances: self.members.len() as f64,
-                    salt: salt ^ self.next_run,
-                };
-                let Some(target) = observations.choose(now, targets.iter().copied(), need) else {
-                    active.locality.mark_exhausted();
-                    break;
-                };
-                let run = Run(self.next_run);
-                self.next_run += 1;
-                progress.stage = Stage::Running(run);
-                observations.request_started(&target.id);
-                let sample_id = SampleId { job: job.clone(), index: at };
-                let running = Running {
-                    sample_id: sample_id.clone(),
-                    target: target.id.clone(),
-                    start_ms: target.start_ms,
-                    answered: false,
-                    last_event_at: now,
-                    events: 0,
-                };
-                self.runs.insert(run, running);
-                let priority = priority(&spec.samples[at], longest);
-                effects.push(Effect::Start { run, sample_id, target: target.id.clone(), priority });
-            }
-        }
-    }
-}
-
-/// Priority of a sample at a target, 4 to 8: resumed samples first, then the
-/// longer the sample, the higher its priority. Live traffic has priority over
-/// all samples.
-fn priority(item: &SampleSpec, longest: u32) -> u8 {
-    const FIRST: u64 = 4;
-    const STEPS: u64 = 4;
-    if item.resumed {
-        return FIRST as u8;
-    }
-    let share = u64::from(item.tokens) * STEPS / u64::from(longest.max(1));
-    u8::try_from(FIRST + STEPS - share.min(STEPS)).unwrap_or(u8::MAX)
 }
--- a/crates/hollywell/src/core/organisation.rs
+++ b/crates/hollywell/src/core/organisation.rs
@@ -134,6 +134,13 @@
         let at = self.by_key.get(&Digest::of(key)).ok_or(AuthError::Unknown)?;
         self.organisations.get(*at).ok_or(AuthError::Unknown)
     }
+
+    /// Returns the priority that an organisation has of its own; 0 is the
+    /// highest.
+    #[must_use]
+    pub fn priority(&self, name: &str) -> Option<u8> {
+        self.organisations.iter().find(|organisation| organisation.name == name)?.priority
+    }
 }
 
 /// Returns the key in a header's value.
--- a/crates/hollywell/src/entry/resume.rs
+++ b/crates/hollywell/src/entry/resume.rs
@@ -7,7 +7,7 @@
 use crate::{
     core::{
         batch::{Manifest, Partial},
-        dispatch::SampleSpec,
+        dispatch::{SampleSpec, Size},
     },
     entry::shared::JobPartition,
 };
@@ -36,7 +36,12 @@
             job.partials.entry(at).or_insert(text);
         }
         let (group, tokens) = (sample.group.clone(), sample.tokens);
-        items.push(SampleSpec { group, tokens, resumed });
+        let size = Size {
+            prompt: sample.prompt_tokens,
+            shared: sample.shared_tokens,
+            limit: sample.max_tokens,
+        };
+        items.push(SampleSpec { group, tokens, size, resumed });
     }
     items
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -17,11 +17,11 @@
 use crate::{
     clock::Clock,
     core::{
-        batch::{self, Bundle, Change, Index, Record, Written},
+        batch::{self, Bundle, Change, Index, Manifest, Record, Written},
         capacity,
         choice::Observations,
-        configuration::{Configuration, RouteKind},
-        dispatch::{self, Effect, Event, JobSpec, Run, SampleId},
+        configuration::{Configuration, Route, RouteKind},
+        dispatch::{self, Demand, Effect, Event, JobSpec, Run, SampleId},
         ending,
         fleet::{Announcement, Fleet},
         group::GroupSize,
@@ -545,6 +545,7 @@
                 min_version: job.manifest.min_version,
                 max_attempts: route.max_attempts,
                 keep_until: self.now().after(keep_ms),
+                demand: demand(self.now(), route, configuration.as_deref(), &head),
                 samples: vec![],
                 done: job.done.clone(),
             };
@@ -572,3 +573,21 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Who waits for a job that is opened now, and until when.
+fn demand(
+    now: Time,
+    route: &Route,
+    configuration: Option<&Configuration>,
+    manifest: &Manifest,
+) -> Demand {
+    let directory = configuration.and_then(|configuration| configuration.organisations.as_ref());
+    let priority = directory.and_then(|directory| directory.priority(&manifest.organisation));
+    let age_ms = unix_ms().saturating_sub(manifest.at_ms);
+    Demand {
+        organisation: manifest.organisation.clone(),
+        priority: priority.unwrap_or(route.priority),
+        due: (route.due_ms > 0).then(|| now.after(route.due_ms.saturating_sub(age_ms))),
+        groups_wanted: usize::try_from(manifest.groups_wanted).unwrap_or(usize::MAX),
+    }
+}
--- a/crates/hollywell/tests/dispatch.rs
+++ b/crates/hollywell/tests/dispatch.rs
@@ -7,7 +7,10 @@
 
 use hollywell::core::{
     choice::Observations,
-    dispatch::{Effect, End, Event, JobSpec, MoveReason, Run, SampleId, SampleSpec, State, owner},
+    dispatch::{
+        Demand, Effect, End, Event, JobSpec, MoveReason, Run, SampleId, SampleSpec, Size, State,
+        owner,
+    },
     fleet::{Announcement, Fleet},
     time::Time,
 };
@@ -37,6 +40,7 @@
     let item = |(n, tokens): (usize, &u32)| SampleSpec {
         group: format!("g{n}"),
         tokens: *tokens,
+        size: Size::default(),
         resumed: false,
     };
     let samples: Vec<SampleSpec> = hints.iter().enumerate().map(item).collect();
@@ -48,6 +52,7 @@
         min_version: 1,
         max_attempts: 3,
         keep_until: Time(40_000),
+        demand: Demand::default(),
         done: vec![false; samples.len()],
         samples,
     }
--- a/crates/hollywell/tests/near.rs
+++ b/crates/hollywell/tests/near.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 
 use hollywell::core::{
-    choice::Observations,
-    dispatch::{Effect, End, Event, JobSpec, Run, SampleSpec, State},
+    choice::{Load, Need, Observations},
+    dispatch::{Demand, Effect, End, Event, JobSpec, Run, SampleSpec, Size, State},
     fleet::{Announcement, Fleet},
     time::Time,
 };
@@ -43,7 +43,8 @@
 }
 
 fn job_spec(job: &str, samples: usize) -> JobSpec {
-    let item = |_| SampleSpec { group: "g".into(), tokens: 500, resumed: false };
+    let item =
+        |_| SampleSpec { group: "g".into(), tokens: 500, size: Size::default(), resumed: false };
     JobSpec {
         job: job.into(),
         part: 0,
@@ -52,6 +53,7 @@
         min_version: 2,
         max_attempts: 3,
         keep_until: Time(40_000),
+        demand: Demand::default(),
         done: vec![false; samples],
         samples: (0..samples).map(item).collect(),
     }
@@ -154,3 +156,16 @@
     let effects = state.step(Time(120), &Event::Tick, &fleet, &mut observations);
     assert_eq!(started_runs(&effects).len(), 1, "the sample starts on the next look after 100 ms");
 }
+
+#[test]
+fn a_load_beyond_all_bounds_is_counted_as_full() {
+    let fleet = fleet(1);
+    let load = Load { running: u32::MAX, waiting: 1, slots: SLOTS, slowdown_percent: None };
+    let mut observations = Observations::default();
+    for n in 0..ENGINES {
+        observations.record_load(Time(5), &format!("e{n}"), load);
+    }
+    let need = Need { events: 1.0, max_load: 2.0, instances: 1.0, salt: 0 };
+    let all = fleet.usable("llm").map(|target| &target.announcement);
+    assert!(observations.choose(Time(5), all, need).is_none());
+}
--- a/crates/hollywell/tests/spare.rs
+++ b/crates/hollywell/tests/spare.rs
@@ -34,6 +34,7 @@
             tokens: 10,
             bundle: at / 2,
             at: at % 2,
+            ..SampleMeta::default()
         };
         let bundles = ["b0", "b1"].map(|writer| text(&bundle_key("j", writer)));
         let manifest = Manifest {
