Reword the stand-ins: events and replies in place of what was seen and told

Change: history::Event and Reply, web::Received, judge::StepId; comments and options in the usual terms. The histories' format is the same (serde names kept), as are paths, options and output.

--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -1,5 +1,5 @@
-//! An application's caller: it makes calls that must not run twice, through
-//! any entry instance, and sends a key again when it was not answered.
+//! A caller of an application. It makes calls that must run at most once,
+//! through any entry instance, and retries a key until it is answered.
 
 use std::{path::PathBuf, time::Duration};
 
@@ -11,36 +11,36 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
-    history::{Saw, Told, Writer, now_ms},
+    history::{Event, Reply, Writer, now_ms},
     web,
 };
 
-/// Sends of one key at most.
-const MOST_SENDS: u32 = 12;
-/// Calls under way at once at most.
-const MOST_CALLS: usize = 32;
-/// One in so many refusals as not run is taken as final, which makes a run
-/// in spite of it visible.
+/// Maximum number of sends of one key.
+const MAX_SENDS: u32 = 12;
+/// Maximum number of calls in flight.
+const MAX_CALLS: usize = 32;
+/// One in this many refusals as not run is not retried, so that a run in spite
+/// of the refusal is noticed.
 const FINAL_ONE_IN: u32 = 4;
 
-/// How it is started.
+/// Options of the caller.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Name in histories and keys.
     pub name: String,
-    /// Addresses of the entry instances; one is drawn for each send.
+    /// Addresses of the entry instances; each send goes to a random one.
     pub entries: Vec<String>,
     /// Pool to call.
     pub pool: String,
     /// Calls to make.
     pub calls: u64,
-    /// Time between calls, in milliseconds.
+    /// Interval between calls, in milliseconds.
     pub pause_ms: u64,
-    /// Time for a send, in milliseconds.
+    /// Timeout of a send, in milliseconds.
     pub timeout_ms: u64,
     /// Percentage of answered calls that are sent once more.
     pub resend_percent: u32,
-    /// Seed of all draws.
+    /// Seed of the random numbers.
     pub seed: u64,
     /// Directory of history files.
     pub history: PathBuf,
@@ -64,7 +64,7 @@
         };
         calls.spawn(call.make());
         sleep(Duration::from_millis(options.pause_ms)).await;
-        while calls.len() >= MOST_CALLS {
+        while calls.len() >= MAX_CALLS {
             calls.join_next().await;
         }
     }
@@ -82,16 +82,16 @@
 impl Call {
     async fn make(mut self) {
         let mut answered = false;
-        for send in 0..MOST_SENDS {
-            let told = self.send().await;
-            let last = match told {
-                Told::Answer if answered => true,
-                Told::Answer => {
+        for send in 0..MAX_SENDS {
+            let reply = self.send().await;
+            let last = match reply {
+                Reply::Answer if answered => true,
+                Reply::Answer => {
                     answered = true;
                     !self.rng.random_ratio(self.options.resend_percent.min(100), 100)
                 }
-                Told::NotRun => self.rng.random_ratio(1, FINAL_ONE_IN),
-                Told::Unknown | Told::Nothing | Told::Cut => false,
+                Reply::NotRun => self.rng.random_ratio(1, FINAL_ONE_IN),
+                Reply::Unknown | Reply::Nothing | Reply::Cut => false,
             };
             if last {
                 return;
@@ -101,17 +101,17 @@
         }
     }
 
-    async fn send(&mut self) -> Told {
+    async fn send(&mut self) -> Reply {
         let index = self.rng.random_range(0..self.options.entries.len());
         let entry = self.options.entries[index].clone();
         let key = self.key.clone();
-        self.history.saw(Saw::Sent { key: key.clone(), entry: entry.clone() });
-        let (told, matches) = self.exchange(&entry).await;
-        self.history.saw(Saw::Told { key, entry, told, matches });
-        told
+        self.history.record(Event::Sent { key: key.clone(), entry: entry.clone() });
+        let (reply, matches) = self.exchange(&entry).await;
+        self.history.record(Event::Replied { key, entry, reply, matches });
+        reply
     }
 
-    async fn exchange(&self, entry: &str) -> (Told, bool) {
+    async fn exchange(&self, entry: &str) -> (Reply, bool) {
         let body = json!({ "sealed": self.key }).to_string();
         let uri = format!("http://{entry}/svc/{}/envelopes", self.options.pool);
         let request = Request::post(uri)
@@ -119,33 +119,33 @@
             .header("hollywell-timeout-ms", self.options.timeout_ms)
             .body(Full::new(Bytes::from(body.clone())));
         let Ok(request) = request else {
-            return (Told::Nothing, true);
+            return (Reply::Nothing, true);
         };
         let timeout = Duration::from_millis(self.options.timeout_ms + 1_000);
         let exchange = async {
             let response = match web::client().request(request).await {
                 Ok(response) => response,
-                Err(error) if error.is_connect() => return (Told::Nothing, true),
-                Err(_) => return (Told::Cut, true),
+                Err(error) if error.is_connect() => return (Reply::Nothing, true),
+                Err(_) => return (Reply::Cut, true),
             };
             let (head, whole) = response.into_parts();
             match whole.collect().await {
-                Ok(bytes) => self.judge(&Response::from_parts(head, bytes.to_bytes()), &body),
-                Err(_) => (Told::Cut, true),
+                Ok(bytes) => self.classify(&Response::from_parts(head, bytes.to_bytes()), &body),
+                Err(_) => (Reply::Cut, true),
             }
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or((Told::Unknown, true))
+        tokio::time::timeout(timeout, exchange).await.unwrap_or((Reply::Unknown, true))
     }
 
-    fn judge(&self, response: &Response<Bytes>, body: &str) -> (Told, bool) {
+    fn classify(&self, response: &Response<Bytes>, body: &str) -> (Reply, bool) {
         let outcome = response.headers().get("hollywell-outcome");
         match outcome.and_then(|outcome| outcome.to_str().ok()) {
-            Some("not-run") => (Told::NotRun, true),
-            Some(_) => (Told::Unknown, true),
+            Some("not-run") => (Reply::NotRun, true),
+            Some(_) => (Reply::Unknown, true),
             None => {
                 let answer: Value = serde_json::from_slice(response.body()).unwrap_or_default();
                 let own = answer["key"] == self.key.as_str() && answer["echo"] == body;
-                (Told::Answer, own)
+                (Reply::Answer, own)
             }
         }
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,8 +25,8 @@
 };
 
 use crate::{
-    history::{Saw, Writer},
-    web::{self, Answer, Asked},
+    history::{Event, Writer},
+    web::{self, Answer, Received},
 };
 
 /// Prompt prefixes that the cache holds.
@@ -148,9 +148,9 @@
     let engine = Arc::new(Engine { options, history, state: Mutex::new(state) });
     engine.report();
     tokio::spawn(Arc::clone(&engine).keep_reporting());
-    web::serve(&listen, move |asked| {
+    web::serve(&listen, move |request| {
         let engine = Arc::clone(&engine);
-        async move { engine.answer(&asked).await }
+        async move { engine.answer(&request).await }
     })
     .await
 }
@@ -193,37 +193,37 @@
         }
     }
 
-    async fn answer(self: &Arc<Engine>, asked: &Asked) -> Answer {
-        match (asked.method(), asked.path().as_slice()) {
+    async fn answer(self: &Arc<Engine>, request: &Received) -> Answer {
+        match (request.method(), request.path().as_slice()) {
             (&Method::GET, ["load"]) => web::json(200, &self.state().reported),
-            (&Method::GET, ["events"]) => self.events(asked),
-            (&Method::POST, ["orders"]) => self.order(asked).await,
-            (&Method::POST, ["switch"]) => self.switch(asked),
-            (&Method::POST, ["v1", "completions"]) => self.complete(asked),
+            (&Method::GET, ["events"]) => self.events(request),
+            (&Method::POST, ["orders"]) => self.order(request).await,
+            (&Method::POST, ["switch"]) => self.switch(request),
+            (&Method::POST, ["v1", "completions"]) => self.complete(request),
             _ => web::json(404, &"no such path"),
         }
     }
 
-    fn switch(&self, asked: &Asked) -> Answer {
-        let Some(switch) = asked.json::<Switch>() else {
+    fn switch(&self, request: &Received) -> Answer {
+        let Some(switch) = request.json::<Switch>() else {
             return web::json(400, &"not a switch");
         };
         if switch.leaving {
-            self.history.saw(Saw::Leaving { target: self.options.name.clone() });
+            self.history.record(Event::Leaving { target: self.options.name.clone() });
         }
         self.state().switch = switch;
         web::json(200, &"ok")
     }
 
-    fn events(&self, asked: &Asked) -> Answer {
-        let from = usize::try_from(asked.query("from").unwrap_or_default()).unwrap_or(usize::MAX);
+    fn events(&self, request: &Received) -> Answer {
+        let from = usize::try_from(request.query("from").unwrap_or_default()).unwrap_or(usize::MAX);
         let state = self.state();
         let events: Vec<&Value> = state.events.iter().skip(from).collect();
         web::json(200, &json!({ "next": state.events.len(), "events": events }))
     }
 
-    async fn order(&self, asked: &Asked) -> Answer {
-        let Some(order) = asked.json::<Order>() else {
+    async fn order(&self, request: &Received) -> Answer {
+        let Some(order) = request.json::<Order>() else {
             return web::json(400, &"not an order");
         };
         {
@@ -260,8 +260,8 @@
         fetched.is_some_and(|answer| answer.status().is_success())
     }
 
-    fn complete(self: &Arc<Engine>, asked: &Asked) -> Answer {
-        let Some(completion) = asked.json::<Completion>() else {
+    fn complete(self: &Arc<Engine>, request: &Received) -> Answer {
+        let Some(completion) = request.json::<Completion>() else {
             return web::json(400, &"not a completion");
         };
         if self.state().switch.garbage {
@@ -270,7 +270,7 @@
         if !self.state().versions.contains_key(&completion.model) {
             return web::json(404, &"no such model");
         }
-        self.history.saw(Saw::Given { target: self.options.name.clone() });
+        self.history.record(Event::Given { target: self.options.name.clone() });
         let (frames, stream) = mpsc::channel::<Bytes>(4);
         tokio::spawn(Arc::clone(self).generate(completion, frames));
         let body = StreamBody::new(Frames(stream)).boxed_unsync();
@@ -327,7 +327,7 @@
             let last = number + 1 == tokens;
             if last {
                 let versions = versions.clone();
-                self.history.saw(Saw::Generated { id: id.clone(), versions });
+                self.history.record(Event::Generated { id: id.clone(), versions });
             }
             let text = if number == 0 { format!("{id} ") } else { String::from("w ") };
             let mut chunk = json!({
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -1,5 +1,5 @@
-//! Histories: what callers, trainers and targets saw, one JSON object a
-//! line, each process in a file of its own.
+//! Histories of what callers, trainers and targets observed. Each process
+//! writes its own file with one JSON object per line.
 
 use std::{
     fs::{self, File, OpenOptions},
@@ -11,26 +11,26 @@
 
 use serde::{Deserialize, Serialize};
 
-/// What a caller was told.
+/// How a call ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Told {
-    /// The target's whole answer.
+pub enum Reply {
+    /// The complete answer of the target.
     Answer,
-    /// Refused, and it did not run.
+    /// Refused, with the statement that it did not run.
     NotRun,
-    /// Refused or given up on, and it may have run.
+    /// Refused or timed out; it may have run.
     Unknown,
-    /// No connection, so nothing was said.
+    /// No connection could be established.
     Nothing,
-    /// The connection broke before the answer was whole.
+    /// The connection broke before the answer was complete.
     Cut,
 }
 
-/// Something that one process saw.
+/// An event that a process observed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Saw {
+pub enum Event {
     /// A caller sent a call.
     Sent {
         /// The call's key.
@@ -38,14 +38,16 @@
         /// Where it was sent.
         entry: String,
     },
-    /// A caller was told how its call ended.
-    Told {
+    /// A call ended for its caller.
+    #[serde(rename = "told")]
+    Replied {
         /// The call's key.
         key: String,
         /// Where it had been sent.
         entry: String,
-        /// What it was told.
-        told: Told,
+        /// How it ended.
+        #[serde(rename = "told")]
+        reply: Reply,
         /// True if an answer is complete and to this very call.
         matches: bool,
     },
@@ -61,7 +63,7 @@
         /// The target.
         target: String,
     },
-    /// A target was told that it leaves.
+    /// A target received notice that it leaves.
     Leaving {
         /// The target.
         target: String,
@@ -105,16 +107,16 @@
         index: u32,
         /// The generation's number, from the text.
         id: String,
-        /// The versions named.
+        /// The versions that the sample names.
         versions: Vec<u64>,
     },
-    /// A trainer stopped waiting for a step, or had it whole.
+    /// A step was completed, or its trainer stopped waiting.
     StepEnded {
         /// The trainer.
         trainer: String,
         /// The step.
         step: u64,
-        /// True if it was whole in time.
+        /// Whether it was complete in time.
         whole: bool,
     },
     /// A trainer's stream broke.
@@ -129,18 +131,18 @@
         /// The row's revision.
         revision: u64,
     },
-    /// What an entry instance has in force.
+    /// The table that is in force at an entry instance.
     InForce {
         /// The entry instance.
         entry: String,
-        /// Its run.
+        /// Its incarnation.
         incarnation: u64,
-        /// Offset before which all is in force.
+        /// Offset before which all changes are in force.
         next: u64,
         /// Revisions by row.
         rows: Vec<(String, u64)>,
     },
-    /// A process was asked to stop.
+    /// A process was request to stop.
     StopAsked {
         /// The entry instance.
         entry: String,
@@ -162,10 +164,11 @@
 /// A line of a history.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
-    /// When, in milliseconds since the epoch; all stand-ins share a machine.
+    /// Time in milliseconds since the Unix epoch; all stand-ins run on one machine.
     pub at: u64,
-    /// What.
-    pub saw: Saw,
+    /// The event.
+    #[serde(rename = "saw")]
+    pub event: Event,
 }
 
 /// Writes one process's history.
@@ -179,7 +182,7 @@
     ///
     /// # Errors
     ///
-    /// If the directory or the file cannot be made.
+    /// If the directory or the file cannot be created.
     pub fn open(directory: &Path, name: &str) -> std::io::Result<Writer> {
         fs::create_dir_all(directory)?;
         let path = directory.join(format!("{name}.jsonl"));
@@ -187,14 +190,14 @@
         Ok(Writer { file: Mutex::new(file) })
     }
 
-    /// Writes what was seen just now.
-    pub fn saw(&self, saw: Saw) {
-        let line = Line { at: now_ms(), saw };
+    /// Appends an event with the current time.
+    pub fn record(&self, event: Event) {
+        let line = Line { at: now_ms(), event };
         let mut text = serde_json::to_vec(&line).unwrap_or_default();
         text.push(b'\n');
         let mut file = self.file.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         if let Err(error) = file.write_all(&text) {
-            eprintln!("standin: history lost: {error}");
+            eprintln!("standin: writing the history: {error}");
         }
     }
 }
@@ -210,7 +213,7 @@
 ///
 /// # Errors
 ///
-/// If a file cannot be read or has a line that is no history.
+/// If a file cannot be read or a line cannot be decoded.
 pub fn read(directory: &Path) -> std::io::Result<Vec<Line>> {
     let mut lines = vec![];
     for entry in fs::read_dir(directory)? {
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -9,7 +9,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use crate::web::{self, Answer, Asked};
+use crate::web::{self, Answer, Received};
 
 type Entries = BTreeMap<String, Value>;
 
@@ -46,22 +46,22 @@
 pub async fn run(listen: &str, lag_ms: u64) -> std::io::Result<()> {
     let list = List { lag: Duration::from_millis(lag_ms), versions: vec![] };
     let list = Arc::new(Mutex::new(list));
-    web::serve(listen, move |asked| {
+    web::serve(listen, move |request| {
         let list = Arc::clone(&list);
-        async move { answer(&list, &asked) }
+        async move { answer(&list, &request) }
     })
     .await
 }
 
-fn answer(list: &Mutex<List>, asked: &Asked) -> Answer {
+fn answer(list: &Mutex<List>, request: &Received) -> Answer {
     let mut list = list.lock().unwrap_or_else(PoisonError::into_inner);
-    match (asked.method(), asked.path().as_slice()) {
+    match (request.method(), request.path().as_slice()) {
         (&Method::GET, ["list"]) => {
             let entries: Vec<Value> = list.lagging().into_values().collect();
             web::json(200, &json!({ "entries": entries }))
         }
         (&Method::POST, ["entries"]) => {
-            let Some(entry) = asked.json::<Value>() else {
+            let Some(entry) = request.json::<Value>() else {
                 return web::json(400, &"not an entry");
             };
             let name = entry["name"].as_str().unwrap_or_default().to_owned();
--- a/crates/standin/src/judge.rs
+++ b/crates/standin/src/judge.rs
@@ -1,4 +1,4 @@
-//! The checker: reads the histories of a concurrent run against what must
+//! Checks the histories of a concurrent run against the properties that must
 //! always hold.
 
 use std::{
@@ -8,14 +8,14 @@
 
 use serde::Serialize;
 
-use crate::history::{self, Line, Saw, Told};
+use crate::history::{self, Event, Line, Reply};
 
 /// Time after which a leaving target must get no new work, in milliseconds.
 pub const LEAVING_MS: u64 = 4_000;
 /// Time in which an accepted change must be in force, in milliseconds.
 pub const IN_FORCE_MS: u64 = 5_000;
-/// Most violations that are spelt out.
-const MOST_SPELT_OUT: usize = 20;
+/// Maximum number of violations that are described.
+const MAX_VIOLATION_TEXTS: usize = 20;
 
 /// What the histories show. The counts from `samples_missing` on are
 /// violations, except for `table_in_force` and `graceful_stops`.
@@ -55,9 +55,9 @@
     pub table_in_force: bool,
     /// Instances that stopped with exit code 0 when asked to.
     pub graceful_stops: u64,
-    /// The violations, spelt out.
+    /// Descriptions of the first violations.
     #[serde(skip)]
-    pub spelt_out: Vec<String>,
+    pub violation_texts: Vec<String>,
 }
 
 impl Verdict {
@@ -90,9 +90,9 @@
             + self.table_reverted
     }
 
-    fn spell(&mut self, text: String) {
-        if self.spelt_out.len() < MOST_SPELT_OUT {
-            self.spelt_out.push(text);
+    fn describe(&mut self, text: String) {
+        if self.violation_texts.len() < MAX_VIOLATION_TEXTS {
+            self.violation_texts.push(text);
         }
     }
 }
@@ -105,7 +105,7 @@
 /// If the histories cannot be read.
 pub fn run(directory: &Path, untimed: bool) -> std::io::Result<bool> {
     let verdict = judge(&history::read(directory)?);
-    for violation in &verdict.spelt_out {
+    for violation in &verdict.violation_texts {
         println!("violation: {violation}");
     }
     println!("{}", serde_json::to_string(&verdict)?);
@@ -124,43 +124,44 @@
     verdict
 }
 
-type Place = (String, u64);
+/// A trainer and the number of its step.
+type StepId = (String, u64);
 
 fn judge_samples(lines: &[Line], verdict: &mut Verdict) {
     let mut produced: BTreeMap<&str, &Vec<u64>> = BTreeMap::new();
     for line in lines {
-        if let Saw::Generated { id, versions } = &line.saw {
+        if let Event::Generated { id, versions } = &line.event {
             produced.insert(id, versions);
         }
     }
-    let mut opened: BTreeMap<Place, (u64, u64)> = BTreeMap::new();
-    let mut received: BTreeMap<Place, BTreeSet<(u32, u32)>> = BTreeMap::new();
+    let mut opened: BTreeMap<StepId, (u64, u64)> = BTreeMap::new();
+    let mut received: BTreeMap<StepId, BTreeSet<(u32, u32)>> = BTreeMap::new();
     for line in lines {
-        match &line.saw {
-            Saw::Opened { trainer, step, samples, version, staleness } => {
+        match &line.event {
+            Event::Opened { trainer, step, samples, version, staleness } => {
                 let oldest = version.saturating_sub(*staleness);
                 opened.insert((trainer.clone(), *step), (*samples, oldest));
             }
-            Saw::Sample { trainer, step, group, index, id, versions } => {
+            Event::Sample { trainer, step, group, index, id, versions } => {
                 let place = (trainer.clone(), *step);
                 verdict.samples += 1;
                 let known = received.entry(place.clone()).or_default();
                 if !known.insert((*group, *index)) {
                     verdict.samples_twice += 1;
-                    verdict.spell(format!("sample twice: {place:?} {group}/{index}"));
+                    verdict.describe(format!("sample twice: {place:?} {group}/{index}"));
                 }
                 let oldest = opened.get(&place).map(|(_, oldest)| *oldest);
                 if versions.iter().min().is_some_and(|version| Some(*version) < oldest) {
                     verdict.samples_too_stale += 1;
-                    verdict.spell(format!("sample too stale: {id} of {versions:?}"));
+                    verdict.describe(format!("sample too stale: {id} of {versions:?}"));
                 }
                 if versions.is_empty() || produced.get(id.as_str()) != Some(&versions) {
                     verdict.versions_unnamed += 1;
                     let by = produced.get(id.as_str());
-                    verdict.spell(format!("sample {id} names {versions:?}, produced by {by:?}"));
+                    verdict.describe(format!("sample {id} names {versions:?}, produced by {by:?}"));
                 }
             }
-            Saw::StepEnded { trainer, step, .. } => {
+            Event::StepEnded { trainer, step, .. } => {
                 verdict.steps += 1;
                 let place = (trainer.clone(), *step);
                 let wanted = opened.get(&place).map_or(0, |(samples, _)| *samples);
@@ -176,24 +177,24 @@
 struct Call {
     sent: Vec<u64>,
     runs: Vec<u64>,
-    told: Vec<(u64, Told)>,
+    replies: Vec<(u64, Reply)>,
 }
 
 fn judge_calls(lines: &[Line], verdict: &mut Verdict) {
     let mut calls: BTreeMap<&str, Call> = BTreeMap::new();
     for line in lines {
-        match &line.saw {
-            Saw::Sent { key, .. } => {
+        match &line.event {
+            Event::Sent { key, .. } => {
                 calls.entry(key).or_default().sent.push(line.at);
             }
-            Saw::Ran { key, .. } if !key.is_empty() => {
+            Event::Ran { key, .. } if !key.is_empty() => {
                 calls.entry(key).or_default().runs.push(line.at);
             }
-            Saw::Told { key, told, matches, .. } => {
-                calls.entry(key).or_default().told.push((line.at, *told));
+            Event::Replied { key, reply, matches, .. } => {
+                calls.entry(key).or_default().replies.push((line.at, *reply));
                 if !matches {
                     verdict.answers_wrong += 1;
-                    verdict.spell(format!("answer to {key} is not its own"));
+                    verdict.describe(format!("answer to {key} is not its own"));
                 }
             }
             _ => {}
@@ -201,14 +202,15 @@
     }
     for (key, call) in calls {
         verdict.app_calls += 1;
-        verdict.app_answered += u64::from(call.told.iter().any(|(_, told)| *told == Told::Answer));
+        verdict.app_answered +=
+            u64::from(call.replies.iter().any(|(_, reply)| *reply == Reply::Answer));
         if call.runs.len() > 1 {
             verdict.app_ran_twice += 1;
-            verdict.spell(format!("{key} ran {} times", call.runs.len()));
+            verdict.describe(format!("{key} ran {} times", call.runs.len()));
         }
         if let Some(at) = refused_but_ran(&call) {
             verdict.refused_but_ran += 1;
-            verdict.spell(format!("{key} told not run at {at}, ran at {:?}", call.runs));
+            verdict.describe(format!("{key} told not run at {at}, ran at {:?}", call.runs));
         }
     }
 }
@@ -216,7 +218,7 @@
 /// When a call was told "not run" although it had run before, or ran after
 /// that without having been sent again.
 fn refused_but_ran(call: &Call) -> Option<u64> {
-    let refused = call.told.iter().filter(|(_, told)| *told == Told::NotRun);
+    let refused = call.replies.iter().filter(|(_, reply)| *reply == Reply::NotRun);
     let untrue = |at: u64| {
         call.runs.iter().any(|run| {
             let sent_again = call.sent.iter().any(|sent| *sent >= at && sent <= run);
@@ -229,15 +231,15 @@
 fn judge_leaving(lines: &[Line], verdict: &mut Verdict) {
     let mut leaving: BTreeMap<&str, u64> = BTreeMap::new();
     for line in lines {
-        match &line.saw {
-            Saw::Leaving { target } => {
+        match &line.event {
+            Event::Leaving { target } => {
                 leaving.entry(target).or_insert(line.at);
             }
-            Saw::Given { target } => {
+            Event::Given { target } => {
                 let since = leaving.get(target.as_str());
                 if since.is_some_and(|since| line.at > since + LEAVING_MS) {
                     verdict.leaving_given_work += 1;
-                    verdict.spell(format!("leaving {target} was given work at {}", line.at));
+                    verdict.describe(format!("leaving {target} was given work at {}", line.at));
                 }
             }
             _ => {}
@@ -249,29 +251,29 @@
     let mut killed: BTreeSet<&str> = BTreeSet::new();
     let mut asked: BTreeSet<&str> = BTreeSet::new();
     for line in lines {
-        match &line.saw {
-            Saw::Killed { entry } => {
+        match &line.event {
+            Event::Killed { entry } => {
                 killed.insert(entry);
             }
-            Saw::StopAsked { entry } => {
+            Event::StopAsked { entry } => {
                 asked.insert(entry);
             }
             _ => {}
         }
     }
     for line in lines {
-        match &line.saw {
-            Saw::Told { entry, told: Told::Cut, .. } | Saw::StreamCut { entry }
+        match &line.event {
+            Event::Replied { entry, reply: Reply::Cut, .. } | Event::StreamCut { entry }
                 if !killed.contains(entry.as_str()) =>
             {
                 verdict.stops_cut += 1;
-                verdict.spell(format!("{entry} cut a request off at {}", line.at));
+                verdict.describe(format!("{entry} cut a request off at {}", line.at));
             }
-            Saw::Stopped { entry, code } if asked.contains(entry.as_str()) => match code {
+            Event::Stopped { entry, code } if asked.contains(entry.as_str()) => match code {
                 0 => verdict.graceful_stops += 1,
                 _ => {
                     verdict.stops_cut += 1;
-                    verdict.spell(format!("{entry} stopped with code {code}"));
+                    verdict.describe(format!("{entry} stopped with code {code}"));
                 }
             },
             _ => {}
@@ -284,27 +286,27 @@
     let mut last: BTreeMap<(&str, u64), u64> = BTreeMap::new();
     let mut rows_seen: BTreeMap<(&str, u64, &str), u64> = BTreeMap::new();
     for line in lines {
-        match &line.saw {
-            Saw::Accepted { trainer, revision } => accepted.push((line.at, trainer, *revision)),
-            Saw::InForce { entry, incarnation, next, rows } => {
+        match &line.event {
+            Event::Accepted { trainer, revision } => accepted.push((line.at, trainer, *revision)),
+            Event::InForce { entry, incarnation, next, rows } => {
                 let before = last.insert((entry, *incarnation), *next).unwrap_or_default();
                 if *next < before {
                     verdict.table_reverted += 1;
-                    verdict.spell(format!("{entry} went back from offset {before} to {next}"));
+                    verdict.describe(format!("{entry} went back from offset {before} to {next}"));
                 }
                 for (row, revision) in rows {
                     let place = (entry.as_str(), *incarnation, row.as_str());
                     let seen = rows_seen.insert(place, *revision).unwrap_or_default();
                     if *revision < seen {
                         verdict.table_reverted += 1;
-                        verdict.spell(format!("{entry}: row {row} went back to {revision}"));
+                        verdict.describe(format!("{entry}: row {row} went back to {revision}"));
                     }
                 }
                 let due = accepted.iter().filter(|(at, ..)| line.at > at + IN_FORCE_MS);
                 for (_, trainer, revision) in due {
                     if next <= revision {
                         verdict.table_in_force = false;
-                        verdict.spell(format!("{entry}: {trainer} not at {revision} in time"));
+                        verdict.describe(format!("{entry}: {trainer} not at {revision} in time"));
                     }
                 }
             }
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tokio::{sync::Notify, time::sleep};
 
-use crate::web::{self, Answer, Asked};
+use crate::web::{self, Answer, Received};
 
 /// How it is started.
 #[derive(Clone, Debug)]
@@ -92,9 +92,9 @@
         state: Mutex::new(state),
         changed: Notify::new(),
     });
-    web::serve(&options.listen, move |asked| {
+    web::serve(&options.listen, move |request| {
         let log = Arc::clone(&log);
-        async move { log.answer(&asked).await }
+        async move { log.answer(&request).await }
     })
     .await
 }
@@ -104,32 +104,32 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, asked: &Asked) -> Answer {
+    async fn answer(&self, request: &Received) -> Answer {
         let (mode, delay) = {
             let state = self.state();
             (state.mode.clone(), state.delay)
         };
-        let path = asked.path();
+        let path = request.path();
         if path == ["switch"] {
-            return self.switch(asked);
+            return self.switch(request);
         }
         match mode {
             Mode::Down => return None,
             Mode::Slow => sleep(delay).await,
             Mode::Up | Mode::LostAnswer => {}
         }
-        match (asked.method(), path.as_slice()) {
+        match (request.method(), path.as_slice()) {
             (&Method::POST, ["streams", name, "records"]) => {
-                let answer = self.append(name, asked);
+                let answer = self.append(name, request);
                 if mode == Mode::LostAnswer { None } else { answer }
             }
-            (&Method::GET, ["streams", name, "records"]) => self.read(name, asked).await,
+            (&Method::GET, ["streams", name, "records"]) => self.read(name, request).await,
             _ => web::json(404, &"no such path"),
         }
     }
 
-    fn switch(&self, asked: &Asked) -> Answer {
-        let Some(switch) = asked.json::<Switch>() else {
+    fn switch(&self, request: &Received) -> Answer {
+        let Some(switch) = request.json::<Switch>() else {
             return web::json(400, &"not a switch");
         };
         let mut state = self.state();
@@ -140,8 +140,8 @@
         web::json(200, &"ok")
     }
 
-    fn append(&self, name: &str, asked: &Asked) -> Answer {
-        let Some(batch) = asked.json::<Batch>() else {
+    fn append(&self, name: &str, request: &Received) -> Answer {
+        let Some(batch) = request.json::<Batch>() else {
             return web::json(400, &"not a batch of records");
         };
         let mut state = self.state();
@@ -164,10 +164,10 @@
         web::json(200, &json!({ "offset": offset }))
     }
 
-    async fn read(&self, name: &str, asked: &Asked) -> Answer {
-        let from = asked.query("from").unwrap_or_default();
-        let wait = Duration::from_millis(asked.query("wait_ms").unwrap_or_default());
-        let most = usize::try_from(asked.query("max").unwrap_or(1_000)).unwrap_or(1_000);
+    async fn read(&self, name: &str, request: &Received) -> Answer {
+        let from = request.query("from").unwrap_or_default();
+        let wait = Duration::from_millis(request.query("wait_ms").unwrap_or_default());
+        let most = usize::try_from(request.query("max").unwrap_or(1_000)).unwrap_or(1_000);
         let deadline = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -13,8 +13,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    history::{Saw, Writer},
-    web::{self, Answer, Asked},
+    history::{Event, Writer},
+    web::{self, Answer, Received},
 };
 
 /// How it is started.
@@ -68,9 +68,9 @@
     let listen = options.listen.clone();
     let history = Writer::open(&options.history, &options.name)?;
     let service = Arc::new(Service { options, history, state: Mutex::default() });
-    web::serve(&listen, move |asked| {
+    web::serve(&listen, move |request| {
         let service = Arc::clone(&service);
-        async move { service.answer(&asked).await }
+        async move { service.answer(&request).await }
     })
     .await
 }
@@ -80,28 +80,28 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, asked: &Asked) -> Answer {
-        match (asked.method(), asked.path().as_slice()) {
+    async fn answer(&self, request: &Received) -> Answer {
+        match (request.method(), request.path().as_slice()) {
             (&Method::GET, ["_runs"]) => web::json(200, &self.state().runs),
-            (&Method::POST, ["_switch"]) => self.switch(asked),
-            _ => self.call(asked).await,
+            (&Method::POST, ["_switch"]) => self.switch(request),
+            _ => self.call(request).await,
         }
     }
 
-    fn switch(&self, asked: &Asked) -> Answer {
-        let Some(switch) = asked.json::<Switch>() else {
+    fn switch(&self, request: &Received) -> Answer {
+        let Some(switch) = request.json::<Switch>() else {
             return web::json(400, &"not a switch");
         };
         if switch.leaving {
-            self.history.saw(Saw::Leaving { target: self.options.name.clone() });
+            self.history.record(Event::Leaving { target: self.options.name.clone() });
         }
         self.state().switch = switch;
         web::json(200, &"ok")
     }
 
-    async fn call(&self, asked: &Asked) -> Answer {
-        let key = asked.header("idempotency-key").unwrap_or_default().to_owned();
-        self.history.saw(Saw::Given { target: self.options.name.clone() });
+    async fn call(&self, request: &Received) -> Answer {
+        let key = request.header("idempotency-key").unwrap_or_default().to_owned();
+        self.history.record(Event::Given { target: self.options.name.clone() });
         let (number, switch) = {
             let mut state = self.state();
             state.calls += 1;
@@ -119,7 +119,7 @@
         if every(switch.die_after_run_every) {
             return None;
         }
-        let body = String::from_utf8_lossy(&asked.body).into_owned();
+        let body = String::from_utf8_lossy(&request.body).into_owned();
         let answer = json!({ "key": key, "target": self.options.name, "echo": body });
         let mut answer = web::json(200, &answer)?;
         if switch.leaving {
@@ -131,6 +131,6 @@
     fn run_call(&self, key: &str) {
         *self.state().runs.entry(key.to_owned()).or_default() += 1;
         let target = self.options.name.clone();
-        self.history.saw(Saw::Ran { target, key: key.to_owned() });
+        self.history.record(Event::Ran { target, key: key.to_owned() });
     }
 }
--- a/crates/standin/src/trainer.rs
+++ b/crates/standin/src/trainer.rs
@@ -1,5 +1,5 @@
-//! A trainer: it publishes a version, opens a step, takes the samples, and
-//! opens the step again elsewhere when the stream breaks.
+//! A trainer. It publishes a version, opens a step, receives the samples, and
+//! reopens the step at another instance when the stream breaks.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -15,21 +15,21 @@
 use tokio::time::sleep;
 
 use crate::{
-    history::{Saw, Writer},
+    history::{Event, Writer},
     web,
 };
 
-/// Pause before a step is opened again.
-const PAUSE: Duration = Duration::from_millis(200);
-/// Time in which the store must take a version.
+/// Delay before a step is reopened.
+const REOPEN_DELAY: Duration = Duration::from_millis(200);
+/// Timeout of publishing a version.
 const PUBLISH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How it is started.
+/// Options of the trainer.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// The trainer's name in the table.
     pub name: String,
-    /// Addresses of the entry instances; one is drawn for each opening.
+    /// Addresses of the entry instances; each attempt goes to a random one.
     pub entries: Vec<String>,
     /// Address of the weight store.
     pub weights: String,
@@ -41,13 +41,13 @@
     pub groups: u32,
     /// Samples in a group.
     pub samples: u32,
-    /// Tokens in a sample at most.
+    /// Maximum number of tokens in a sample.
     pub max_tokens: u32,
-    /// Time for a step, in milliseconds.
+    /// Timeout of a step, in milliseconds.
     pub timeout_ms: u64,
     /// Versions that a sample may be behind.
     pub staleness: u64,
-    /// Seed of all draws.
+    /// Seed of the random numbers.
     pub seed: u64,
     /// Directory of history files.
     pub history: PathBuf,
@@ -60,8 +60,8 @@
     version: u64,
 }
 
-/// Trains: publishes a version before each step. Returns true if every step
-/// was whole in time.
+/// Runs all steps and publishes a version before each. Returns true if every
+/// step was complete in time.
 ///
 /// # Errors
 ///
@@ -71,13 +71,13 @@
     let rng = StdRng::seed_from_u64(options.seed);
     let version = options.first_step - 1;
     let mut trainer = Trainer { options, history, rng, version };
-    let mut all_whole = true;
+    let mut all_complete = true;
     for step in 0..trainer.options.steps {
         trainer.publish().await;
         let step = trainer.options.first_step + step;
-        all_whole &= trainer.step(step).await;
+        all_complete &= trainer.step(step).await;
     }
-    Ok(all_whole)
+    Ok(all_complete)
 }
 
 impl Trainer {
@@ -89,7 +89,7 @@
         let published =
             web::send(Method::POST, &self.options.weights, &path, &body, PUBLISH_TIMEOUT).await;
         if published.is_some_and(|answer| answer.status().is_success()) {
-            self.history.saw(Saw::Published { trainer, version });
+            self.history.record(Event::Published { trainer, version });
         }
     }
 
@@ -97,7 +97,7 @@
         let trainer = self.options.name.clone();
         let samples = u64::from(self.options.groups) * u64::from(self.options.samples);
         let (version, staleness) = (self.version, self.options.staleness);
-        self.history.saw(Saw::Opened {
+        self.history.record(Event::Opened {
             trainer: trainer.clone(),
             step,
             samples,
@@ -114,17 +114,17 @@
             }
             attempt += 1;
             if !self.attempt(step, attempt, deadline, &mut have).await {
-                sleep(PAUSE).await;
+                sleep(REOPEN_DELAY).await;
             }
         }
         let count: usize = have.values().map(BTreeSet::len).sum();
         let whole = count as u64 >= samples;
-        self.history.saw(Saw::StepEnded { trainer, step, whole });
+        self.history.record(Event::StepEnded { trainer, step, whole });
         whole
     }
 
-    /// Opens a step once and takes what comes. True if the stream ended as
-    /// it should.
+    /// Opens a step once and receives its samples. Returns true if the stream
+    /// ended with all of them.
     async fn attempt(
         &mut self,
         step: u64,
@@ -153,7 +153,7 @@
                 return false;
             };
             let Some(Ok(frame)) = frame else {
-                self.history.saw(Saw::StreamCut { entry });
+                self.history.record(Event::StreamCut { entry });
                 return false;
             };
             pending.extend_from_slice(frame.data_ref().map_or(&[][..], |data| &data[..]));
@@ -165,7 +165,7 @@
                 if line.get("end").is_some() {
                     return line["end"]["missing"] == 0;
                 }
-                self.take(step, &line["sample"], have);
+                self.receive(step, &line["sample"], have);
             }
         }
     }
@@ -201,7 +201,7 @@
             .ok()
     }
 
-    fn take(&self, step: u64, sample: &Value, have: &mut BTreeMap<u32, BTreeSet<u32>>) {
+    fn receive(&self, step: u64, sample: &Value, have: &mut BTreeMap<u32, BTreeSet<u32>>) {
         let number = |name: &str| {
             let number = sample[name].as_u64().unwrap_or_default();
             u32::try_from(number).unwrap_or(u32::MAX)
@@ -214,6 +214,6 @@
         let versions =
             versions.map_or(vec![], |all| all.iter().filter_map(Value::as_u64).collect());
         let trainer = self.options.name.clone();
-        self.history.saw(Saw::Sample { trainer, step, group, index, id, versions });
+        self.history.record(Event::Sample { trainer, step, group, index, id, versions });
     }
 }
--- a/crates/standin/src/watcher.rs
+++ b/crates/standin/src/watcher.rs
@@ -1,4 +1,4 @@
-//! Records what table is in force at each entry instance.
+//! Records which table is in force at each entry instance.
 
 use std::{path::PathBuf, time::Duration};
 
@@ -7,19 +7,19 @@
 use tokio::time::sleep;
 
 use crate::{
-    history::{Saw, Writer},
+    history::{Event, Writer},
     web,
 };
 
-/// Longest time for one reading.
+/// Timeout of one reading.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How it is started.
+/// Options of the watcher.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Addresses of the entry instances.
     pub entries: Vec<String>,
-    /// Time between readings, in milliseconds.
+    /// Interval between readings, in milliseconds.
     pub every_ms: u64,
     /// Directory of history files.
     pub history: PathBuf,
@@ -34,22 +34,22 @@
     let history = Writer::open(&options.history, "watcher")?;
     loop {
         for entry in &options.entries {
-            if let Some(saw) = read(entry).await {
-                history.saw(saw);
+            if let Some(event) = read(entry).await {
+                history.record(event);
             }
         }
         sleep(Duration::from_millis(options.every_ms)).await;
     }
 }
 
-async fn read(entry: &str) -> Option<Saw> {
+async fn read(entry: &str) -> Option<Event> {
     let answer = web::send(Method::GET, entry, "/admin/status", &(), TIMEOUT).await?;
     let view: Value = serde_json::from_slice(answer.body()).ok()?;
     let row = |row: &Value| {
         let trainer = row["row"]["trainer"].as_str()?.to_owned();
         Some((trainer, row["revision"].as_u64()?))
     };
-    Some(Saw::InForce {
+    Some(Event::InForce {
         entry: entry.to_owned(),
         incarnation: view["instance"]["incarnation"].as_u64()?,
         next: view["next"].as_u64()?,
--- a/crates/standin/src/web.rs
+++ b/crates/standin/src/web.rs
@@ -21,14 +21,14 @@
 
 /// A request with its body read.
 #[derive(Debug)]
-pub struct Asked {
+pub struct Received {
     /// Method, path and headers.
     pub head: http::request::Parts,
     /// The body.
     pub body: Bytes,
 }
 
-impl Asked {
+impl Received {
     /// The parts of the path.
     #[must_use]
     pub fn path(&self) -> Vec<&str> {
@@ -69,7 +69,7 @@
 /// If the address cannot be bound.
 pub async fn serve<H, F>(listen: &str, handler: H) -> std::io::Result<()>
 where
-    H: Fn(Asked) -> F + Send + Sync + 'static,
+    H: Fn(Received) -> F + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
     let listener = TcpListener::bind(listen).await?;
@@ -92,12 +92,12 @@
 
 async fn answer<H, F>(handler: &H, request: Request<Incoming>) -> Result<Response<Body>, Cut>
 where
-    H: Fn(Asked) -> F,
+    H: Fn(Received) -> F,
     F: Future<Output = Answer>,
 {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
-    handler(Asked { head, body }).await.ok_or(Cut)
+    handler(Received { head, body }).await.ok_or(Cut)
 }
 
 /// Makes hyper cut the connection.
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::web::{self, Answer, Asked};
+use crate::web::{self, Answer, Received};
 
 #[derive(Debug)]
 struct Store {
@@ -35,22 +35,22 @@
     let store =
         Store { latest: HashMap::new(), rate, window: Instant::now(), fetched: 0, refused: 0 };
     let store = Arc::new(Mutex::new(store));
-    web::serve(listen, move |asked| {
+    web::serve(listen, move |request| {
         let store = Arc::clone(&store);
-        async move { answer(&store, &asked) }
+        async move { answer(&store, &request) }
     })
     .await
 }
 
-fn answer(store: &Mutex<Store>, asked: &Asked) -> Answer {
+fn answer(store: &Mutex<Store>, request: &Received) -> Answer {
     let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
-    match (asked.method(), asked.path().as_slice()) {
+    match (request.method(), request.path().as_slice()) {
         (&Method::GET, ["trainers", trainer, "versions"]) => {
             let latest = store.latest.get(*trainer).copied().unwrap_or_default();
             web::json(200, &json!({ "latest": latest }))
         }
         (&Method::POST, ["trainers", trainer, "versions"]) => {
-            let Some(publish) = asked.json::<Publish>() else {
+            let Some(publish) = request.json::<Publish>() else {
                 return web::json(400, &"not a version");
             };
             let latest = store.latest.entry((*trainer).to_owned()).or_default();
