A probed request is held although others were at its target's end

At the last usable target of a pool innocent requests that had just lost another target stand beside the probe: twelve of them did, each with the same two ends, and the poison request ended a fourth target.

Change: a request at three ends, one of them as an isolated probe, is held unless another was at every one of its ends.

--- a/crates/hollywell/src/core/poison.rs
+++ b/crates/hollywell/src/core/poison.rs
@@ -206,6 +206,11 @@
         self.last_ms = self.last_ms.max(last_ms);
     }
 
+    /// Whether the request was at all of these incarnations.
+    fn covers(&self, incarnations: &BTreeSet<String>) -> bool {
+        incarnations.is_subset(&self.incarnations)
+    }
+
     fn remember(&mut self, incarnation: &str) {
         if self.incarnations.len() < MAX_INCARNATIONS {
             self.incarnations.insert(incarnation.to_owned());
@@ -337,19 +342,14 @@
     }
 
     /// Whether a request that was at enough ends ran as an isolated probe at
-    /// one of them, by what its sender observed and what all other instances
-    /// recorded. Another request that was there too, but only by chance at its
-    /// first end, does not exonerate it: at the last usable target of a pool
-    /// other requests cannot be kept away.
+    /// one of them. Other requests that were there too do not exonerate it, as
+    /// they cannot be kept away from the last usable target of a pool; only one
+    /// that was at every one of its ends may be to blame in its place.
     fn was_isolated(&self, digest: Digest, case: &Case) -> bool {
-        let explains = |other: &Case, incarnation: &String| {
-            other.ends > 1 && other.incarnations.contains(incarnation)
-        };
-        let is_explained = |incarnation: &String| {
-            self.cases.iter().any(|(id, other)| *id != digest && explains(other, incarnation))
-        };
-        case.ends >= TARGET_END_LIMIT
-            && case.isolated.iter().any(|incarnation| !is_explained(incarnation))
+        let is_at_all =
+            |(id, other): (&Digest, &Case)| *id != digest && other.covers(&case.incarnations);
+        let is_probed = case.ends >= TARGET_END_LIMIT && !case.isolated.is_empty();
+        is_probed && !self.cases.iter().any(is_at_all)
     }
 
     /// Number of targets that ended under a request while none of the other
