--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -236,7 +236,14 @@
         StatusCode::INTERNAL_SERVER_ERROR => End::Failed,
         status => {
             let was_not_run = response.head.headers.contains_key(&headers.not_run);
-            log::debug!("sample {}/{} at {}: {status}", sample_id.job, sample_id.index, target.id);
+            let load = response.header(&headers.load);
+            log::debug!(
+                "sample {}/{} at {}: {status}, load {}",
+                sample_id.job,
+                sample_id.index,
+                target.id,
+                load.unwrap_or("not stated")
+            );
             if was_not_run { End::Full } else { End::Broken }
         }
     }
