--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -250,7 +250,8 @@
     }
 
     /// Whether a target reported enough free slots recently.
-    fn has_free_slots(&self, now: Time, target: &Announcement) -> bool {
+    #[must_use]
+    pub fn has_free_slots(&self, now: Time, target: &Announcement) -> bool {
         let Some(observation) = self.targets.get(&target.id) else {
             return false;
         };
--- a/crates/hollywell/src/core/configuration.rs
+++ b/crates/hollywell/src/core/configuration.rs
@@ -84,6 +84,10 @@
     /// state it.
     #[serde(default)]
     pub memory_tokens: u64,
+    /// Tokens that one event of its targets' streams carries; 0 if the
+    /// configuration does not state it.
+    #[serde(default)]
+    pub event_tokens: u32,
 }
 
 /// A complete configuration.
--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -12,7 +12,7 @@
 };
 use crate::core::{
     choice::{Need, Observations},
-    fleet::Fleet,
+    fleet::{Announcement, Fleet},
     time::Time,
 };
 
@@ -171,7 +171,12 @@
         let targets = targets.filter(|announcement| announcement.id != running.target).filter(
             |announcement| announcement.versions.get(&spec.model) >= Some(&spec.min_version),
         );
-        observations.choose(now, targets, need).map(|target| target.id.clone())
+        let memory = fleet.memory_of(&spec.pool);
+        let has_room = |target: &Announcement| {
+            memory.is_none_or(|memory| self.has_room(now, target, running, memory, observations))
+        };
+        let best = observations.choose(now, targets, need).filter(|target| has_room(target));
+        best.map(|target| target.id.clone())
     }
 
     /// Expected number of events until a run is complete.
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod leave;
 mod locality;
 mod owners;
+mod place;
 mod start;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -28,8 +29,9 @@
 use locality::Locality;
 pub use owners::owner;
 use owners::{Change, Owners};
+pub use place::Wait;
 
-use crate::core::{choice::Observations, fleet::Fleet, time::Time};
+use crate::core::{choice::Observations, fleet::Fleet, room::Ledger, time::Time};
 
 /// Number of events by which another instance's stored text must be ahead
 /// before a run is restarted from that text.
@@ -44,6 +46,9 @@
 /// its targets) may run, in milliseconds. Holds last for seconds or for
 /// minutes.
 const HELD_MS: u64 = 1_000;
+/// Delay before a sample that is larger than its targets' memory is offered
+/// again, in milliseconds: the configuration may change meanwhile.
+const TOO_LARGE_MS: u64 = 4_000;
 /// Back-off after a failed attempt, in milliseconds, multiplied by the number
 /// of failures.
 const BACKOFF_MS: u64 = 50;
@@ -211,6 +216,17 @@
         /// Index of the last stored event.
         last: u32,
     },
+    /// A target carries out an order to load a version of a model.
+    LoadOrdered {
+        /// The target's id.
+        target: String,
+        /// Its start time as known when the order was given.
+        start_ms: Option<u64>,
+        /// The model.
+        model: String,
+        /// The version.
+        version: u64,
+    },
     /// A complete sample was scored.
     Scored(SampleId),
     /// Scoring a sample failed permanently.
@@ -246,6 +262,15 @@
         /// The reason.
         why: MoveReason,
     },
+    /// Samples of a job wait; for logs and metrics only, and reported once
+    /// for each reason in a row.
+    Waits {
+        /// The first of them.
+        #[serde(rename = "slot")]
+        sample_id: SampleId,
+        /// The reason.
+        why: Wait,
+    },
     /// Discard the stored partial text of a sample.
     Discard(SampleId),
     /// Send the scoring request of a complete sample.
@@ -310,6 +335,8 @@
     owners: Owners,
     /// The targets considered for this job's samples.
     locality: Locality,
+    /// Why its first sample waits, as last reported.
+    waits: Option<Wait>,
 }
 
 /// The reducer's state.
@@ -331,6 +358,10 @@
     /// Partitions that could not be read lately, so that the end of a job may
     /// have been missed.
     stale: BTreeSet<usize>,
+    /// What the runs hold of the targets' memory.
+    room: Ledger,
+    /// The demand on the targets whose memory is stated.
+    demand: place::Demand,
 }
 
 impl State {
@@ -380,8 +411,15 @@
                 self.stale.remove(part);
             }
             Event::AnswerStarted { run } => self.answer_started(now, *run),
-            Event::StreamEvent { run } => self.stream_event(now, *run, observations),
-            Event::Ended { run, end } => self.ended(now, *run, *end, observations, &mut effects),
+            Event::StreamEvent { run } => self.stream_event(now, *run, fleet, observations),
+            Event::Ended { run, end } => {
+                let too_large = self.too_large(*run, *end, fleet);
+                self.ended(now, *run, *end, observations, &mut effects);
+                self.hold_too_large(now, too_large, &mut effects);
+            }
+            Event::LoadOrdered { target, start_ms, model, version } => {
+                self.room.load_ordered(now, target, *start_ms, (model, *version));
+            }
             Event::PartialTextStored { sample_id, last } => {
                 self.restart_if_behind(sample_id, *last, observations, &mut effects);
             }
@@ -421,7 +459,7 @@
         self.arrival.push(spec.job.clone());
         self.jobs.insert(
             spec.job.clone(),
-            ActiveJob { spec, progress, order, owners, locality: Locality::default() },
+            ActiveJob { spec, progress, order, owners, locality: Locality::default(), waits: None },
         );
     }
 
@@ -502,10 +540,23 @@
         }
     }
 
-    fn stream_event(&mut self, now: Time, run: Run, observations: &mut Observations) {
+    fn stream_event(
+        &mut self,
+        now: Time,
+        run: Run,
+        fleet: &Fleet,
+        observations: &mut Observations,
+    ) {
         let Some(running) = self.runs.get_mut(&run) else {
             return;
         };
+        if let Some(event_tokens) = self
+            .jobs
+            .get(&running.sample_id.job)
+            .and_then(|active| Some(place::tokens_per_event(fleet.memory_of(&active.spec.pool)?)))
+        {
+            self.room.grew(run, &running.target, event_tokens);
+        }
         if running.events > 0 {
             observations.record_event_gap(&running.target, now.since(running.last_event_at) as f64);
         }
@@ -525,6 +576,7 @@
             return;
         };
         observations.request_ended(now, &running.target);
+        self.room.ended(run, &running.target, end == End::Whole);
         if matches!(end, End::Broken | End::Unreached | End::WrongVersion) {
             observations.connection_closed(&running.target);
         }
@@ -583,6 +635,7 @@
 
     fn cancel(&mut self, run: Run, observations: &mut Observations, effects: &mut Vec<Effect>) {
         if let Some(running) = self.runs.remove(&run) {
+            self.room.ended(run, &running.target, false);
             observations.request_ended(self.now, &running.target);
             observations.connection_closed(&running.target);
             effects.push(Effect::Cancel(run));
--- /dev/null
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -0,0 +1,280 @@
+//! Finds a target with room for a sample: for its tokens, and within this
+//! instance's share of the places ([`crate::core::room`]). Pools whose memory
+//! the configuration does not state are left to [`Observations::choose`] alone.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    ActiveJob, Effect, End, Progress, Run, Running, SampleId, SampleSpec, Stage, State,
+    TOKENS_PER_EVENT, TOO_LARGE_MS, start::MAX_LOAD,
+};
+use crate::core::{
+    choice::{Need, Observations},
+    fleet::{Announcement, Fleet, Memory, Target},
+    room::{self, Ledger, Place, Tokens, Typical},
+    time::Time,
+};
+
+/// How long the demand on a pool is reused, in milliseconds.
+const DEMAND_AGE_MS: u64 = 100;
+/// Targets whose memory is checked for one sample, the best first: if none of
+/// them has room, the others are full as well, or slow.
+const MAX_CHECKED: usize = 8;
+
+/// Why a sample waits. The variant names are written to logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Wait {
+    /// No target has a free place, as far as this instance knows.
+    Places,
+    /// This instance has taken its share of the places.
+    Share,
+    /// Targets have places, but their memory would run out.
+    Memory,
+    /// It is larger than any target's memory, and was refused.
+    TooLarge,
+}
+
+/// What one more sample needs, and of whom.
+pub(super) struct Request<'a> {
+    pub job: &'a str,
+    pub model: &'a str,
+    pub group: &'a str,
+    pub tokens: Tokens,
+    pub need: Need,
+}
+
+/// The demand on one job's targets.
+#[derive(Clone, Copy, Debug, Default)]
+struct JobDemand {
+    /// Runs that this instance may have of the job.
+    share: usize,
+    /// Runs that it has.
+    running: usize,
+}
+
+/// The demand of all open jobs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Demand {
+    counted_at: Option<Time>,
+    jobs: BTreeMap<String, JobDemand>,
+    typical: BTreeMap<String, Typical>,
+}
+
+impl Demand {
+    fn typical(&self, pool: &str) -> Typical {
+        self.typical.get(pool).copied().unwrap_or_default()
+    }
+}
+
+/// Tokens that one event carries.
+pub(super) fn tokens_per_event(memory: Memory) -> u32 {
+    match memory.event_tokens {
+        0 => TOKENS_PER_EVENT as u32,
+        tokens => tokens,
+    }
+}
+
+/// The tokens of a sample that has received `events` so far.
+pub(super) fn tokens(item: &SampleSpec, events: u32, memory: Memory) -> Tokens {
+    Tokens {
+        shared: item.size.shared.min(item.size.prompt),
+        own: item.size.prompt.saturating_sub(item.size.shared),
+        generated: events.saturating_mul(tokens_per_event(memory)),
+        estimate: item.tokens,
+        limit: item.size.limit,
+    }
+}
+
+/// Whether a target is loading a newer version of a model.
+pub(super) fn is_loading(room: &Ledger, now: Time, target: &Announcement, model: &str) -> bool {
+    let held = target.versions.get(model).copied();
+    room.is_loading(now, &target.id, target.start_ms, (model, held))
+}
+
+impl State {
+    /// Counts the demand on the pools whose memory is stated, unless it was
+    /// counted a moment ago.
+    pub(super) fn count_demand(&mut self, now: Time, fleet: &Fleet) {
+        if self.demand.counted_at.is_some_and(|at| now.since(at) < DEMAND_AGE_MS) {
+            return;
+        }
+        let (mut jobs, mut typical) = (BTreeMap::new(), BTreeMap::new());
+        for (pool, memory) in fleet.pools_with_memory() {
+            let active: Vec<&ActiveJob> =
+                self.jobs.values().filter(|active| active.spec.pool == pool).collect();
+            let samples = || active.iter().flat_map(|active| open_samples(active));
+            let sizes = samples().map(|(item, _)| tokens(item, 0, memory));
+            typical.insert(pool.to_owned(), Typical::of(sizes));
+            let (all, pool_targets) = (samples().count(), fleet.usable(pool).count());
+            for active in &active {
+                let own = open_samples(active).filter(|(_, progress)| progress.assigned).count();
+                if own == 0 {
+                    continue;
+                }
+                let spec = &active.spec;
+                let can_run = |target: &&Target| {
+                    target.may_run(&spec.model, spec.min_version)
+                        && !is_loading(&self.room, now, &target.announcement, &spec.model)
+                };
+                let able = fleet.usable(pool).filter(can_run);
+                let (targets, slots) = able.fold((0, 0.0), |(targets, slots), target| {
+                    (targets + 1, slots + f64::from(target.announcement.slots.max(1)))
+                });
+                // Other jobs' samples are spread over all targets of the pool.
+                let of_job = open_samples(active).count();
+                let others = (all - of_job) as f64 * targets as f64 / pool_targets.max(1) as f64;
+                let share = room::share(own, of_job + others as usize, slots * MAX_LOAD);
+                jobs.insert(spec.job.clone(), JobDemand { share, running: 0 });
+            }
+        }
+        self.demand = Demand { counted_at: Some(now), jobs, typical };
+    }
+
+    /// Counts this instance's runs of each job.
+    pub(super) fn count_running(&mut self) {
+        self.demand.jobs.values_mut().for_each(|demand| demand.running = 0);
+        for running in self.runs.values() {
+            if let Some(demand) = self.demand.jobs.get_mut(&running.sample_id.job) {
+                demand.running += 1;
+            }
+        }
+    }
+}
+
+impl State {
+    /// Whether a target has room for a run of another one.
+    pub(super) fn has_room(
+        &self,
+        now: Time,
+        target: &Announcement,
+        running: &Running,
+        memory: Memory,
+        observations: &Observations,
+    ) -> bool {
+        let Some(active) = self.jobs.get(&running.sample_id.job) else {
+            return false;
+        };
+        let item = &active.spec.samples[running.sample_id.index];
+        let events = active.progress[running.sample_id.index].events + running.events;
+        let place = self.demand.place(now, target, memory, observations);
+        !is_loading(&self.room, now, target, &active.spec.model)
+            && self.room.fits(&target.id, &item.group, tokens(item, events, memory), place)
+    }
+
+    /// The sample of a run that was refused because it is larger than any
+    /// target's memory.
+    pub(super) fn too_large(&self, run: Run, end: End, fleet: &Fleet) -> Option<SampleId> {
+        let running = self.runs.get(&run).filter(|_| end == End::Full)?;
+        let spec = &self.jobs.get(&running.sample_id.job)?.spec;
+        let memory = fleet.memory_of(&spec.pool)?;
+        let tokens = tokens(&spec.samples[running.sample_id.index], 0, memory);
+        tokens.exceed(memory.tokens).then(|| running.sample_id.clone())
+    }
+
+    /// Holds a sample that is too large, so that it is not refused in a circle.
+    /// Nobody may give it up before its job's time is over.
+    pub(super) fn hold_too_large(
+        &mut self,
+        now: Time,
+        sample_id: Option<SampleId>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(sample_id) = sample_id else {
+            return;
+        };
+        if let Some(active) = self.jobs.get_mut(&sample_id.job) {
+            active.progress[sample_id.index].not_before = now.after(TOO_LARGE_MS);
+            effects.push(Effect::Waits { sample_id, why: Wait::TooLarge });
+        }
+    }
+
+    /// Tokens that are expected to stay free at the targets of each pool whose
+    /// memory is stated.
+    #[must_use]
+    pub fn free_tokens(
+        &self,
+        now: Time,
+        fleet: &Fleet,
+        observations: &Observations,
+    ) -> BTreeMap<String, u64> {
+        let free = |(pool, memory): (&str, Memory)| {
+            let free = fleet.usable(pool).map(|target| {
+                let place = self.demand.place(now, &target.announcement, memory, observations);
+                self.room.free(&target.announcement.id, place)
+            });
+            (pool.to_owned(), free.sum())
+        };
+        fleet.pools_with_memory().map(free).collect()
+    }
+}
+
+fn open_samples(active: &ActiveJob) -> impl Iterator<Item = (&SampleSpec, &Progress)> {
+    let samples = active.spec.samples.iter().zip(&active.progress);
+    samples.filter(|(_, progress)| progress.stage != Stage::Done)
+}
+
+impl Demand {
+    /// Records that a sample of a job was started.
+    pub(super) fn started(&mut self, job: &str) {
+        if let Some(demand) = self.jobs.get_mut(job) {
+            demand.running += 1;
+        }
+    }
+
+    /// Whether this instance has taken its share of the places for a job.
+    pub(super) fn is_share_taken(&self, job: &str) -> bool {
+        self.jobs.get(job).is_some_and(|demand| demand.running >= demand.share)
+    }
+
+    /// The place that a target has for one more run.
+    pub(super) fn place(
+        &self,
+        now: Time,
+        target: &Announcement,
+        memory: Memory,
+        observations: &Observations,
+    ) -> Place {
+        let own = observations.get(&target.id).map_or(0, |observation| observation.own_requests);
+        Place {
+            memory: memory.tokens,
+            slots: target.slots,
+            others: observations.load_of(now, &target.id) - f64::from(own),
+            typical: self.typical(&target.pool),
+        }
+    }
+
+    /// Chooses the best target that has room for a sample.
+    pub(super) fn choose<'a>(
+        &self,
+        now: Time,
+        room: &Ledger,
+        mut targets: Vec<&'a Announcement>,
+        observations: &Observations,
+        (request, memory): (&Request<'_>, Memory),
+    ) -> Result<&'a Announcement, Wait> {
+        let is_share_taken = self.is_share_taken(request.job);
+        targets.retain(|target| {
+            !is_loading(room, now, target, request.model)
+                && (!is_share_taken || observations.has_free_slots(now, target))
+        });
+        let mut wait = if is_share_taken { Wait::Share } else { Wait::Places };
+        for _ in 0..MAX_CHECKED {
+            let best = observations.choose(now, targets.iter().copied(), request.need);
+            let Some(target) = best else {
+                return Err(wait);
+            };
+            let place = self.place(now, target, memory, observations);
+            // What exceeds the memory is refused and takes none of it.
+            if request.tokens.exceed(memory.tokens)
+                || room.fits(&target.id, request.group, request.tokens, place)
+            {
+                return Ok(target);
+            }
+            wait = Wait::Memory;
+            targets.retain(|other| other.id != target.id);
+        }
+        Err(wait)
+    }
+}
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Effect, Progress, Run, Running, SampleId, SampleSpec, Stage, State, TOKENS_PER_EVENT,
+    Effect, Progress, Run, Running, SampleId, SampleSpec, Stage, State, TOKENS_PER_EVENT, Wait,
     locality::Selector,
+    place::{self, Request},
 };
 use crate::core::{
     choice::{Need, Observations},
@@ -16,7 +17,13 @@
 /// Highest load at which requests are still sent to a target: requests of all
 /// instances per slot. Above it a sample waits in this instance, where it can
 /// still go to whichever target has a free slot first.
-const MAX_LOAD: f64 = 1.6;
+pub(super) const MAX_LOAD: f64 = 1.6;
+
+/// Priority of all samples at targets whose memory is stated. A target preempts
+/// a request for a more urgent one, which is then the only thing that its
+/// priority decides: which sample goes first is decided here, and the queues at
+/// targets are short.
+const EQUAL: u8 = 6;
 
 impl State {
     /// Starts as many waiting samples as the targets have capacity for.
@@ -30,6 +37,8 @@
         let salt = xxhash_rust::xxh3::xxh3_64(self.own_id.as_bytes());
         // Jobs whose targets have no capacity left.
         let mut exhausted: BTreeSet<String> = BTreeSet::new();
+        self.count_demand(now, fleet);
+        self.count_running();
         for sample_id in self.waiting(now) {
             if exhausted.contains(&sample_id.job) {
                 continue;
@@ -50,15 +59,37 @@
                 salt: salt ^ self.next_run,
             };
             let targets = active.locality.targets(spec, fleet);
-            let Some(target) = observations.choose(now, targets.iter().copied(), need) else {
-                active.locality.mark_exhausted();
-                exhausted.insert(sample_id.job);
-                continue;
+            let memory = fleet.memory_of(&spec.pool);
+            let tokens = memory
+                .map(|memory| place::tokens(item, active.progress[sample_id.index].events, memory));
+            let chosen = match memory.zip(tokens) {
+                None => observations.choose(now, targets.into_iter(), need).ok_or(Wait::Places),
+                Some((memory, tokens)) => {
+                    let (model, group) = (&spec.model, &item.group);
+                    let request = Request { job: &sample_id.job, model, group, tokens, need };
+                    self.demand.choose(now, &self.room, targets, observations, (&request, memory))
+                }
             };
+            let target = match chosen {
+                Ok(target) => target,
+                Err(why) => {
+                    active.locality.mark_exhausted();
+                    if memory.is_some() && active.waits.replace(why) != Some(why) {
+                        effects.push(Effect::Waits { sample_id: sample_id.clone(), why });
+                    }
+                    exhausted.insert(sample_id.job);
+                    continue;
+                }
+            };
+            active.waits = None;
             let run = Run(self.next_run);
             self.next_run += 1;
             active.progress[sample_id.index].stage = Stage::Running(run);
             observations.request_started(&target.id);
+            if let Some(tokens) = tokens {
+                self.room.started(run, &target.id, &item.group, tokens);
+                self.demand.started(&sample_id.job);
+            }
             let running = Running {
                 sample_id: sample_id.clone(),
                 target: target.id.clone(),
@@ -69,7 +100,8 @@
             };
             self.runs.insert(run, running);
             let longest = spec.samples.iter().map(|item| item.tokens).max().unwrap_or(1);
-            let priority = priority(item, longest);
+            // Among samples of equal priority none preempts another.
+            let priority = if memory.is_some() { EQUAL } else { priority(item, longest) };
             effects.push(Effect::Start { run, sample_id, target: target.id.clone(), priority });
         }
     }
--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -120,6 +120,15 @@
     }
 }
 
+/// Memory of each target of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Memory {
+    /// Tokens that it holds.
+    pub tokens: u64,
+    /// Tokens that one event of a stream carries; 0 if that is not known.
+    pub event_tokens: u32,
+}
+
 /// The last entry of a target that is gone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Gone {
@@ -155,6 +164,9 @@
     /// Failure domains whose targets get no new work.
     #[serde(default)]
     evacuated: BTreeSet<String>,
+    /// By pool, as far as the configuration states it.
+    #[serde(default)]
+    memory: BTreeMap<String, Memory>,
 }
 
 impl Fleet {
@@ -207,6 +219,24 @@
         self.update_reports_start();
     }
 
+    /// Sets the memory of the pools' targets as the configuration in force
+    /// states it.
+    pub fn set_memory(&mut self, memory: impl Iterator<Item = (String, Memory)>) {
+        self.memory = memory.filter(|(_, memory)| memory.tokens > 0).collect();
+    }
+
+    /// Memory of each target of a pool; `None` if the configuration does not
+    /// state it.
+    #[must_use]
+    pub fn memory_of(&self, pool: &str) -> Option<Memory> {
+        self.memory.get(pool).copied()
+    }
+
+    /// Pools whose targets' memory is stated.
+    pub fn pools_with_memory(&self) -> impl Iterator<Item = (&str, Memory)> {
+        self.memory.iter().map(|(pool, memory)| (pool.as_str(), *memory))
+    }
+
     fn is_known_pool(&self, pool: &str) -> bool {
         self.pools.as_ref().is_none_or(|pools| pools.contains(pool))
     }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -20,6 +20,7 @@
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
 //! | [`group`] | whether a reading of the group of instances shows all members |
+//! | [`room`] | whether a target's memory takes one more sample |
 //! | [`poison`] | which requests end the targets that run them |
 //! | [`permit`] | which instance may do what only one may do at a time |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
@@ -52,6 +53,7 @@
 pub mod relay;
 pub mod retry;
 pub mod rollout;
+pub mod room;
 pub mod roster;
 pub mod route;
 pub mod store_lease;
--- a/crates/hollywell/src/entry/configuration.rs
+++ b/crates/hollywell/src/entry/configuration.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    core::{configuration::Configuration, time::Time},
+    core::{configuration::Configuration, fleet::Memory, time::Time},
     entry::{peers, shared::Shared},
 };
 
@@ -65,6 +65,10 @@
     if configuration.version > before {
         log::info!("configuration {} in force, was {before}, from {from}", configuration.version);
         control.fleet.configure(configuration.pools.iter().map(|pool| pool.name.as_str()));
+        control.fleet.set_memory(configuration.pools.iter().map(|pool| {
+            let (tokens, event_tokens) = (pool.memory_tokens, pool.event_tokens);
+            (pool.name.clone(), Memory { tokens, event_tokens })
+        }));
         control.configuration = Some(Rc::new(configuration));
     }
 }
--- a/crates/hollywell/src/entry/hints.rs
+++ b/crates/hollywell/src/entry/hints.rs
@@ -29,6 +29,9 @@
     /// An engine has loaded the weights that it was ordered to load. It
     /// announces that too, but up to a heartbeat later, and a step waits for it.
     Loaded(Order),
+    /// An engine has accepted an order to load weights, and refuses requests
+    /// for the model until it has carried it out.
+    Loading(Order),
     /// A log was trimmed.
     Trimmed {
         /// The number of its partition.
@@ -79,6 +82,12 @@
                             load.version,
                         );
                     }
+                    Ok(Hint::Loading(load)) => shared.handle_event(&Event::LoadOrdered {
+                        target: load.target,
+                        start_ms: load.start_ms,
+                        model: load.model,
+                        version: load.version,
+                    }),
                     Ok(Hint::Trimmed { part, texts, before }) => {
                         capacity::record_trim(shared, part, usize::from(texts), before);
                     }
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -219,6 +219,12 @@
         meters.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         meters.members.set(gauge(control.roster.members().len()));
         meters.in_flight.set(gauge(control.dispatch.in_flight()));
+        let free =
+            control.dispatch.free_tokens(shared.now(), &control.fleet, &control.observations);
+        for (pool, tokens) in free {
+            let tokens = i64::try_from(tokens).unwrap_or(i64::MAX);
+            meters.free_tokens.with_label_values(&[&pool]).set(tokens);
+        }
     }
     meters.connections_opened.set(i64::try_from(shared.pool.opened.get()).unwrap_or(i64::MAX));
     meters.ready.set(i64::from(is_ready(shared)));
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -2,8 +2,8 @@
 //! format.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of response times, in seconds.
@@ -21,6 +21,10 @@
     pub runs: IntCounterVec,
     /// Runs that were moved away from their target, by reason.
     pub moves: IntCounterVec,
+    /// Times that samples began to wait for a target with room, by reason.
+    pub waits: IntCounterVec,
+    /// Tokens of the targets' memory that are expected to stay free, by pool.
+    pub free_tokens: IntGaugeVec,
     /// Calls of the store, by success.
     pub store_calls: IntCounterVec,
     /// Bytes of keys and values appended to the store, by purpose.
@@ -94,6 +98,14 @@
         );
         let answer_seconds = HistogramVec::new(seconds.buckets(ANSWER_SECONDS.to_vec()), &["ask"])?;
         registry.register(Box::new(answer_seconds.clone()))?;
+        let free_tokens = IntGaugeVec::new(
+            Opts::new(
+                "hollywell_entry_free_tokens",
+                "Memory of targets expected to stay free, in tokens.",
+            ),
+            &["pool"],
+        )?;
+        registry.register(Box::new(free_tokens.clone()))?;
         Ok(Meters {
             answers: counter(
                 "hollywell_entry_answers_total",
@@ -103,6 +115,12 @@
             answer_seconds,
             runs: counter("hollywell_entry_runs_total", "Ends of samples' runs.", &["end"])?,
             moves: counter("hollywell_entry_moves_total", "Runs that left a target.", &["why"])?,
+            waits: counter(
+                "hollywell_entry_waits_total",
+                "Samples that began to wait for room.",
+                &["why"],
+            )?,
+            free_tokens,
             store_calls: counter("hollywell_entry_store_total", "Calls of the store.", &["well"])?,
             appended_bytes: counter(
                 "hollywell_entry_appended_bytes_total",
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -156,6 +156,10 @@
             order.version,
             report.orders
         );
+        if status == Some(202) {
+            let (shared, hint) = (shared.clone(), Hint::Loading(order.clone()));
+            tokio::task::spawn_local(async move { hints::publish(&shared, &hint).await });
+        }
         if !matches!(status, Some(200 | 202)) {
             // An order without a response may still be carried out; the next
             // report shows it.
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -388,6 +388,10 @@
                 self.meters.moves.with_label_values(&[&format!("{why:?}")]).inc();
                 log::info!("sample {}/{} leaves {target}: {why:?}", sample_id.job, sample_id.index);
             }
+            Effect::Waits { sample_id, why } => {
+                self.meters.waits.with_label_values(&[&format!("{why:?}")]).inc();
+                log::info!("sample {}/{} waits: {why:?}", sample_id.job, sample_id.index);
+            }
             Effect::Discard(sample_id) => {
                 self.control.borrow_mut().partial_texts.remove(&sample_id);
             }
