--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -8,7 +8,7 @@
 
 use super::{
     ActiveJob, Effect, End, Progress, Run, Running, SampleId, SampleSpec, Stage, State,
-    TOKENS_PER_EVENT, TOO_LARGE_MS, start::MAX_LOAD,
+    TOKENS_PER_EVENT, TOO_LARGE_MS,
 };
 use crate::core::{
     choice::{Need, Observations},
@@ -19,6 +19,10 @@
 
 /// How long the demand on a pool is reused, in milliseconds.
 const DEMAND_AGE_MS: u64 = 100;
+/// Requests per slot that all instances together place at targets. What is more
+/// than the slots covers the time until an instance learns that a run has
+/// ended; a longer queue only loses its requests to the next load of weights.
+const SHARE_LOAD: f64 = 1.2;
 /// Targets whose memory is checked for one sample, the best first: if none of
 /// them has room, the others are full as well, or slow.
 const MAX_CHECKED: usize = 8;
@@ -125,7 +129,7 @@
                 // Other jobs' samples are spread over all targets of the pool.
                 let of_job = open_samples(active).count();
                 let others = (all - of_job) as f64 * targets as f64 / pool_targets.max(1) as f64;
-                let share = room::share(own, of_job + others as usize, slots * MAX_LOAD);
+                let share = room::share(own, of_job + others as usize, slots * SHARE_LOAD);
                 jobs.insert(spec.job.clone(), JobDemand { share, running: 0 });
             }
         }
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -17,7 +17,7 @@
 /// Highest load at which requests are still sent to a target: requests of all
 /// instances per slot. Above it a sample waits in this instance, where it can
 /// still go to whichever target has a free slot first.
-pub(super) const MAX_LOAD: f64 = 1.6;
+const MAX_LOAD: f64 = 1.6;
 
 /// Priority of all samples at targets whose memory is stated. A target preempts
 /// a request for a more urgent one, which is then the only thing that its
