--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -2,7 +2,7 @@
 //! instance's share of the places ([`crate::core::room`]). Pools whose memory
 //! the configuration does not state are left to [`Observations::choose`] alone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,8 @@
 /// than the slots covers the time until an instance learns that a run has
 /// ended; a longer queue only loses its requests to the next load of weights.
 const SHARE_LOAD: f64 = 1.2;
+/// How long an instance keeps to the same draw of targets, in milliseconds.
+const DRAW_MS: u64 = 250;
 /// Targets whose memory is checked for one sample, the best first: if none of
 /// them has room, the others are full as well, or slow.
 const MAX_CHECKED: usize = 8;
@@ -42,6 +44,8 @@
 
 /// What one more sample needs, and of whom.
 pub(super) struct Request<'a> {
+    /// Hash of the instance's name.
+    pub salt: u64,
     pub job: &'a str,
     pub model: &'a str,
     pub group: &'a str,
@@ -50,12 +54,16 @@
 }
 
 /// The demand on one job's targets.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct JobDemand {
     /// Runs that this instance may have of the job.
     share: usize,
+    /// The same for each slot of a target.
+    share_per_slot: f64,
     /// Runs that it has.
     running: usize,
+    /// The same by target.
+    running_at: HashMap<String, usize>,
 }
 
 /// The demand of all open jobs.
@@ -129,8 +137,11 @@
                 // Other jobs' samples are spread over all targets of the pool.
                 let of_job = open_samples(active).count();
                 let others = (all - of_job) as f64 * targets as f64 / pool_targets.max(1) as f64;
-                let share = room::share(own, of_job + others as usize, slots * SHARE_LOAD);
-                jobs.insert(spec.job.clone(), JobDemand { share, running: 0 });
+                let demand = of_job + others as usize;
+                let share = room::share(own, demand, slots * SHARE_LOAD);
+                let share_per_slot = SHARE_LOAD * own as f64 / demand.max(1) as f64;
+                let job = JobDemand { share, share_per_slot, ..JobDemand::default() };
+                jobs.insert(spec.job.clone(), job);
             }
         }
         self.demand = Demand { counted_at: Some(now), jobs, typical };
@@ -138,11 +149,12 @@
 
     /// Counts this instance's runs of each job.
     pub(super) fn count_running(&mut self) {
-        self.demand.jobs.values_mut().for_each(|demand| demand.running = 0);
+        for demand in self.demand.jobs.values_mut() {
+            demand.running = 0;
+            demand.running_at.clear();
+        }
         for running in self.runs.values() {
-            if let Some(demand) = self.demand.jobs.get_mut(&running.sample_id.job) {
-                demand.running += 1;
-            }
+            self.demand.started(&running.sample_id.job, &running.target);
         }
     }
 }
@@ -221,15 +233,33 @@
 
 impl Demand {
     /// Records that a sample of a job was started.
-    pub(super) fn started(&mut self, job: &str) {
+    pub(super) fn started(&mut self, job: &str, target: &str) {
         if let Some(demand) = self.jobs.get_mut(job) {
             demand.running += 1;
+            *demand.running_at.entry(target.to_owned()).or_default() += 1;
         }
     }
 
-    /// Whether this instance has taken its share of the places for a job.
-    pub(super) fn is_share_taken(&self, job: &str) -> bool {
-        self.jobs.get(job).is_some_and(|demand| demand.running >= demand.share)
+    /// Whether this instance may start one more run of a job at a target.
+    fn is_within_share(
+        &self,
+        now: Time,
+        request: &Request<'_>,
+        target: &Announcement,
+        observations: &Observations,
+    ) -> bool {
+        let Some(demand) = self.jobs.get(request.job).filter(|demand| demand.running > 0) else {
+            return true;
+        };
+        let running = demand.running_at.get(&target.id).copied().unwrap_or(0);
+        let seed = request.salt ^ (now.0 / DRAW_MS);
+        let share = f64::from(target.slots.max(1)) * demand.share_per_slot;
+        let share = room::draw(share, &target.id, seed);
+        let is_free = || observations.has_free_slots(now, target);
+        match demand.running < demand.share {
+            true => running < share || running == share && is_free(),
+            false => running <= share && is_free(),
+        }
     }
 
     /// The place that a target has for one more run.
@@ -258,12 +288,10 @@
         observations: &Observations,
         (request, memory): (&Request<'_>, Memory),
     ) -> Result<&'a Announcement, Wait> {
-        let is_share_taken = self.is_share_taken(request.job);
-        targets.retain(|target| {
-            !is_loading(room, now, target, request.model)
-                && (!is_share_taken || observations.has_free_slots(now, target))
-        });
-        let mut wait = if is_share_taken { Wait::Share } else { Wait::Places };
+        targets.retain(|target| !is_loading(room, now, target, request.model));
+        let able = targets.len();
+        targets.retain(|target| self.is_within_share(now, request, target, observations));
+        let mut wait = if targets.len() < able { Wait::Share } else { Wait::Places };
         for _ in 0..MAX_CHECKED {
             let best = observations.choose(now, targets.iter().copied(), request.need);
             let Some(target) = best else {
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -66,7 +66,7 @@
                 None => observations.choose(now, targets.into_iter(), need).ok_or(Wait::Places),
                 Some((memory, tokens)) => {
                     let (model, group) = (&spec.model, &item.group);
-                    let request = Request { job: &sample_id.job, model, group, tokens, need };
+                    let request = Request { salt, job: &sample_id.job, model, group, tokens, need };
                     self.demand.choose(now, &self.room, targets, observations, (&request, memory))
                 }
             };
@@ -88,7 +88,7 @@
             observations.request_started(&target.id);
             if let Some(tokens) = tokens {
                 self.room.started(run, &target.id, &item.group, tokens);
-                self.demand.started(&sample_id.job);
+                self.demand.started(&sample_id.job, &target.id);
             }
             let running = Running {
                 sample_id: sample_id.clone(),
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -338,3 +338,23 @@
     let part = places * own as f64 / all.max(1) as f64;
     own.min((part.ceil() as usize).max(1))
 }
+
+/// Rounds an instance's share of a target's places up or down, up at as many
+/// targets and instances as the fraction says. Rounded up everywhere, the
+/// shares of seventy instances would fill a target several times over.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::room::draw;
+///
+/// let places: usize = (0..1_000).map(|instance| draw(0.16, "target", instance)).sum();
+/// assert!((130..190).contains(&places), "{places}");
+/// assert_eq!(draw(2.0, "target", 1), 2);
+/// ```
+#[must_use]
+pub fn draw(share: f64, target: &str, seed: u64) -> usize {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), seed);
+    let fraction = hash as f64 / u64::MAX as f64;
+    share.floor() as usize + usize::from(fraction < share.fract())
+}
