--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ActiveJob, Effect, End, Progress, Run, Running, SampleId, SampleSpec, Stage, State,
+    ActiveJob, Effect, End, JobSpec, Progress, Run, Running, SampleId, SampleSpec, Stage, State,
     TOKENS_PER_EVENT, TOO_LARGE_MS,
 };
 use crate::core::{
@@ -25,6 +25,11 @@
 const SHARE_LOAD: f64 = 1.2;
 /// How long an instance keeps to the same draw of targets, in milliseconds.
 const DRAW_MS: u64 = 250;
+/// Targets beyond which the demand is counted less often.
+const MANY_TARGETS: u64 = 64;
+/// Time after which an instance that runs nothing of a job starts one sample
+/// whatever its share is, in milliseconds.
+const STANDSTILL_MS: u64 = 1_000;
 /// Targets whose memory is checked for one sample, the best first: if none of
 /// them has room, the others are full as well, or slow.
 const MAX_CHECKED: usize = 8;
@@ -53,13 +58,15 @@
     pub need: Need,
 }
 
-/// The demand on one job's targets.
+/// One job's part in the demand on its targets.
 #[derive(Clone, Debug, Default)]
 struct JobDemand {
-    /// Runs that this instance may have of the job.
-    share: usize,
-    /// The same for each slot of a target.
-    share_per_slot: f64,
+    /// When its samples were first counted.
+    since: Time,
+    /// Its open samples that this instance runs, for each of its targets.
+    own_per_target: f64,
+    /// Runs that this instance may have of it.
+    share: f64,
     /// Runs that it has.
     running: usize,
     /// The same by target.
@@ -71,6 +78,9 @@
 pub(super) struct Demand {
     counted_at: Option<Time>,
     jobs: BTreeMap<String, JobDemand>,
+    /// Open samples for each place at a target, if each job's samples are spread
+    /// evenly over the targets that can run them.
+    per_place: HashMap<String, f64>,
     typical: BTreeMap<String, Typical>,
 }
 
@@ -109,42 +119,59 @@
     /// Counts the demand on the pools whose memory is stated, unless it was
     /// counted a moment ago.
     pub(super) fn count_demand(&mut self, now: Time, fleet: &Fleet) {
-        if self.demand.counted_at.is_some_and(|at| now.since(at) < DEMAND_AGE_MS) {
+        let age_ms = DEMAND_AGE_MS * (fleet.targets.len() as u64 / MANY_TARGETS + 1);
+        if self.demand.counted_at.is_some_and(|at| now.since(at) < age_ms) {
             return;
         }
-        let (mut jobs, mut typical) = (BTreeMap::new(), BTreeMap::new());
+        let mut demand = Demand { counted_at: Some(now), ..Demand::default() };
         for (pool, memory) in fleet.pools_with_memory() {
-            let active: Vec<&ActiveJob> =
-                self.jobs.values().filter(|active| active.spec.pool == pool).collect();
-            let samples = || active.iter().flat_map(|active| open_samples(active));
-            let sizes = samples().map(|(item, _)| tokens(item, 0, memory));
-            typical.insert(pool.to_owned(), Typical::of(sizes));
-            let (all, pool_targets) = (samples().count(), fleet.usable(pool).count());
-            for active in &active {
-                let own = open_samples(active).filter(|(_, progress)| progress.assigned).count();
-                if own == 0 {
-                    continue;
+            let active = || self.jobs.values().filter(|active| active.spec.pool == pool);
+            let sizes = active().flat_map(open_samples).map(|(item, _)| tokens(item, 0, memory));
+            demand.typical.insert(pool.to_owned(), Typical::of(sizes));
+            let mut targets_of: Vec<(&JobSpec, Vec<&Announcement>)> = Vec::new();
+            for active in active() {
+                let (open, own) = open_samples(active)
+                    .fold((0, 0), |(open, own), (_, progress)| {
+                        (open + 1, own + usize::from(progress.assigned))
+                    });
+                let targets = self.able_targets(now, &active.spec, fleet);
+                for target in &targets {
+                    let places = f64::from(target.slots.max(1)) * SHARE_LOAD;
+                    let per_target = open as f64 / targets.len() as f64;
+                    *demand.per_place.entry(target.id.clone()).or_default() += per_target / places;
                 }
-                let spec = &active.spec;
-                let can_run = |target: &&Target| {
-                    target.may_run(&spec.model, spec.min_version)
-                        && !is_loading(&self.room, now, &target.announcement, &spec.model)
+                let job = &active.spec.job;
+                let since = self.demand.jobs.get(job).map_or(now, |demand| demand.since);
+                let own_per_target = own as f64 / targets.len().max(1) as f64;
+                let job_demand = JobDemand { since, own_per_target, ..JobDemand::default() };
+                demand.jobs.insert(job.clone(), job_demand);
+                targets_of.push((&active.spec, targets));
+            }
+            for (spec, targets) in targets_of {
+                let share = |job: &JobDemand| {
+                    targets.iter().map(|target| demand.share_at(job, target)).sum()
                 };
-                let able = fleet.usable(pool).filter(can_run);
-                let (targets, slots) = able.fold((0, 0.0), |(targets, slots), target| {
-                    (targets + 1, slots + f64::from(target.announcement.slots.max(1)))
-                });
-                // Other jobs' samples are spread over all targets of the pool.
-                let of_job = open_samples(active).count();
-                let others = (all - of_job) as f64 * targets as f64 / pool_targets.max(1) as f64;
-                let demand = of_job + others as usize;
-                let share = room::share(own, demand, slots * SHARE_LOAD);
-                let share_per_slot = SHARE_LOAD * own as f64 / demand.max(1) as f64;
-                let job = JobDemand { share, share_per_slot, ..JobDemand::default() };
-                jobs.insert(spec.job.clone(), job);
+                let share = demand.jobs.get(&spec.job).map(share);
+                if let Some((job, share)) = demand.jobs.get_mut(&spec.job).zip(share) {
+                    job.share = share;
+                }
             }
         }
-        self.demand = Demand { counted_at: Some(now), jobs, typical };
+        self.demand = demand;
+    }
+
+    /// The targets that can run a job's samples now.
+    fn able_targets<'a>(
+        &self,
+        now: Time,
+        spec: &'a JobSpec,
+        fleet: &'a Fleet,
+    ) -> Vec<&'a Announcement> {
+        let is_able = |target: &&Target| {
+            target.may_run(&spec.model, spec.min_version)
+                && !is_loading(&self.room, now, &target.announcement, &spec.model)
+        };
+        fleet.usable(&spec.pool).filter(is_able).map(|target| &target.announcement).collect()
     }
 
     /// Counts this instance's runs of each job.
@@ -240,6 +267,12 @@
         }
     }
 
+    /// Runs of a job that this instance may have at a target.
+    fn share_at(&self, job: &JobDemand, target: &Announcement) -> f64 {
+        let per_place = self.per_place.get(&target.id).copied().unwrap_or(0.0);
+        room::share(job.own_per_target, per_place)
+    }
+
     /// Whether this instance may start one more run of a job at a target.
     fn is_within_share(
         &self,
@@ -248,15 +281,17 @@
         target: &Announcement,
         observations: &Observations,
     ) -> bool {
-        let Some(demand) = self.jobs.get(request.job).filter(|demand| demand.running > 0) else {
+        let Some(job) = self.jobs.get(request.job) else {
             return true;
         };
-        let running = demand.running_at.get(&target.id).copied().unwrap_or(0);
+        if job.running == 0 && now.since(job.since) > STANDSTILL_MS {
+            return true;
+        }
+        let running = job.running_at.get(&target.id).copied().unwrap_or(0);
         let seed = request.salt ^ (now.0 / DRAW_MS);
-        let share = f64::from(target.slots.max(1)) * demand.share_per_slot;
-        let share = room::draw(share, &target.id, seed);
+        let share = room::draw(self.share_at(job, target), &target.id, seed);
         let is_free = || observations.has_free_slots(now, target);
-        match demand.running < demand.share {
+        match job.running < room::draw(job.share, request.job, seed) {
             true => running < share || running == share && is_free(),
             false => running <= share && is_free(),
         }
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -319,24 +319,24 @@
     }
 }
 
-/// How many of a number of places an instance may take that has `own` of `all`
-/// samples to run. Each instance knows all samples, so that together they take
-/// about as many as there are; one each is the least, so that none stands
-/// still.
+/// How many runs an instance may have at a target, given its open samples per
+/// target and the open samples of all instances for each place there. Each
+/// instance knows all jobs, so that together they take about as many places as
+/// there are.
 ///
 /// # Example
 ///
 /// ```
 /// use hollywell::core::room::share;
 ///
-/// assert_eq!(share(16, 700, 280.0), 7);
-/// assert_eq!(share(16, 100, 280.0), 16);
-/// assert_eq!(share(1, 700, 280.0), 1);
+/// // Three samples for each place: a third of them has one.
+/// assert_eq!(share(1.5, 3.0), 0.5);
+/// // More places than samples.
+/// assert_eq!(share(1.5, 0.5), 3.0);
 /// ```
 #[must_use]
-pub fn share(own: usize, all: usize, places: f64) -> usize {
-    let part = places * own as f64 / all.max(1) as f64;
-    own.min((part.ceil() as usize).max(1))
+pub fn share(own: f64, per_place: f64) -> f64 {
+    if per_place > 0.0 { own / per_place } else { f64::INFINITY }
 }
 
 /// Rounds an instance's share of a target's places up or down, up at as many
@@ -356,5 +356,5 @@
 pub fn draw(share: f64, target: &str, seed: u64) -> usize {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), seed);
     let fraction = hash as f64 / u64::MAX as f64;
-    share.floor() as usize + usize::from(fraction < share.fract())
+    (share.floor() as usize).saturating_add(usize::from(fraction < share.fract()))
 }
