--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -250,8 +250,7 @@
     }
 
     /// Whether a target reported enough free slots recently.
-    #[must_use]
-    pub fn has_free_slots(&self, now: Time, target: &Announcement) -> bool {
+    fn has_free_slots(&self, now: Time, target: &Announcement) -> bool {
         let Some(observation) = self.targets.get(&target.id) else {
             return false;
         };
--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -22,7 +22,7 @@
 /// Requests per slot that all instances together place at targets. What is more
 /// than the slots covers the time until an instance learns that a run has
 /// ended; a longer queue only loses its requests to the next load of weights.
-const SHARE_LOAD: f64 = 1.2;
+const SHARE_LOAD: f64 = 1.3;
 /// How long an instance keeps to the same draw of targets, in milliseconds.
 const DRAW_MS: u64 = 250;
 /// Targets beyond which the demand is counted less often.
@@ -274,13 +274,7 @@
     }
 
     /// Whether this instance may start one more run of a job at a target.
-    fn is_within_share(
-        &self,
-        now: Time,
-        request: &Request<'_>,
-        target: &Announcement,
-        observations: &Observations,
-    ) -> bool {
+    fn is_within_share(&self, now: Time, request: &Request<'_>, target: &Announcement) -> bool {
         let Some(job) = self.jobs.get(request.job) else {
             return true;
         };
@@ -290,11 +284,7 @@
         let running = job.running_at.get(&target.id).copied().unwrap_or(0);
         let seed = request.salt ^ (now.0 / DRAW_MS);
         let share = room::draw(self.share_at(job, target), &target.id, seed);
-        let is_free = || observations.has_free_slots(now, target);
-        match job.running < room::draw(job.share, request.job, seed) {
-            true => running < share || running == share && is_free(),
-            false => running <= share && is_free(),
-        }
+        running < share && job.running < room::draw(job.share, request.job, seed)
     }
 
     /// The place that a target has for one more run.
@@ -325,7 +315,7 @@
     ) -> Result<&'a Announcement, Wait> {
         targets.retain(|target| !is_loading(room, now, target, request.model));
         let able = targets.len();
-        targets.retain(|target| self.is_within_share(now, request, target, observations));
+        targets.retain(|target| self.is_within_share(now, request, target));
         let mut wait = if targets.len() < able { Wait::Share } else { Wait::Places };
         for _ in 0..MAX_CHECKED {
             let best = observations.choose(now, targets.iter().copied(), request.need);
