--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -456,6 +456,7 @@
             let item = &spec.samples[*at];
             (!item.resumed, std::cmp::Reverse(item.tokens))
         });
+        self.demand.expire();
         self.arrival.push(spec.job.clone());
         self.jobs.insert(
             spec.job.clone(),
@@ -511,6 +512,7 @@
         let Some(active) = self.jobs.remove(job) else {
             return;
         };
+        self.demand.expire();
         self.arrival.retain(|other| other != job);
         for (at, progress) in active.progress.iter().enumerate() {
             if let Stage::Running(run) = progress.stage {
@@ -523,6 +525,7 @@
     }
 
     fn set_members(&mut self, members: &[String]) {
+        self.demand.expire();
         let change = Change::between(&self.members, members);
         for active in self.jobs.values_mut() {
             active.owners.change(&active.spec.job, members, &change);
--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -85,6 +85,11 @@
 }
 
 impl Demand {
+    /// Has the demand counted anew: jobs or members have changed.
+    pub(super) fn expire(&mut self) {
+        self.counted_at = None;
+    }
+
     fn typical(&self, pool: &str) -> Typical {
         self.typical.get(pool).copied().unwrap_or_default()
     }
@@ -284,7 +289,8 @@
         let running = job.running_at.get(&target.id).copied().unwrap_or(0);
         let seed = request.salt ^ (now.0 / DRAW_MS);
         let share = room::draw(self.share_at(job, target), &target.id, seed);
-        running < share && job.running < room::draw(job.share, request.job, seed)
+        // Drawn once for all: what is drawn anew would add up while runs last.
+        running < share && job.running < room::draw(job.share, request.job, request.salt)
     }
 
     /// The place that a target has for one more run.
--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -26,8 +26,8 @@
 /// How long a load of weights is expected to last at most, in milliseconds. It
 /// begins once the runs in progress have ended.
 const MAX_LOAD_MS: u64 = 4_000;
-/// Standard deviations by which the runs of others may exceed what is typical:
-/// about one start in forty meets more.
+/// Standard deviations by which all runs may exceed what is expected: about one
+/// start in forty meets more.
 const MARGIN_DEVIATIONS: f64 = 2.0;
 /// Buckets of the ratio between a text's length and its estimate; each is
 /// larger than the one before by a factor of the square root of two.
@@ -108,7 +108,7 @@
 
     /// Adds what one run is expected to hold at each step of [`GROWTH`],
     /// without the shared part of its prompt.
-    fn add(&self, tokens: &Tokens, sums: &mut [f64; GROWTH.len()]) {
+    fn add(&self, tokens: &Tokens, fill: &mut [Fill; GROWTH.len()]) {
         let generated = f64::from(tokens.generated);
         let limit = if tokens.limit == 0 { f64::INFINITY } else { f64::from(tokens.limit) };
         let length =
@@ -116,25 +116,32 @@
         let held = f64::from(tokens.own) + generated;
         let possible = || (0..RATIOS).filter(|bucket| length(*bucket) > generated);
         let all: f64 = possible().map(|bucket| self.counts[bucket]).sum();
-        if all <= 0.0 {
-            let left = (generated * (OVERLONG - 1.0)).min((limit - generated).max(0.0));
-            let reached = GROWTH.iter().zip(sums).filter(|(growth, _)| **growth <= left);
-            reached.for_each(|(growth, sum)| *sum += held + growth);
-            return;
+        let mut runs: Vec<(f64, f64)> = possible()
+            .map(|bucket| (length(bucket) - generated, self.counts[bucket] / all))
+            .collect();
+        if runs.is_empty() {
+            runs.push(((generated * (OVERLONG - 1.0)).min((limit - generated).max(0.0)), 1.0));
         }
-        for bucket in possible() {
-            let (left, share) = (length(bucket) - generated, self.counts[bucket] / all);
-            for (growth, sum) in GROWTH.iter().zip(&mut *sums) {
-                // The last step of a text counts whole, though it ends within.
-                if *growth >= left * 2.0 {
-                    break;
-                }
-                *sum += share * (held + growth.min(left));
-            }
+        for (growth, fill) in GROWTH.iter().zip(fill) {
+            // Within the last doubling a text counts with its whole length.
+            let alive = runs.iter().filter(|(left, _)| *growth <= left * 2.0);
+            let (mean, square) = alive.fold((0.0, 0.0), |(mean, square), (left, share)| {
+                let tokens = held + growth.min(*left);
+                (mean + share * tokens, square + share * tokens * tokens)
+            });
+            fill.mean += mean;
+            fill.variance += (square - mean * mean).max(0.0);
         }
     }
 }
 
+/// What the runs at a target are expected to hold at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fill {
+    mean: f64,
+    variance: f64,
+}
+
 /// What one run holds of a target's memory.
 #[derive(Clone, Debug)]
 struct Holding {
@@ -253,13 +260,13 @@
     /// Tokens that a target's memory is expected to hold at the fullest moment
     /// to come, with one more sample if one is given.
     fn peak(&self, target: &str, more: Option<(&str, Tokens)>, place: Place) -> f64 {
-        let mut sums = [0.0; GROWTH.len()];
+        let mut fill = [Fill::default(); GROWTH.len()];
         let mut groups: BTreeMap<&str, u32> = BTreeMap::new();
         let own = self.held.get(target).into_iter().flat_map(BTreeMap::values);
         let own = own.map(|holding| (holding.group.as_str(), holding.tokens));
         let mut runs = 0.0;
         for (group, tokens) in own.chain(more) {
-            self.lengths.add(&tokens, &mut sums);
+            self.lengths.add(&tokens, &mut fill);
             let shared = groups.entry(group).or_default();
             *shared = (*shared).max(tokens.shared);
             runs += 1.0;
@@ -267,8 +274,9 @@
         let shared: f64 = groups.values().map(|shared| f64::from(*shared)).sum();
         // What waits for a slot holds nothing.
         let others = place.others.max(0.0).min((f64::from(place.slots) - runs).max(0.0));
-        let margin = MARGIN_DEVIATIONS * place.typical.deviation * others.sqrt();
-        sums.into_iter().fold(0.0, f64::max) + shared + others * place.typical.mean + margin
+        let variance = others * place.typical.deviation.powi(2);
+        let high = |fill: Fill| fill.mean + MARGIN_DEVIATIONS * (fill.variance + variance).sqrt();
+        fill.into_iter().map(high).fold(0.0, f64::max) + shared + others * place.typical.mean
     }
 
     /// Whether one more sample fits into a target's memory until it ends. A
