--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -22,7 +22,7 @@
 /// Requests per slot that all instances together place at targets. What is more
 /// than the slots covers the time until an instance learns that a run has
 /// ended; a longer queue only loses its requests to the next load of weights.
-const SHARE_LOAD: f64 = 1.3;
+const SHARE_LOAD: f64 = 1.0;
 /// How long an instance keeps to the same draw of targets, in milliseconds.
 const DRAW_MS: u64 = 250;
 /// Targets beyond which the demand is counted less often.
