--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -19,9 +19,10 @@
 
 /// How long the demand on a pool is reused, in milliseconds.
 const DEMAND_AGE_MS: u64 = 100;
-/// Requests per slot that all instances together place at targets. What is more
-/// than the slots covers the time until an instance learns that a run has
-/// ended; a longer queue only loses its requests to the next load of weights.
+/// Requests per slot that all instances together place at targets: what is more
+/// waits here, where it can go to whichever target has a free slot first, and is
+/// not lost to the next load of weights. Shares are uneven enough for targets
+/// to have a short queue all the same.
 const SHARE_LOAD: f64 = 1.0;
 /// How long an instance keeps to the same draw of targets, in milliseconds.
 const DRAW_MS: u64 = 250;
