--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -8,7 +8,7 @@
 
 use super::{
     ActiveJob, Effect, End, JobSpec, Progress, Run, Running, SampleId, SampleSpec, Stage, State,
-    TOKENS_PER_EVENT, TOO_LARGE_MS,
+    TOKENS_PER_EVENT, TOO_LARGE_MS, locality,
 };
 use crate::core::{
     choice::{Need, Observations},
@@ -26,8 +26,6 @@
 const SHARE_LOAD: f64 = 1.0;
 /// How long an instance keeps to the same draw of targets, in milliseconds.
 const DRAW_MS: u64 = 250;
-/// Targets beyond which the demand is counted less often.
-const MANY_TARGETS: u64 = 64;
 /// Time after which an instance that runs nothing of a job starts one sample
 /// whatever its share is, in milliseconds.
 const STANDSTILL_MS: u64 = 1_000;
@@ -125,8 +123,7 @@
     /// Counts the demand on the pools whose memory is stated, unless it was
     /// counted a moment ago.
     pub(super) fn count_demand(&mut self, now: Time, fleet: &Fleet) {
-        let age_ms = DEMAND_AGE_MS * (fleet.targets.len() as u64 / MANY_TARGETS + 1);
-        if self.demand.counted_at.is_some_and(|at| now.since(at) < age_ms) {
+        if self.demand.counted_at.is_some_and(|at| now.since(at) < DEMAND_AGE_MS) {
             return;
         }
         let mut demand = Demand { counted_at: Some(now), ..Demand::default() };
@@ -134,6 +131,11 @@
             let active = || self.jobs.values().filter(|active| active.spec.pool == pool);
             let sizes = active().flat_map(open_samples).map(|(item, _)| tokens(item, 0, memory));
             demand.typical.insert(pool.to_owned(), Typical::of(sizes));
+            // In a large fleet each instance considers its own selection, and a
+            // small instance has no time to count for thousands of targets.
+            if !locality::is_small(fleet) {
+                continue;
+            }
             let mut targets_of: Vec<(&JobSpec, Vec<&Announcement>)> = Vec::new();
             for active in active() {
                 let (open, own) = open_samples(active)
--- a/crates/hollywell/tests/room.rs
+++ b/crates/hollywell/tests/room.rs
@@ -394,3 +394,22 @@
     }
     assert!(late > owners.len() / 2, "{late} of {} wait for the others first", owners.len());
 }
+
+#[test]
+fn shares_do_not_limit_an_instance_that_considers_few_of_many_targets() {
+    let targets: Vec<Announcement> =
+        (0..1_000).map(|n| target(&format!("e{n}"), &[("m", 1)])).collect();
+    let fleet = fleet(&targets, 75_000);
+    let members: Vec<String> = (0..50).map(|n| format!("i{n}")).collect();
+    let mut instance = Instance::new("i0", &members, &fleet);
+    let mut spec = job("j", &[1_000; 2_000], size(116, 100, 8_000));
+    for (n, item) in spec.samples.iter_mut().enumerate() {
+        item.group = format!("g{}", n / 8);
+    }
+    let own = |item: &&SampleSpec| {
+        hollywell::core::dispatch::owner(&members, "j", &item.group) == Some("i0")
+    };
+    let own = spec.samples.iter().filter(own).count();
+    let effects = instance.step(10, &Event::Opened(spec), &fleet);
+    assert_eq!(starts(&effects).len(), own);
+}
