--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -9,8 +9,8 @@
 //! instances may run the same sample for a while; the order of records in the
 //! store decides which result counts ([`crate::core::batch`]).
 //!
-//! `start` starts waiting samples, `leave` decides which runs should move away
-//! from their target, `locality` selects the targets to consider in a large
+//! `start` starts waiting samples, `place` finds a target with room for each,
+//! `leave` decides which runs should move away from their target, `locality` selects the targets to consider in a large
 //! pool, and `owners` assigns groups to instances.
 //!
 //! Generated text never passes through the reducer: the driver keeps the text,
