Keep a target's lasting speed apart from what is passing

One moving mean of the gaps mixed both: a fast target in a slow moment was taken for a slow one, long after the moment had passed, and plain requests were placed as if all targets were alike.

core/speed.rs keeps, for targets that state a slowdown, the lasting time of an event and of an answer (corrected for load and for the stated factor) and the factor at the moment, forgotten within a second. Samples and plain requests are placed by the time to expect from both; a move for speed must pay before the slowness is expected to end. A statement that cannot be right is counted and logged, and the last sound one stays. A target that states nothing is treated as before.

Loads of weights do not use the speed: not tried.

--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -507,7 +507,8 @@
             return;
         };
         if running.events > 0 {
-            observations.record_event_gap(&running.target, now.since(running.last_event_at) as f64);
+            let gap_ms = now.since(running.last_event_at) as f64;
+            observations.record_event_gap(now, &running.target, gap_ms);
         }
         running.events += 1;
         running.last_event_at = now;
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -22,6 +22,7 @@
 //! | [`group`] | whether a reading of the group of instances shows all members |
 //! | [`poison`] | which requests end the targets that run them |
 //! | [`permit`] | which instance may do what only one may do at a time |
+//! | [`speed`] | how fast a target works, lastingly and at the moment |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
 //!
 //! Not part of this module: bodies, sockets and threads, which are in
@@ -54,6 +55,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod route;
+pub mod speed;
 pub mod store_lease;
 pub mod stream;
 pub mod table;
--- a/crates/hollywell/src/entry/forward.rs
+++ b/crates/hollywell/src/entry/forward.rs
@@ -311,8 +311,9 @@
             plain.uncount_usage(shared);
         }
         if let SendOutcome::Answered(_) = &sent {
-            let took_ms = shared.now().since(now);
-            shared.control.borrow_mut().observations.record_answer_time(&target.id, took_ms);
+            let ended = shared.now();
+            let observations = &mut shared.control.borrow_mut().observations;
+            observations.record_answer_time(ended, &target.id, ended.since(now));
         }
         if let Some(response) = state.record(route, target.id, sent) {
             return ForwardResult::Answered(response);
@@ -369,7 +370,7 @@
     let own = xxhash_rust::xxh3::xxh3_64(shared.instance_id.as_bytes());
     let salt = own ^ salt.wrapping_add(tried.len() as u64);
     let need = Need { events: 1.0, max_load: MAX_LOAD, instances: 1.0, salt };
-    let choice = control.observations.choose(now, fresh, need);
+    let choice = control.observations.choose_for_answer(now, fresh, need);
     // If every target was tried or is avoided, retry one that was tried
     // before rather than let the deadline pass.
     let choice = choice.or_else(|| {
@@ -509,9 +510,7 @@
     let &SendAttempt { plain, target, .. } = attempt;
     let names = &shared.codec.headers;
     let now = shared.now();
-    if let Some(load) = response.header(&names.load).and_then(shared.codec.load) {
-        shared.control.borrow_mut().observations.record_load(now, &target.id, load);
-    }
+    shared.record_load(now, &target.id, &response);
     let status = response.head.status;
     let not_run = response.head.headers.contains_key(&names.not_run)
         || status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -225,10 +225,7 @@
         }
     };
     let headers = &shared.codec.headers;
-    if let Some(load) = response.header(&headers.load).and_then(shared.codec.load) {
-        let now = shared.now();
-        shared.control.borrow_mut().observations.record_load(now, &target.id, load);
-    }
+    shared.record_load(shared.now(), &target.id, &response);
     match response.head.status {
         StatusCode::OK => stream(shared, run, sample_id, target, digest, response).await,
         StatusCode::MISDIRECTED_REQUEST => End::Misdirected,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -34,7 +34,7 @@
     entry::{
         codec::Codec,
         ends,
-        exchange::Pool,
+        exchange::{IncomingResponse, Pool},
         feed::Feed,
         garbage, jobs, member,
         meters::Meters,
@@ -338,6 +338,19 @@
         appended
     }
 
+    /// Records the load that came with a target's answer.
+    pub fn record_load(&self, now: Time, target: &str, response: &IncomingResponse) {
+        let header = response.header(&self.codec.headers.load);
+        let Some(load) = header.and_then(self.codec.load) else {
+            return;
+        };
+        let recorded = self.control.borrow_mut().observations.record_load(now, target, load);
+        if let Err(unsound) = recorded {
+            self.meters.slowdowns_skipped.inc();
+            log::warn!("target {target} states a {unsound}");
+        }
+    }
+
     /// Discards the observations and connections of a target that has
     /// restarted; `address` is where it was before. The reducer moves its runs.
     pub fn reset_target(&self, control: &mut Control, id: &str, address: std::net::SocketAddr) {
