--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -29,6 +29,14 @@
     pub failed_appends: IntCounterVec,
     /// Attempts at plain requests that got no response, by reason.
     pub unanswered: IntCounterVec,
+    /// Plain requests sent to a second target while the first had them, by what
+    /// became of that: each is counted as sent, and once more at its end.
+    pub hedges: IntCounterVec,
+    /// Plain requests that were due for a second target but not sent to one, by
+    /// reason.
+    pub hedges_withheld: IntCounterVec,
+    /// Load reports of plain services whose values were not believed.
+    pub loads_skipped: IntCounter,
     /// Targets that exited while they had a request of this instance.
     pub targets_ended: IntCounter,
     /// Requests that were held back from all targets as poison.
@@ -119,6 +127,20 @@
                 "Sends of plain requests without an answer.",
                 &["why"],
             )?,
+            hedges: counter(
+                "hollywell_entry_hedges_total",
+                "Second sends of plain requests.",
+                &["end"],
+            )?,
+            hedges_withheld: counter(
+                "hollywell_entry_hedges_withheld_total",
+                "Second sends of plain requests that were due and withheld.",
+                &["why"],
+            )?,
+            loads_skipped: count(
+                "hollywell_entry_loads_skipped_total",
+                "Load reports of plain services not believed.",
+            )?,
             targets_ended: count(
                 "hollywell_entry_targets_ended_total",
                 "Targets that ended under a request.",
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -20,8 +20,8 @@
 use crate::{
     clock::Clock,
     core::{
-        capacity, choice::Observations, dispatch, ending, fleet::Fleet, group::GroupSize, poison,
-        roster::Roster,
+        capacity, choice::Observations, dispatch, ending, fleet::Fleet, group::GroupSize, hedge,
+        poison, roster::Roster,
     },
     entry::{
         self,
@@ -103,6 +103,7 @@
         configuration_read_at: None,
         fleet: Fleet::default(),
         observations: Observations::default(),
+        hedges: hedge::State::default(),
         dispatch: dispatch::State::new(&instance_id).in_domain(&settings.domain),
         ending: ending::State::new(&instance_id),
         poison: poison::State::default(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -25,6 +25,7 @@
         ending,
         fleet::{Announcement, Fleet},
         group::GroupSize,
+        hedge,
         permit::Permits,
         poison,
         roster::Roster,
@@ -120,6 +121,8 @@
     pub fleet: Fleet,
     /// Observed load and faults of the targets.
     pub observations: Observations,
+    /// What hedges of plain requests are decided by.
+    pub hedges: hedge::State,
     /// Samples and the targets that they run on.
     pub dispatch: dispatch::State,
     /// Requested ends of jobs that are not stored yet.
