--- a/crates/hollywell/src/core/hedge.rs
+++ b/crates/hollywell/src/core/hedge.rs
@@ -187,7 +187,7 @@
     /// Mean load in requests per slot, and when it was last reported.
     load: Option<(Time, f64)>,
     /// What hedges may cost now, in requests of mean length; negative after a
-    /// hedge that cost more than expected.
+    /// hedge that cost more than expected. A pool begins with all of it.
     budget: f64,
 }
 
@@ -206,7 +206,7 @@
             mean_ms: 0.0,
             reports: BTreeMap::new(),
             load: None,
-            budget: 1.0,
+            budget: BURST,
         }
     }
 
