--- a/crates/hollywell/tests/hedge.rs
+++ b/crates/hollywell/tests/hedge.rs
@@ -236,7 +236,7 @@
     // Absurd times.
     let mut state = after_answers(0);
     (0..100).for_each(|n| {
-        state.record_answer(Time(1_000), "app", if n % 2 == 0 { 0 } else { u64::MAX })
+        state.record_answer(Time(1_000), "app", if n % 2 == 0 { 0 } else { u64::MAX });
     });
     assert_eq!(delay(&mut state, 150), Ok(75));
     // After a long time without answers the old ones no longer count.
