--- a/crates/hollywell/src/entry/forward/race.rs
+++ b/crates/hollywell/src/entry/forward/race.rs
@@ -71,23 +71,12 @@
     };
     let (ended, other) = if is_second { (&second, first) } else { (first, &second) };
     if decides(&outcome) {
-        let answered = matches!(outcome, SendOutcome::Answered(_));
-        let end = match (answered, is_second) {
-            (true, true) => "won",
-            (true, false) => "lost",
-            (false, _) => "target_exited",
-        };
-        count(shared, &second, end);
+        count(shared, &second, end(&outcome, is_second));
         cancelled(shared, other, is_second);
         return vec![sent(other, SendOutcome::MayHaveRun), sent(ended, outcome)];
     }
     let rest = if is_second { first_send.await } else { second_send.await };
-    let end = match (decides(&rest), is_second) {
-        (true, true) => "lost",
-        (true, false) => "won",
-        (false, _) => "failed",
-    };
-    count(shared, &second, end);
+    count(shared, &second, end(&rest, !is_second));
     vec![sent(ended, outcome), sent(other, rest)]
 }
 
@@ -105,6 +94,17 @@
     }
 }
 
+/// What became of a second send, as the label value in metrics, after the last
+/// outcome, which is that of the second send or of the first.
+fn end(last: &SendOutcome, is_second: bool) -> &'static str {
+    match (last, decides(last)) {
+        (SendOutcome::TargetExited, _) => "target_exited",
+        (_, true) if is_second => "won",
+        (_, true) => "lost",
+        (_, false) => "failed",
+    }
+}
+
 fn count(shared: &Shared, second: &SendAttempt<'_>, end: &str) {
     shared.meters.hedges.with_label_values(&[end]).inc();
     log::debug!("request {}: second send, to {}: {end}", second.plain.id, second.target.id);
