--- a/crates/hollywell/src/core/speed.rs
+++ b/crates/hollywell/src/core/speed.rs
@@ -25,7 +25,7 @@
 pub const PASSING_MS: u64 = 1_000;
 /// Statements that are taken as sound, in percent of the usual time. Outside of
 /// this range a target would rather count as failed than as slow.
-const SOUND_PERCENT: RangeInclusive<u32> = 10..=10_000;
+pub const SOUND_PERCENT: RangeInclusive<u32> = 10..=10_000;
 /// Factor from which on a target counts as slow at the moment. Gaps of a target
 /// whose load varies differ by up to a fifth.
 const SLOW_FACTOR: f64 = 1.3;
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -225,7 +225,7 @@
         }
     };
     let headers = &shared.codec.headers;
-    shared.record_load(shared.now(), &target.id, &response);
+    let _load = shared.record_load(shared.now(), &target.id, &response);
     match response.head.status {
         StatusCode::OK => stream(shared, run, sample_id, target, digest, response).await,
         StatusCode::MISDIRECTED_REQUEST => End::Misdirected,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -19,12 +19,13 @@
     core::{
         batch::{self, Bundle, Change, Index, Manifest, Record, Written},
         capacity,
-        choice::Observations,
+        choice::{Load, Observations},
         configuration::{Configuration, Route, RouteKind},
         dispatch::{self, Demand, Effect, Event, JobSpec, Run, SampleId},
         ending,
         fleet::{Announcement, Fleet},
         group::GroupSize,
+        hedge,
         permit::Permits,
         poison,
         roster::Roster,
@@ -120,6 +121,8 @@
     pub fleet: Fleet,
     /// Observed load and faults of the targets.
     pub observations: Observations,
+    /// What hedges of plain requests are decided by.
+    pub hedges: hedge::State,
     /// Samples and the targets that they run on.
     pub dispatch: dispatch::State,
     /// Requested ends of jobs that are not stored yet.
@@ -338,17 +341,23 @@
         appended
     }
 
-    /// Records the load that came with a target's answer.
-    pub fn record_load(&self, now: Time, target: &str, response: &IncomingResponse) {
+    /// Records the load that came with a target's answer, and returns it unless
+    /// the slowdown that it states cannot be right.
+    pub fn record_load(
+        &self,
+        now: Time,
+        target: &str,
+        response: &IncomingResponse,
+    ) -> Option<Load> {
         let header = response.header(&self.codec.headers.load);
-        let Some(load) = header.and_then(self.codec.load) else {
-            return;
-        };
+        let load = header.and_then(self.codec.load)?;
         let recorded = self.control.borrow_mut().observations.record_load(now, target, load);
         if let Err(unsound) = recorded {
             self.meters.slowdowns_skipped.inc();
             log::warn!("target {target} states a {unsound}");
+            return None;
         }
+        Some(load)
     }
 
     /// Discards the observations and connections of a target that has
--- a/crates/hollywell/tests/speed.rs
+++ b/crates/hollywell/tests/speed.rs
@@ -414,7 +414,7 @@
                         ends[job].push(now - load.jobs[job].at_ms);
                         events.push_back(Event::ResultStored(sample_id));
                     }
-                    Effect::Discard(_) | Effect::GiveUp(_) => {}
+                    Effect::Discard(_) | Effect::GiveUp(_) | Effect::Waits { .. } => {}
                 }
             }
         }
