--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -209,7 +209,7 @@
 /// ```
 /// use hollywell::core::{dispatch::Run, room::{Ledger, Place, Tokens, Typical}};
 ///
-/// let place = Place { memory: 3_000, slots: 8, others: 0.0, typical: Typical::default() };
+/// let place = Place { memory: 4_000, slots: 8, others: 0.0, typical: Typical::default() };
 /// let tokens = Tokens { shared: 1_000, own: 16, estimate: 400, limit: 800, generated: 0 };
 /// let mut ledger = Ledger::default();
 /// ledger.started(Run(1), "a", "group", tokens);
