Decisions that give a new job another home, with a test of all orders; not connected

While a part of the store is away, the partition given by a job's id refuses new jobs although others answer. core/home.rs decides when a job may get another home, what a member that has agreed may still believe, and when a starting instance may. Nothing calls it yet: no message, record or fold is changed.

Ruled out: an offset in the manifest (the store keeps only the newest manifest of a key), refusing while an append is of unknown outcome (it nearly always is), a producer for each job. docs/design/home.md.

A second new home that is pending at a member (busy) is tested alone, as the visited worlds have two partitions.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -19,6 +19,7 @@
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
+//! | [`home`] | in which of the store's partitions a job is |
 //! | [`group`] | whether a reading of the group of instances shows all members |
 //! | [`poison`] | which requests end the targets that run them |
 //! | [`permit`] | which instance may do what only one may do at a time |
@@ -39,6 +40,7 @@
 pub mod event;
 pub mod fleet;
 pub mod group;
+pub mod home;
 pub mod id;
 pub mod lease;
 mod malformed;
