Results whose partition is away are tried less often, and stored when it answers again

Retries now back off to 1.2 s with jitter, and a read that the partition answers ends the wait. A full store is tried with jitter too.

While a partition answers reads but not appends, the delay stays near 150 ms. Not done: the order of due time among results that wait (all that fit go into one append), and ends, which back off already.

--- a/crates/hollywell/src/entry/outbox.rs
+++ b/crates/hollywell/src/entry/outbox.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     core::{
@@ -28,8 +28,14 @@
     },
 };
 
-/// Delay before a failed append is retried.
+/// Shortest delay before a failed append is retried, apart from jitter.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Longest delay while the partition answers no read either. Once it does, the
+/// retry does not wait any longer.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Random factors applied to delays, so that instances whose appends failed
+/// together do not retry together.
+const JITTER: std::ops::RangeInclusive<f64> = 0.7..=1.3;
 /// Delay before an append that a full store rejected is retried: logs are
 /// trimmed and records deleted each second.
 const STORE_FULL_DELAY: Duration = Duration::from_secs(1);
@@ -84,6 +90,7 @@
 }
 
 async fn flush(shared: Rc<Shared>, part: usize) {
+    let mut failures = 0;
     loop {
         let mut entries = take(&shared, part);
         if entries.is_empty() {
@@ -97,11 +104,34 @@
         if let Err(error) = appended {
             log::info!("failed to append {} results, retrying: {error}", entries.len());
             put_back(&shared.outbox[part], entries);
-            sleep(if error == StoreError::Full { STORE_FULL_DELAY } else { RETRY_DELAY }).await;
+            failures += 1;
+            back_off(&shared, part, failures, &error).await;
+        } else {
+            failures = 0;
         }
     }
 }
 
+/// Waits before a failed append is retried: after more failures in a row for
+/// longer, but only until the partition answers a read.
+async fn back_off(shared: &Shared, part: usize, failures: u32, error: &StoreError) {
+    let jitter = rand::random_range(JITTER);
+    if *error == StoreError::Full {
+        sleep(STORE_FULL_DELAY.mul_f64(jitter)).await;
+        return;
+    }
+    let read = shared.partition_changed[part].notified();
+    sleep(RETRY_DELAY.mul_f64(jitter)).await;
+    let longest = max_retry_delay(failures).saturating_sub(RETRY_DELAY).mul_f64(jitter);
+    let _timed_out = timeout(longest, read).await;
+}
+
+/// The longest delay after a number of failures in a row, apart from jitter.
+fn max_retry_delay(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(u32::BITS - 1);
+    RETRY_DELAY.saturating_mul(1 << doublings).min(MAX_RETRY_DELAY)
+}
+
 async fn append_texts(
     shared: &Rc<Shared>,
     part: usize,
