--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -20,6 +20,7 @@
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
 //! | [`hedge`] | when a request is sent once more to another target |
+//! | [`home`] | in which of the store's partitions a job is |
 //! | [`group`] | whether a reading of the group of instances shows all members |
 //! | [`room`] | whether a target's memory takes one more sample |
 //! | [`poison`] | which requests end the targets that run them |
@@ -43,6 +44,7 @@
 pub mod fleet;
 pub mod group;
 pub mod hedge;
+pub mod home;
 pub mod id;
 pub mod lease;
 mod malformed;
