Decide by accepted work whether a job would be late

Callers that submit more than a pool can do had all of it accepted, and one late job made the next ones late. backlog::decide rejects a job that would be late at 1.1 times the pace now, counting only work that goes before it; never while half of the places are free, nor where pace, load or targets are not known, nor a job that is too long in itself.

A load that is not a number counted as all places taken, found by the test.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -18,6 +18,7 @@
 //! | [`pace`] | when weights may be fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
+//! | [`backlog`] | whether a job is rejected because it would be late |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
 //! | [`group`] | whether a reading of the group of instances shows all members |
 //! | [`poison`] | which requests end the targets that run them |
@@ -28,6 +29,7 @@
 //! [`crate::traffic`], [`crate::peer`] and [`crate::control`].
 
 pub mod admission;
+pub mod backlog;
 pub mod batch;
 pub mod capacity;
 pub mod choice;
