Order waiting samples by shares where priorities differ

Jobs were served by arrival, so one organisation with ten times its share took all places, and steps that cannot be in time held up those that can. The order (core/share.rs): strict classes, what can be in time before what cannot, groups that a trainer waits for before its last tenth, equal shares of organisations, the earliest due; nobody waits longer than 3 s plus the places of those that wait longer.

Ruled out: slack of single samples (all steps end late), leaving out the largest groups instead of a step, deciding it by an instance's own samples.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -268,6 +268,13 @@
         paces.get(paces.len() / 2).copied()
     }
 
+    /// The median pace, or a usual one before any is known, in milliseconds per
+    /// event.
+    #[must_use]
+    pub fn pace_now(&self) -> f64 {
+        self.median_pace().unwrap_or(DEFAULT_PACE_MS)
+    }
+
     /// A target's pace, or the median if it is not known, in milliseconds per
     /// event.
     #[must_use]
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -29,14 +29,14 @@
 pub use owners::owner;
 use owners::{Change, Owners};
 
-use crate::core::{choice::Observations, fleet::Fleet, time::Time};
+use crate::core::{choice::Observations, fleet::Fleet, share, time::Time};
 
 /// Number of events by which another instance's stored text must be ahead
 /// before a run is restarted from that text.
 const RESTART_LEAD_EVENTS: u32 = 12;
 /// Tokens per stream event, assumed because the platform does not state it.
 /// Only the ratio of run time to queueing time depends on it.
-const TOKENS_PER_EVENT: f64 = 50.0;
+pub const TOKENS_PER_EVENT: f64 = 50.0;
 /// Delay before retrying a sample whose request could not be read from the
 /// store, in milliseconds.
 const UNREADY_MS: u64 = 200;
@@ -310,6 +310,9 @@
     owners: Owners,
     /// The targets considered for this job's samples.
     locality: Locality,
+    /// The groups that its trainer waits for.
+    quorum: share::Quorum,
+    opened_at: Time,
 }
 
 /// The reducer's state.
@@ -331,6 +334,8 @@
     /// Partitions that could not be read lately, so that the end of a job may
     /// have been missed.
     stale: BTreeSet<usize>,
+    /// What this instance started, by pool.
+    ledgers: BTreeMap<String, share::Ledger>,
 }
 
 impl State {
@@ -419,9 +424,11 @@
             (!item.resumed, std::cmp::Reverse(item.tokens))
         });
         self.arrival.push(spec.job.clone());
+        let locality = Locality::default();
+        let (quorum, opened_at) = (start::quorum(&spec), self.now);
         self.jobs.insert(
             spec.job.clone(),
-            ActiveJob { spec, progress, order, owners, locality: Locality::default() },
+            ActiveJob { spec, progress, order, owners, locality, quorum, opened_at },
         );
     }
 
@@ -436,6 +443,9 @@
         };
         let progress = &mut active.progress[sample_id.index];
         let stage = std::mem::replace(&mut progress.stage, Stage::Done);
+        if stage != Stage::Done {
+            active.quorum.stored(sample_id.index);
+        }
         if let Stage::Running(run) = stage {
             self.cancel(run, observations, effects);
         }
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -1,15 +1,17 @@
 //! Starts waiting samples: in which order they are considered, and where each
 //! of them runs.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    Effect, Progress, Run, Running, SampleId, SampleSpec, Stage, State, TOKENS_PER_EVENT,
-    locality::Selector,
+    ActiveJob, Effect, JobSpec, Progress, Run, Running, SampleId, SampleSpec, Stage, State,
+    TOKENS_PER_EVENT, locality::Selector,
 };
 use crate::core::{
+    backlog::Work,
     choice::{Need, Observations},
     fleet::Fleet,
+    share::{self, Quorum, Rule, Waiting},
     time::Time,
 };
 
@@ -30,7 +32,7 @@
         let salt = xxhash_rust::xxh3::xxh3_64(self.own_id.as_bytes());
         // Jobs whose targets have no capacity left.
         let mut exhausted: BTreeSet<String> = BTreeSet::new();
-        for sample_id in self.waiting(now) {
+        for sample_id in self.waiting(now, fleet, observations) {
             if exhausted.contains(&sample_id.job) {
                 continue;
             }
@@ -58,6 +60,14 @@
             let run = Run(self.next_run);
             self.next_run += 1;
             active.progress[sample_id.index].stage = Stage::Running(run);
+            if let Some(ledger) = self.ledgers.get_mut(&active.spec.pool) {
+                ledger.start(
+                    now,
+                    Rule::InTime,
+                    &share_job(active),
+                    active.spec.samples[sample_id.index].tokens,
+                );
+            }
             observations.request_started(&target.id);
             let running = Running {
                 sample_id: sample_id.clone(),
@@ -74,27 +84,134 @@
         }
     }
 
+    /// What is left of the accepted jobs of a pool, at all instances.
+    #[must_use]
+    pub fn accepted_work(&self, pool: &str) -> Vec<Work<'_>> {
+        let active = self.jobs.values().filter(|active| active.spec.pool == pool);
+        active.map(accepted_work).collect()
+    }
+
+    /// Samples that wait here and cannot be complete in time.
+    #[must_use]
+    pub fn late_samples(&self) -> usize {
+        self.ledgers.values().map(share::Ledger::late).sum()
+    }
+
+    /// Whether a sample waits here for a place of a pool. Then no other sample
+    /// may take one for a second run.
+    #[must_use]
+    pub fn is_place_wanted(&self, now: Time, pool: &str) -> bool {
+        let mut active = self.jobs.values().filter(|active| active.spec.pool == pool);
+        active.any(|active| {
+            !self.stale.contains(&active.spec.part)
+                && active.progress.iter().any(|progress| is_due(now, progress))
+        })
+    }
+
     /// The samples that this instance could start now, in the order in which
-    /// they are started: jobs by arrival, and each job's samples in its order.
-    fn waiting(&self, now: Time) -> Vec<SampleId> {
-        let is_due = |progress: &Progress| {
-            progress.assigned && progress.stage == Stage::Idle && now >= progress.not_before
-        };
+    /// they are started.
+    fn waiting(&mut self, now: Time, fleet: &Fleet, observations: &Observations) -> Vec<SampleId> {
+        let pace_ms = observations.pace_now();
+        let mut pools: BTreeMap<&str, Pool<'_>> = BTreeMap::new();
+        for active in self.arrival.iter().filter_map(|job| self.jobs.get(job)) {
+            if !self.stale.contains(&active.spec.part) {
+                pools.entry(&active.spec.pool).or_default().add(now, active, pace_ms);
+            }
+        }
+        self.ledgers.retain(|pool, _| pools.contains_key(pool.as_str()));
         let mut waiting = Vec::new();
-        for job in &self.arrival {
-            let Some(active) = self.jobs.get(job) else {
-                continue;
-            };
-            if self.stale.contains(&active.spec.part) {
-                continue;
+        for (name, Pool { jobs, samples, .. }) in pools {
+            let jobs: Vec<share::Job<'_>> = jobs.into_iter().map(share_job).collect();
+            let rule = share::rule(&jobs);
+            let slots = fleet.usable(name).map(|target| f64::from(target.announcement.slots));
+            let supply =
+                share::Supply { places: slots.sum(), token_ms: pace_ms / TOKENS_PER_EVENT };
+            if rule == Rule::InTime && !self.ledgers.contains_key(name) {
+                self.ledgers.insert(name.to_owned(), share::Ledger::default());
             }
-            let due = active.order.iter().filter(|at| is_due(&active.progress[**at]));
-            waiting.extend(due.map(|at| SampleId { job: job.clone(), index: *at }));
+            let ledger = self.ledgers.get_mut(name);
+            let samples = match ledger {
+                Some(ledger) => share::order(rule, now, supply, &jobs, samples, ledger),
+                None => samples,
+            };
+            waiting.extend(
+                samples
+                    .iter()
+                    .map(|next| SampleId { job: jobs[next.job].id.to_owned(), index: next.sample }),
+            );
         }
         waiting
     }
 }
 
+/// The jobs of one pool, in the order of arrival, and their samples that wait.
+#[derive(Default)]
+struct Pool<'a> {
+    jobs: Vec<&'a ActiveJob>,
+    samples: Vec<Waiting>,
+}
+
+impl<'a> Pool<'a> {
+    fn add(&mut self, now: Time, active: &'a ActiveJob, pace_ms: f64) {
+        let job = self.jobs.len();
+        self.jobs.push(active);
+        let due = active.order.iter().copied().filter(|at| is_due(now, &active.progress[*at]));
+        self.samples.extend(due.map(|sample| {
+            let tokens = active.spec.samples[sample].tokens;
+            let events = f64::from(tokens) / TOKENS_PER_EVENT;
+            let left = events - f64::from(active.progress[sample].events);
+            Waiting {
+                job,
+                sample,
+                group: active.quorum.group(sample),
+                tokens,
+                run_ms: (left.max(1.0) * pace_ms) as u64,
+                wanted: active.quorum.wants(sample),
+            }
+        }));
+    }
+}
+
+fn share_job(active: &ActiveJob) -> share::Job<'_> {
+    let spec = &active.spec;
+    share::Job {
+        id: &spec.job,
+        organisation: &spec.demand.organisation,
+        trainer: &spec.model,
+        priority: spec.demand.priority,
+        due: spec.demand.due,
+        opened: active.opened_at,
+        quorum: &active.quorum,
+    }
+}
+
+/// Whether a sample could start now if it had a place.
+fn is_due(now: Time, progress: &Progress) -> bool {
+    progress.assigned && progress.stage == Stage::Idle && now >= progress.not_before
+}
+
+fn accepted_work(active: &ActiveJob) -> Work<'_> {
+    let left = active.progress.iter().enumerate();
+    let left = left.filter(|(_, progress)| progress.stage != Stage::Done);
+    let wanted = left.clone().filter(|(at, _)| active.quorum.wants(*at));
+    let demand = &active.spec.demand;
+    Work {
+        organisation: &demand.organisation,
+        priority: demand.priority,
+        due: demand.due,
+        samples: left.count(),
+        tokens: active.quorum.tokens_left(),
+        longest: wanted.map(|(at, _)| active.spec.samples[at].tokens).max().unwrap_or(0),
+    }
+}
+
+/// The groups that the trainer of a job waits for.
+pub(super) fn quorum(spec: &JobSpec) -> Quorum {
+    let samples = spec.samples.iter().zip(&spec.done);
+    let samples = samples.map(|(item, done)| (&*item.group, item.tokens, item.resumed, *done));
+    Quorum::new(spec.demand.groups_wanted, samples)
+}
+
 /// Priority of a sample at a target, 4 to 8: resumed samples first, then the
 /// longer the sample, the higher its priority. Live traffic has priority over
 /// all samples.
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -18,6 +18,7 @@
 //! | [`pace`] | when weights may be fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
+//! | [`share`] | which waiting sample takes the next place |
 //! | [`backlog`] | whether a job is rejected because it would be late |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
 //! | [`group`] | whether a reading of the group of instances shows all members |
@@ -56,6 +57,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod route;
+pub mod share;
 pub mod store_lease;
 pub mod stream;
 pub mod table;
