--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -218,6 +218,7 @@
             control.configuration.as_ref().map_or(0, |configuration| configuration.version);
         meters.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         meters.members.set(gauge(control.roster.members().len()));
+        meters.late_samples.set(gauge(control.dispatch.late_samples()));
         meters.in_flight.set(gauge(control.dispatch.in_flight()));
     }
     meters.connections_opened.set(i64::try_from(shared.pool.opened.get()).unwrap_or(i64::MAX));
@@ -370,6 +371,7 @@
         JobReply::Body(body) => Response::new(Full::new(body)),
         JobReply::Rejected | JobReply::Unavailable => refuse(shared, Kind::StoreUnavailable),
         JobReply::StoreFull(ms) => set_retry_after(refuse(shared, Kind::StoreFull), ms),
+        JobReply::Late(ms) => set_retry_after(refuse(shared, Kind::Overloaded), ms),
         JobReply::OutcomeUnknown => refuse(shared, Kind::OutcomeUnknown),
         JobReply::NotFound => refuse(shared, Kind::NoRoute),
         JobReply::Malformed(why) => {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -20,6 +20,7 @@
         dispatch::{Event, SampleId},
     },
     entry::{
+        backlog,
         caller::Caller,
         capacity,
         codec::{Delivered, Results},
@@ -72,6 +73,9 @@
     /// The operation failed without effect because the store is full; with the
     /// retry delay in milliseconds.
     StoreFull(u64),
+    /// The job was rejected without effect because it would be late; with the
+    /// retry delay in milliseconds.
+    Late(u64),
     /// The operation may have taken effect, or still may.
     OutcomeUnknown,
     /// The job or sample does not exist, or the caller may not see it.
@@ -111,6 +115,13 @@
         return reply;
     }
     log::debug!("job {job} is not known here; read to the end of partition {part}: {current}");
+    // While the partition cannot be read, the job may have been accepted by
+    // another instance, and a rejection would be untrue.
+    if current
+        && let Err(retry_after_ms) = backlog::admit(shared, caller, job, (host, path), submission)
+    {
+        return JobReply::Late(retry_after_ms);
+    }
     if let Err(retry_after_ms) = capacity::admit(shared, submission) {
         return store_full(shared, job, retry_after_ms);
     }
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -51,10 +51,14 @@
     pub store_used_bytes: IntGauge,
     /// Jobs rejected because the store was full.
     pub jobs_without_space: IntGauge,
+    /// Jobs rejected because they could not be complete in time.
+    pub late_jobs: IntCounter,
     /// Jobs accepted by this instance that had not started in time, by reason.
     pub unstarted_jobs: IntCounterVec,
     /// Connections opened to targets and peers.
     pub connections_opened: IntGauge,
+    /// Waiting samples that cannot be complete in time.
+    pub late_samples: IntGauge,
     /// Runs in flight.
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
@@ -161,12 +165,20 @@
                 "hollywell_entry_jobs_without_room",
                 "Jobs rejected for room.",
             )?,
+            late_jobs: count(
+                "hollywell_entry_jobs_late_total",
+                "Jobs rejected, as they would be late.",
+            )?,
             unstarted_jobs: counter(
                 "hollywell_entry_jobs_unbegun_total",
                 "Jobs accepted here that had not begun in time.",
                 &["why"],
             )?,
             connections_opened: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
+            late_samples: gauge(
+                "hollywell_entry_samples_late",
+                "Waiting samples that cannot be in time.",
+            )?,
             in_flight: gauge("hollywell_entry_runs_in_flight", "Runs in flight.")?,
             configuration_version: gauge(
                 "hollywell_entry_plan_version",
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -13,6 +13,7 @@
 //! core a second thread only adds a wake-up to every decision, and wake-ups
 //! dominate the cost there.
 
+pub mod backlog;
 pub mod caller;
 pub mod capacity;
 pub mod codec;
