--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -295,6 +295,13 @@
         median(self.targets.values().filter_map(|observation| observation.speed.pace_ms()))
     }
 
+    /// The median pace, or a usual one before any is known, in milliseconds per
+    /// event.
+    #[must_use]
+    pub fn pace_now(&self) -> f64 {
+        self.median_pace().unwrap_or(DEFAULT_PACE_MS)
+    }
+
     /// A target's pace, or the median if it is not known, in milliseconds per
     /// event.
     #[must_use]
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -31,14 +31,14 @@
 use owners::{Change, Owners};
 pub use place::Wait;
 
-use crate::core::{choice::Observations, fleet::Fleet, room::Ledger, time::Time};
+use crate::core::{choice::Observations, fleet::Fleet, room::Ledger, share, time::Time};
 
 /// Number of events by which another instance's stored text must be ahead
 /// before a run is restarted from that text.
 const RESTART_LEAD_EVENTS: u32 = 12;
 /// Tokens per stream event, assumed because the platform does not state it.
 /// Only the ratio of run time to queueing time depends on it.
-const TOKENS_PER_EVENT: f64 = 50.0;
+pub const TOKENS_PER_EVENT: f64 = 50.0;
 /// Delay before retrying a sample whose request could not be read from the
 /// store, in milliseconds.
 const UNREADY_MS: u64 = 200;
@@ -337,6 +337,9 @@
     locality: Locality,
     /// Why its first sample waits, as last reported.
     waits: Option<Wait>,
+    /// The groups that its trainer waits for.
+    quorum: share::Quorum,
+    opened_at: Time,
 }
 
 /// The reducer's state.
@@ -362,6 +365,8 @@
     room: Ledger,
     /// The demand on the targets whose memory is stated.
     demand: place::Demand,
+    /// What this instance started, by pool.
+    ledgers: BTreeMap<String, share::Ledger>,
 }
 
 impl State {
@@ -458,9 +463,11 @@
         });
         self.demand.expire();
         self.arrival.push(spec.job.clone());
+        let locality = Locality::default();
+        let (quorum, opened_at) = (start::quorum(&spec), self.now);
         self.jobs.insert(
             spec.job.clone(),
-            ActiveJob { spec, progress, order, owners, locality: Locality::default(), waits: None },
+            ActiveJob { spec, progress, order, owners, locality, waits: None, quorum, opened_at },
         );
     }
 
@@ -475,6 +482,9 @@
         };
         let progress = &mut active.progress[sample_id.index];
         let stage = std::mem::replace(&mut progress.stage, Stage::Done);
+        if stage != Stage::Done {
+            active.quorum.stored(sample_id.index);
+        }
         if let Stage::Running(run) = stage {
             self.cancel(run, observations, effects);
         }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -18,6 +18,8 @@
 //! | [`pace`] | when weights may be fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
+//! | [`share`] | which waiting sample takes the next place |
+//! | [`backlog`] | whether a job is rejected because it would be late |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
 //! | [`hedge`] | when a request is sent once more to another target |
 //! | [`home`] | in which of the store's partitions a job is |
@@ -32,6 +34,7 @@
 //! [`crate::traffic`], [`crate::peer`] and [`crate::control`].
 
 pub mod admission;
+pub mod backlog;
 pub mod batch;
 pub mod capacity;
 pub mod choice;
@@ -61,6 +64,7 @@
 pub mod room;
 pub mod roster;
 pub mod route;
+pub mod share;
 pub mod speed;
 pub mod store_lease;
 pub mod stream;
