--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -12,11 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::{
-    fleet::Announcement,
-    speed::{self, Speed, Unsound},
-    time::Time,
-};
+use crate::core::{fleet::Announcement, time::Time};
 
 /// Time over which the reported load of other instances decays to the usual
 /// value, in milliseconds: about the run time of a sample of median length.
@@ -37,6 +33,9 @@
 const DEFAULT_PACE_MS: f64 = 40.0;
 /// Number of events of a typical sample: the time for which a slot stays taken.
 const TYPICAL_EVENTS: f64 = 20.0;
+/// Relative slow-down of a request by each other one that runs on the same
+/// target; engines that batch continuously lose about half a percent.
+const SLOT_SLOWDOWN: f64 = 0.005;
 /// Extra cost of a full target over an empty one, in milliseconds, for what
 /// other instances may be sending there at the same moment.
 const SPREAD_MS: f64 = 100.0;
@@ -63,21 +62,6 @@
     mean + MEAN_WEIGHT * (newest - mean)
 }
 
-/// Median of the values, if there are any.
-fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let mut values: Vec<f64> = values.collect();
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
-}
-
-/// The work of a request at a target, at its lasting speed.
-#[derive(Clone, Copy, Debug)]
-struct Work {
-    run_ms: f64,
-    /// Time of one of [`TYPICAL_EVENTS`], of requests in the queue.
-    pace_ms: f64,
-}
-
 /// The load that a target reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -100,10 +84,8 @@
     other_requests: u32,
     other_requests_at: Time,
     avoid_until: Time,
-    /// Requests that it can run at the same time, as reported; 0 if unknown.
-    slots: u32,
-    /// How fast it works.
-    pub speed: Speed,
+    /// Mean time between events of its streams, in milliseconds.
+    pub pace_ms: Option<f64>,
     /// Mean time until a plain request's answer was complete, in milliseconds.
     pub answer_ms: Option<f64>,
     /// Consecutive failed exchanges.
@@ -177,19 +159,12 @@
     }
 
     /// Records the load that came with an answer.
-    ///
-    /// # Errors
-    ///
-    /// If the stated slowdown cannot be right; the rest is recorded.
-    pub fn record_load(&mut self, now: Time, id: &str, load: Load) -> Result<(), Unsound> {
+    pub fn record_load(&mut self, now: Time, id: &str, load: Load) {
         let observation = self.entry(id);
         observation.other_requests =
             load.running.saturating_add(load.waiting).saturating_sub(observation.own_requests);
         observation.other_requests_at = now;
         observation.last_response_at = now;
-        observation.slots = load.slots;
-        let stated = load.slowdown_percent;
-        stated.map_or(Ok(()), |percent| observation.speed.record_statement(now, percent))
     }
 
     /// Records a successful exchange with a target.
@@ -231,18 +206,14 @@
     }
 
     /// Records the time between two events of a target's stream.
-    pub fn record_event_gap(&mut self, now: Time, id: &str, gap_ms: f64) {
-        let load = self.load_of(now, id);
+    pub fn record_event_gap(&mut self, id: &str, gap_ms: f64) {
         let observation = self.entry(id);
-        // Requests in a queue slow nothing down.
-        let slots = if observation.slots == 0 { load } else { f64::from(observation.slots) };
-        observation.speed.record_gap(now, gap_ms, load.min(slots));
+        observation.pace_ms = Some(moving_mean(observation.pace_ms, gap_ms));
     }
 
     /// Records how long it took until a plain request's answer was complete.
-    pub fn record_answer_time(&mut self, now: Time, id: &str, took_ms: u64) {
+    pub fn record_answer_time(&mut self, id: &str, took_ms: u64) {
         let observation = self.entry(id);
-        observation.speed.record_answer(now, took_ms as f64);
         observation.answer_ms = Some(moving_mean(observation.answer_ms, took_ms as f64));
     }
 
@@ -292,7 +263,9 @@
     /// event.
     #[must_use]
     pub fn median_pace(&self) -> Option<f64> {
-        median(self.targets.values().filter_map(|observation| observation.speed.pace_ms()))
+        let mut paces: Vec<f64> = self.targets.values().filter_map(|s| s.pace_ms).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied()
     }
 
     /// The median pace, or a usual one before any is known, in milliseconds per
@@ -306,32 +279,10 @@
     /// event.
     #[must_use]
     pub fn pace_of(&self, id: &str) -> f64 {
-        let known = self.targets.get(id).and_then(|observation| observation.speed.pace_ms());
+        let known = self.targets.get(id).and_then(|observation| observation.pace_ms);
         known.or_else(|| self.median_pace()).unwrap_or(DEFAULT_PACE_MS)
     }
 
-    /// The time between events at a target at the moment, in milliseconds.
-    #[must_use]
-    pub fn gap_of(&self, now: Time, id: &str) -> f64 {
-        self.pace_of(id) * self.get(id).map_or(1.0, |known| known.speed.factor(now).max(1.0))
-    }
-
-    /// Expected time of a number of events of a run that is at a target
-    /// already, in milliseconds.
-    #[must_use]
-    pub fn rest_ms(&self, now: Time, id: &str, events: f64) -> f64 {
-        let work = events * self.pace_of(id);
-        self.get(id).map_or(work, |known| known.speed.rest_ms(now, work))
-    }
-
-    /// Expected time of a number of events at a target to which a run moves, in
-    /// milliseconds.
-    #[must_use]
-    pub fn run_ms(&self, now: Time, id: &str, events: f64) -> f64 {
-        let work = events * self.pace_of(id);
-        self.get(id).map_or(work, |known| known.speed.run_ms(now, work))
-    }
-
     /// Chooses the target at which a request is expected to complete first.
     ///
     /// `need.events` is the number of events that the request is expected to
@@ -368,46 +319,6 @@
         need: Need,
     ) -> Option<&'a Announcement> {
         let median = self.median_pace().unwrap_or(DEFAULT_PACE_MS);
-        let work = |target: &Announcement| {
-            let known = self.get(&target.id).and_then(|known| known.speed.pace_ms());
-            let pace = known.unwrap_or(median);
-            Work { run_ms: need.events * pace, pace_ms: pace }
-        };
-        self.cheapest(now, targets, need, work)
-    }
-
-    /// Chooses the target at which a plain request is expected to be answered
-    /// first. If none of the targets states how slow it is, this is
-    /// [`Observations::choose`].
-    #[must_use]
-    pub fn choose_for_answer<'a>(
-        &self,
-        now: Time,
-        targets: impl Iterator<Item = &'a Announcement>,
-        need: Need,
-    ) -> Option<&'a Announcement> {
-        let targets: Vec<&Announcement> = targets.collect();
-        let speeds = || targets.iter().filter_map(|target| Some(&self.get(&target.id)?.speed));
-        if !speeds().any(Speed::is_stated) {
-            return self.choose(now, targets.into_iter(), need);
-        }
-        let usual = median(speeds().filter_map(Speed::own_answer_ms)).unwrap_or(DEFAULT_PACE_MS);
-        let work = |target: &Announcement| {
-            let answer = self.get(&target.id).map_or(usual, |known| known.speed.answer_ms(usual));
-            Work { run_ms: answer, pace_ms: answer / TYPICAL_EVENTS }
-        };
-        self.cheapest(now, targets.into_iter(), need, work)
-    }
-
-    /// The target with the lowest expected time until it has done a request's
-    /// work.
-    fn cheapest<'a>(
-        &self,
-        now: Time,
-        targets: impl Iterator<Item = &'a Announcement>,
-        need: Need,
-        work: impl Fn(&Announcement) -> Work,
-    ) -> Option<&'a Announcement> {
         let cost = |target: &Announcement| {
             let slots = f64::from(target.slots.max(1));
             let load = self.load_of(now, &target.id);
@@ -419,11 +330,11 @@
                 return None;
             }
             let cold = if target.cold { 2.0 } else { 1.0 };
-            let Work { run_ms, pace_ms } = work(target);
-            let run = run_ms * cold * speed::load_factor(load);
-            let run = self.get(&target.id).map_or(run, |known| known.speed.run_ms(now, run));
+            let pace =
+                self.get(&target.id).and_then(|observation| observation.pace_ms).unwrap_or(median);
+            let run = need.events * pace * cold * (1.0 + SLOT_SLOWDOWN * load);
             // A slot becomes free each time one of the requests ends.
-            let queue = (load + 1.0 - slots).max(0.0) / slots * TYPICAL_EVENTS * pace_ms;
+            let queue = (load + 1.0 - slots).max(0.0) / slots * TYPICAL_EVENTS * pace;
             let connect =
                 if self.has_connection(now, &target.id) { 0.0 } else { CONNECTION_COST_MS };
             Some(run + queue + load / slots * SPREAD_MS + connect)
--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -34,13 +34,9 @@
 const QUEUE_TIMEOUT_MS: u64 = 4_000;
 /// Minimum time that a move to a faster target must save, in milliseconds.
 const MOVE_MIN_GAIN_MS: f64 = 250.0;
-/// The same where both targets state how slow they are, so that a slowness
-/// that passes is not mistaken for one that lasts: several times what a move
-/// costs the run and the others at the engine that reads its text again.
-const MOVE_MIN_GAIN_STATED_MS: f64 = 150.0;
-/// Minimum ratio between the expected time at the current target and that at
-/// the faster one for a move. The paces of equal engines differ by a twentieth,
-/// at times by a tenth, and each move costs a connection.
+/// Minimum ratio between the pace of the current target and that of the faster
+/// one for a move. The paces of equal engines differ by a twentieth, at times
+/// by a tenth, and each move costs a connection.
 const MOVE_MIN_RATIO: f64 = 1.2;
 /// Events that a run must have received before it may move for speed.
 const MOVE_MIN_EVENTS: u32 = 6;
@@ -132,9 +128,9 @@
         if !self.may_start(&running.sample_id) {
             return None;
         }
+        let pace = observations.pace_of(&running.target);
         let stall_ms = if running.answered {
-            let gap = observations.gap_of(now, &running.target);
-            STALL_MS.max((gap * STALL_GAPS) as u64)
+            STALL_MS.max((pace * STALL_GAPS) as u64)
         } else {
             QUEUE_STALL_MS
         };
@@ -145,15 +141,9 @@
             return None;
         }
         let faster = self.free_target(now, running, fleet, observations)?;
-        let events = self.events_left(running);
-        let here = observations.rest_ms(now, &running.target, events);
-        let there = observations.run_ms(now, &faster, events);
-        let is_stated =
-            |id: &str| observations.get(id).is_some_and(|known| known.speed.is_stated());
-        let is_stated = is_stated(&running.target) && is_stated(&faster);
-        let min_gain = if is_stated { MOVE_MIN_GAIN_STATED_MS } else { MOVE_MIN_GAIN_MS };
-        let pays = here - there > min_gain && here > there * MOVE_MIN_RATIO;
-        pays.then_some(MoveReason::Slow)
+        let other_pace = observations.pace_of(&faster);
+        let gain = self.events_left(running) * (pace - other_pace);
+        (gain > MOVE_MIN_GAIN_MS && pace > other_pace * MOVE_MIN_RATIO).then_some(MoveReason::Slow)
     }
 
     /// Whether a sample is assigned to this instance and its job is known to be
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -571,8 +571,7 @@
             self.room.grew(run, &running.target, event_tokens);
         }
         if running.events > 0 {
-            let gap_ms = now.since(running.last_event_at) as f64;
-            observations.record_event_gap(now, &running.target, gap_ms);
+            observations.record_event_gap(&running.target, now.since(running.last_event_at) as f64);
         }
         running.events += 1;
         running.last_event_at = now;
--- a/crates/hollywell/src/core/hedge.rs
+++ b/crates/hollywell/src/core/hedge.rs
@@ -23,7 +23,7 @@
 
 use hdrhistogram::Histogram;
 
-use crate::core::{choice::Load, speed::SOUND_PERCENT, time::Time};
+use crate::core::{choice::Load, time::Time};
 
 /// Quantile of a pool's recent answer times after which a hedge is sent.
 const LATE_QUANTILE: f64 = 0.95;
@@ -62,6 +62,8 @@
 const REPORT_AGE_MS: u64 = 500;
 /// Slowdown from which a target counts as slow, in percent of the usual time.
 const SLOW_PERCENT: u32 = 150;
+/// Range of slowdowns that are believed, in percent of the usual time.
+const PERCENT_RANGE: std::ops::RangeInclusive<u32> = 10..=10_000;
 /// Largest number of requests at a target that is believed.
 const MAX_REQUESTS: u32 = 100_000;
 
@@ -309,7 +311,7 @@
         let requests = load.running.saturating_add(load.waiting);
         let is_sound = load.slots > 0
             && requests <= MAX_REQUESTS
-            && load.slowdown_percent.is_none_or(|percent| SOUND_PERCENT.contains(&percent));
+            && load.slowdown_percent.is_none_or(|percent| PERCENT_RANGE.contains(&percent));
         if !is_sound {
             return Err(Unsound(load));
         }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -27,7 +27,6 @@
 //! | [`room`] | whether a target's memory takes one more sample |
 //! | [`poison`] | which requests end the targets that run them |
 //! | [`permit`] | which instance may do what only one may do at a time |
-//! | [`speed`] | how fast a target works, lastingly and at the moment |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
 //!
 //! Not part of this module: bodies, sockets and threads, which are in
@@ -65,7 +64,6 @@
 pub mod roster;
 pub mod route;
 pub mod share;
-pub mod speed;
 pub mod store_lease;
 pub mod stream;
 pub mod table;
--- a/crates/hollywell/src/entry/forward/attempt.rs
+++ b/crates/hollywell/src/entry/forward/attempt.rs
@@ -209,7 +209,7 @@
     let took_ms = ended.since(attempt.began);
     let control = &mut *shared.control.borrow_mut();
     control.observations.record_success(now, &target.id);
-    control.observations.record_answer_time(ended, &target.id, took_ms);
+    control.observations.record_answer_time(&target.id, took_ms);
     control.hedges.record_answer(ended, &target.pool, took_ms);
 }
 
--- a/crates/hollywell/src/entry/forward/targets.rs
+++ b/crates/hollywell/src/entry/forward/targets.rs
@@ -47,7 +47,7 @@
     let own = xxhash_rust::xxh3::xxh3_64(shared.instance_id.as_bytes());
     let salt = own ^ salt.wrapping_add(tried.len() as u64);
     let need = Need { events: 1.0, max_load: MAX_LOAD, instances: 1.0, salt };
-    let choice = control.observations.choose_for_answer(now, fresh, need);
+    let choice = control.observations.choose(now, fresh, need);
     // If every target was tried or is avoided, retry one that was tried
     // before rather than let the deadline pass.
     let choice = choice.or_else(|| {
@@ -79,7 +79,7 @@
     let fresh = all.filter(is_fresh).filter(|target| control.hedges.may_win(now, pool, &target.id));
     let own = xxhash_rust::xxh3::xxh3_64(shared.instance_id.as_bytes());
     let need = Need { events: 1.0, max_load: MAX_LOAD, instances: 1.0, salt: own ^ salt };
-    control.observations.choose_for_answer(now, fresh, need).cloned()
+    control.observations.choose(now, fresh, need).cloned()
 }
 
 /// Whether a target is below its load limit.
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -59,8 +59,6 @@
     pub unauthenticated: IntCounterVec,
     /// Announcements of targets that could not be decoded.
     pub announcements_skipped: IntCounter,
-    /// Slowdowns stated by targets that cannot be right.
-    pub slowdowns_skipped: IntCounter,
     /// Bytes used in the store, as far as known.
     pub store_used_bytes: IntGauge,
     /// Jobs rejected because the store was full.
@@ -199,10 +197,6 @@
                 "hollywell_entry_target_entries_skipped_total",
                 "Entries of targets not understood.",
             )?,
-            slowdowns_skipped: count(
-                "hollywell_entry_slowdowns_skipped_total",
-                "Slowdowns stated by targets that cannot be right.",
-            )?,
             store_used_bytes: gauge(
                 "hollywell_entry_store_used_bytes",
                 "Bytes in the store, as known.",
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -341,8 +341,7 @@
         appended
     }
 
-    /// Records the load that came with a target's answer, and returns it unless
-    /// the slowdown that it states cannot be right.
+    /// Records the load that came with a target's answer, and returns it.
     pub fn record_load(
         &self,
         now: Time,
@@ -351,12 +350,7 @@
     ) -> Option<Load> {
         let header = response.header(&self.codec.headers.load);
         let load = header.and_then(self.codec.load)?;
-        let recorded = self.control.borrow_mut().observations.record_load(now, target, load);
-        if let Err(unsound) = recorded {
-            self.meters.slowdowns_skipped.inc();
-            log::warn!("target {target} states a {unsound}");
-            return None;
-        }
+        self.control.borrow_mut().observations.record_load(now, target, load);
         Some(load)
     }
 
--- a/crates/hollywell/tests/dispatch.rs
+++ b/crates/hollywell/tests/dispatch.rs
@@ -197,7 +197,7 @@
             world.step(20 + n * 100, &Event::StreamEvent { run });
         }
         // The other engine is known to be three times as fast.
-        (0..10).for_each(|_| world.observations.record_event_gap(Time(20), "b", 30.0));
+        (0..10).for_each(|_| world.observations.record_event_gap("b", 30.0));
         let members = members.iter().map(|member| (*member).to_owned()).collect();
         world.step(921, &Event::Members(members));
         world.step(921, &Event::Stale { part: 0, stale });
--- a/crates/hollywell/tests/near.rs
+++ b/crates/hollywell/tests/near.rs
@@ -163,7 +163,7 @@
     let load = Load { running: u32::MAX, waiting: 1, slots: SLOTS, slowdown_percent: None };
     let mut observations = Observations::default();
     for n in 0..ENGINES {
-        observations.record_load(Time(5), &format!("e{n}"), load).unwrap();
+        observations.record_load(Time(5), &format!("e{n}"), load);
     }
     let need = Need { events: 1.0, max_load: 2.0, instances: 1.0, salt: 0 };
     let all = fleet.usable("llm").map(|target| &target.announcement);
