--- a/crates/hollywell/src/core/room.rs
+++ b/crates/hollywell/src/core/room.rs
@@ -26,9 +26,6 @@
 /// How long a load of weights is expected to last at most, in milliseconds. It
 /// begins once the runs in progress have ended.
 const MAX_LOAD_MS: u64 = 4_000;
-/// Standard deviations by which all runs may exceed what is expected: about one
-/// start in forty meets more.
-const MARGIN_DEVIATIONS: f64 = 2.0;
 /// Buckets of the ratio between a text's length and its estimate; each is
 /// larger than the one before by a factor of the square root of two.
 const RATIOS: usize = 14;
@@ -108,7 +105,7 @@
 
     /// Adds what one run is expected to hold at each step of [`GROWTH`],
     /// without the shared part of its prompt.
-    fn add(&self, tokens: &Tokens, fill: &mut [Fill; GROWTH.len()]) {
+    fn add(&self, tokens: &Tokens, fill: &mut [f64; GROWTH.len()]) {
         let generated = f64::from(tokens.generated);
         let limit = if tokens.limit == 0 { f64::INFINITY } else { f64::from(tokens.limit) };
         let length =
@@ -125,23 +122,11 @@
         for (growth, fill) in GROWTH.iter().zip(fill) {
             // Within the last doubling a text counts with its whole length.
             let alive = runs.iter().filter(|(left, _)| *growth <= left * 2.0);
-            let (mean, square) = alive.fold((0.0, 0.0), |(mean, square), (left, share)| {
-                let tokens = held + growth.min(*left);
-                (mean + share * tokens, square + share * tokens * tokens)
-            });
-            fill.mean += mean;
-            fill.variance += (square - mean * mean).max(0.0);
+            *fill += alive.map(|(left, share)| share * (held + growth.min(*left))).sum::<f64>();
         }
     }
 }
 
-/// What the runs at a target are expected to hold at one moment.
-#[derive(Clone, Copy, Debug, Default)]
-struct Fill {
-    mean: f64,
-    variance: f64,
-}
-
 /// What one run holds of a target's memory.
 #[derive(Clone, Debug)]
 struct Holding {
@@ -153,7 +138,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Typical {
     mean: f64,
-    deviation: f64,
 }
 
 impl Typical {
@@ -162,21 +146,18 @@
     #[must_use]
     pub fn of(samples: impl Iterator<Item = Tokens>) -> Typical {
         // Weighted by the length, as that is the time for which it is seen.
-        let (mut weights, mut sum, mut squares) = (0.0, 0.0, 0.0);
+        let (mut weights, mut sum) = (0.0, 0.0);
         for tokens in samples {
             let weight = f64::from(tokens.estimate.max(1));
             let held = f64::from(tokens.shared) + f64::from(tokens.own);
             let held = held + f64::from(tokens.estimate) / 2.0;
             weights += weight;
             sum += weight * held;
-            squares += weight * held * held;
         }
         if weights <= 0.0 {
             return Typical::default();
         }
-        let mean = sum / weights;
-        // A text's growth is spread evenly over its length.
-        Typical { mean, deviation: (squares / weights - mean * mean).max(0.0).sqrt() + mean / 4.0 }
+        Typical { mean: sum / weights }
     }
 }
 
@@ -209,7 +190,7 @@
 /// ```
 /// use hollywell::core::{dispatch::Run, room::{Ledger, Place, Tokens, Typical}};
 ///
-/// let place = Place { memory: 4_000, slots: 8, others: 0.0, typical: Typical::default() };
+/// let place = Place { memory: 3_000, slots: 8, others: 0.0, typical: Typical::default() };
 /// let tokens = Tokens { shared: 1_000, own: 16, estimate: 400, limit: 800, generated: 0 };
 /// let mut ledger = Ledger::default();
 /// ledger.started(Run(1), "a", "group", tokens);
@@ -260,7 +241,7 @@
     /// Tokens that a target's memory is expected to hold at the fullest moment
     /// to come, with one more sample if one is given.
     fn peak(&self, target: &str, more: Option<(&str, Tokens)>, place: Place) -> f64 {
-        let mut fill = [Fill::default(); GROWTH.len()];
+        let mut fill = [0.0; GROWTH.len()];
         let mut groups: BTreeMap<&str, u32> = BTreeMap::new();
         let own = self.held.get(target).into_iter().flat_map(BTreeMap::values);
         let own = own.map(|holding| (holding.group.as_str(), holding.tokens));
@@ -274,9 +255,7 @@
         let shared: f64 = groups.values().map(|shared| f64::from(*shared)).sum();
         // What waits for a slot holds nothing.
         let others = place.others.max(0.0).min((f64::from(place.slots) - runs).max(0.0));
-        let variance = others * place.typical.deviation.powi(2);
-        let high = |fill: Fill| fill.mean + MARGIN_DEVIATIONS * (fill.variance + variance).sqrt();
-        fill.into_iter().map(high).fold(0.0, f64::max) + shared + others * place.typical.mean
+        fill.into_iter().fold(0.0, f64::max) + shared + others * place.typical.mean
     }
 
     /// Whether one more sample fits into a target's memory until it ends. A
