--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -130,17 +130,6 @@
         self.ledgers.values().map(share::Ledger::late).sum()
     }
 
-    /// Whether a sample waits here for a place of a pool. Then no other sample
-    /// may take one for a second run.
-    #[must_use]
-    pub fn is_place_wanted(&self, now: Time, pool: &str) -> bool {
-        let mut active = self.jobs.values().filter(|active| active.spec.pool == pool);
-        active.any(|active| {
-            !self.stale.contains(&active.spec.part)
-                && active.progress.iter().any(|progress| is_due(now, progress))
-        })
-    }
-
     /// The samples that this instance could start now, in the order in which
     /// they are started.
     fn waiting(&mut self, now: Time, fleet: &Fleet, observations: &Observations) -> Vec<SampleId> {
--- a/crates/hollywell/src/core/home.rs
+++ b/crates/hollywell/src/core/home.rs
@@ -1,5 +1,7 @@
 //! Decides which of the store's partitions is the home of a job. A pure state
 //! with the answers of one instance, and the decision of one that moves a job.
+//! Nothing in [`crate::entry`] uses it yet: `docs/design/home.md` lists what is
+//! open before that.
 //!
 //! The load that it answers: a store of several partitions loses some of them
 //! for a while. A job's home is given by its id, so new jobs whose home is away
