--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -161,6 +161,10 @@
     /// Whether the store is unavailable now.
     #[serde(rename = "store_away")]
     pub store_unavailable: bool,
+    /// The time up to which the announcements were read; `None` before the
+    /// first were.
+    #[serde(default)]
+    known_at: Option<Time>,
     /// Failure domains whose targets get no new work.
     #[serde(default)]
     evacuated: BTreeSet<String>,
@@ -309,6 +313,18 @@
         self.store_unavailable = unavailable;
     }
 
+    /// Records that all announcements up to a time were read.
+    pub fn mark_known(&mut self, at: Time) {
+        self.known_at = self.known_at.max(Some(at));
+    }
+
+    /// The age of what is known of the targets, in milliseconds; `None` before
+    /// any announcement was read.
+    #[must_use]
+    pub fn age_ms(&self, now: Time) -> Option<u64> {
+        self.known_at.map(|at| now.since(at))
+    }
+
     /// Removes targets whose entries have expired once the store has been
     /// available for long enough.
     pub fn expire(&mut self, now: Time) {
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -79,6 +79,9 @@
     /// instances, or came from another one, and is current only after the next
     /// incremental read.
     pub requested_at: Option<Time>,
+    /// The same for all records, with the age of those that came from another
+    /// instance taken off.
+    pub known_at: Time,
 }
 
 /// How far a partition is read, and the parameters of the next read.
@@ -235,7 +238,8 @@
     if is_relayed && let Some((records, age_ms)) = relay::fetch(&shared, &part).await {
         relay::keep(&shared, &part, &records, age_ms);
         position.advance(&records);
-        on_records(&shared, records, Origin { is_snapshot: true, requested_at: None });
+        let known_at = Time(shared.now().0.saturating_sub(age_ms));
+        on_records(&shared, records, Origin { is_snapshot: true, requested_at: None, known_at });
     }
     loop {
         let started = Instant::now();
@@ -246,8 +250,9 @@
                 }
                 position.advance(&records);
                 position.is_current |= !is_snapshot;
+                let known_at = requested_at;
                 let requested_at = (!is_snapshot).then_some(requested_at);
-                on_records(&shared, records, Origin { is_snapshot, requested_at });
+                on_records(&shared, records, Origin { is_snapshot, requested_at, known_at });
                 if is_snapshot {
                     continue;
                 }
@@ -330,8 +335,9 @@
                     }
                 }
                 for record in &records.records {
-                    apply_entry(shared, control, now, record);
+                    apply_entry(shared, control, now, origin.known_at, record);
                 }
+                control.fleet.mark_known(origin.known_at);
                 control.fleet_loaded |= origin.requested_at.is_some();
             }
             shared.handle_event(&crate::core::dispatch::Event::Tick);
@@ -340,16 +346,22 @@
     .await;
 }
 
-/// Applies the newest entry of a target.
-fn apply_entry(shared: &Shared, control: &mut Control, now: Time, record: &Record) {
+/// Applies the newest entry of a target, which was known at `known_at`.
+fn apply_entry(shared: &Shared, control: &mut Control, now: Time, known_at: Time, record: &Record) {
     let id = &record.key;
     let Some(value) = &record.value else {
-        log::info!("target {id} vanished");
+        log::info!("target {id} vanished, read {} ms ago", now.since(known_at));
         control.fleet.record_expiry(now, id);
         return;
     };
     match (shared.codec.announcement)(id, value) {
-        Ok(announcement) => apply_announcement(shared, control, now, announcement),
+        Ok(announcement) => {
+            let known = control.fleet.targets.get(id);
+            if announcement.draining && known.is_none_or(|known| !known.announcement.draining) {
+                log::info!("target {id} drains, read {} ms ago", now.since(known_at));
+            }
+            apply_announcement(shared, control, now, announcement);
+        }
         Err(why) => {
             shared.meters.announcements_skipped.inc();
             if control.fleet.record_invalid(id, &why) {
--- a/crates/hollywell/src/entry/forward/attempt.rs
+++ b/crates/hollywell/src/entry/forward/attempt.rs
@@ -74,6 +74,7 @@
         let may_send_to = shared.may_send_to(target);
         if may_send_to {
             plain.count_usage(shared);
+            shared.log_send(target, &plain.id);
         }
         may_send_to
     };
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -75,6 +75,9 @@
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// Age of what is known of the targets, in milliseconds; -1 before they were
+    /// read.
+    pub targets_age_ms: IntGauge,
     /// Number of live instances.
     pub members: IntGauge,
     /// 1 while the instance is ready.
@@ -224,6 +227,10 @@
                 "hollywell_entry_plan_version",
                 "Configuration in force.",
             )?,
+            targets_age_ms: gauge(
+                "hollywell_entry_targets_age_ms",
+                "Age of what is known of the targets, in milliseconds; -1 before they were read.",
+            )?,
             members: gauge("hollywell_entry_members", "Live instances known.")?,
             ready: gauge("hollywell_entry_ready", "Whether the instance takes callers.")?,
             registry,
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -213,7 +213,13 @@
     digest: Digest,
     request: Request<Full<Bytes>>,
 ) -> End {
-    let still_allowed = || shared.may_send(sample_id) && shared.may_send_to(target);
+    let still_allowed = || {
+        let may_send = shared.may_send(sample_id) && shared.may_send_to(target);
+        if may_send {
+            shared.log_send(target, &format!("{}/{}", sample_id.job, sample_id.index));
+        }
+        may_send
+    };
     let sent = shared.pool.send_if(target.address, request, RUN_TIMEOUT, still_allowed).await;
     let response = match sent {
         Ok(response) => response,
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -68,6 +68,10 @@
 /// counts as unavailable; one refused call is not an outage.
 const UNAVAILABLE_MS: u64 = 700;
 
+/// Age of what is known of the targets, in milliseconds, from which each send is
+/// logged at level `info`: with a store that answers it is less.
+const OLD_TARGETS_MS: u64 = 1_500;
+
 /// One partition of batch jobs, folded from the store.
 #[derive(Debug, Default)]
 pub struct JobPartition {
@@ -508,6 +512,14 @@
         !self.control.borrow().fleet.evacuated().contains(&target.domain)
     }
 
+    /// Logs that a request or sample is sent to a target, and how old what is
+    /// known of the targets is.
+    pub fn log_send(&self, target: &Announcement, what: &str) {
+        let age_ms = self.control.borrow().fleet.age_ms(self.now()).unwrap_or(u64::MAX);
+        let level = if age_ms > OLD_TARGETS_MS { log::Level::Info } else { log::Level::Debug };
+        log::log!(level, "{what} is sent to {}; targets were read {age_ms} ms ago", target.id);
+    }
+
     /// Stops all runs of a job and discards what only they need.
     pub fn close_job(self: &Rc<Shared>, job: &str) {
         {
