A target gets a request only on knowledge that is young enough

Cause: nothing knew how old the view of the targets was, and "the store is away" allowed work by the view of that moment, though it may be away from this instance alone (cut off, or refused for the rate of all). Entries that ended within 2.5 s of each "return" stayed in use as well.

Change: the departures of targets are kept with their offsets and the time up to which they are known (core/departure.rs). A record older than a known departure undoes nothing. An instance whose knowledge is older than half of the allowed time asks three peers for the departures since its own offset. Immediately before each send the knowledge must be younger than the allowed time less 0.5 s for the way; if it is not, the target itself is asked at its health path, and its answers to requests count too. It makes no difference whether the store is away. The allowed time is a setting, drain_ms.

Why it works: each send rests on a fact with a time, from the store, a peer or the target, and is checked last; a pause or a slow connection in between cannot make it older.

--- a/crates/hollywell/src/core/configuration.rs
+++ b/crates/hollywell/src/core/configuration.rs
@@ -78,6 +78,10 @@
     /// together.
     #[serde(rename = "connections")]
     pub max_connections: u32,
+    /// The path at which a target tells whether it accepts work; empty if the
+    /// configuration does not state it.
+    #[serde(default)]
+    pub health_path: String,
     /// Models that its targets hold; empty for plain services.
     pub models: Vec<String>,
     /// Tokens that one target's memory holds; 0 if the configuration does not
--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -22,7 +22,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::time::Time;
+use crate::core::{departure::Departures, time::Time};
 
 /// How long after the recovery of the store an expired entry may take to
 /// reappear, in milliseconds. The platform specifies about two seconds.
@@ -93,6 +93,17 @@
     Outdated,
 }
 
+/// Whether a target may get a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may.
+    InUse,
+    /// It may, as far as is known, but that is too old to rely on.
+    Unconfirmed,
+    /// It may not: it leaves, or is not to be used.
+    Leaving,
+}
+
 /// A target as known to this instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -109,6 +120,10 @@
     /// Whether its newest entry cannot be decoded: it gets no new work.
     #[serde(rename = "withheld")]
     pub invalid_entry: bool,
+    /// When the target itself last showed that it accepts work; `None` if it
+    /// has not.
+    #[serde(default)]
+    pub confirmed_at: Option<Time>,
 }
 
 impl Target {
@@ -161,10 +176,9 @@
     /// Whether the store is unavailable now.
     #[serde(rename = "store_away")]
     pub store_unavailable: bool,
-    /// The time up to which the announcements were read; `None` before the
-    /// first were.
+    /// The targets that leave.
     #[serde(default)]
-    known_at: Option<Time>,
+    pub departures: Departures,
     /// Failure domains whose targets get no new work.
     #[serde(default)]
     evacuated: BTreeSet<String>,
@@ -174,6 +188,26 @@
 }
 
 impl Fleet {
+    /// Applies an announcement that was read at an offset of the targets' log,
+    /// unless a later record says that the target leaves: records may be read
+    /// late, or again.
+    pub fn announce_at(
+        &mut self,
+        now: Time,
+        offset: u64,
+        announcement: Announcement,
+    ) -> AnnounceOutcome {
+        let id = &announcement.id;
+        if announcement.draining {
+            self.departures.record(now, id, offset);
+        } else if self.departures.is_superseded(id, offset) {
+            return AnnounceOutcome::Outdated;
+        } else {
+            self.departures.record_return(id, offset);
+        }
+        self.announce(now, announcement)
+    }
+
     /// Applies an announcement. Within an incarnation versions never decrease:
     /// a target that runs a newer version than it announces has just loaded it.
     pub fn announce(&mut self, now: Time, mut announcement: Announcement) -> AnnounceOutcome {
@@ -200,7 +234,15 @@
                 *known = (*known).max(*version);
             }
         }
-        let target = Target { announcement, seen_at: now, expired: false, invalid_entry: false };
+        let before = self.targets.get(&id).filter(|_| restarted.is_none());
+        let confirmed_at = before.and_then(|before| before.confirmed_at);
+        let target = Target {
+            announcement,
+            seen_at: now,
+            expired: false,
+            invalid_entry: false,
+            confirmed_at,
+        };
         self.targets.insert(id, target);
         self.update_reports_start();
         restarted
@@ -252,6 +294,15 @@
         self.starts_reported = self.starts_reported || self.targets.values().any(reports);
     }
 
+    /// Records that an entry ended with the record at an offset of the targets'
+    /// log.
+    pub fn record_end(&mut self, now: Time, offset: u64, id: &str) {
+        if !self.departures.is_superseded(id, offset) {
+            self.departures.record(now, id, offset);
+            self.record_expiry(now, id);
+        }
+    }
+
     /// Records that an entry disappeared from the store.
     pub fn record_expiry(&mut self, now: Time, id: &str) {
         self.skipped.remove(id);
@@ -313,16 +364,26 @@
         self.store_unavailable = unavailable;
     }
 
-    /// Records that all announcements up to a time were read.
-    pub fn mark_known(&mut self, at: Time) {
-        self.known_at = self.known_at.max(Some(at));
+    /// Records that a target showed at a time that it accepts work.
+    pub fn confirm(&mut self, at: Time, id: &str) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.confirmed_at = target.confirmed_at.max(Some(at));
+        }
     }
 
-    /// The age of what is known of the targets, in milliseconds; `None` before
-    /// any announcement was read.
+    /// Whether a target may get a request now, if what is known of it may be at
+    /// most `max_age_ms` old. An entry that expired around an outage of the
+    /// store says nothing; only the target itself does.
     #[must_use]
-    pub fn age_ms(&self, now: Time) -> Option<u64> {
-        self.known_at.map(|at| now.since(at))
+    pub fn standing(&self, now: Time, id: &str, max_age_ms: u64) -> Standing {
+        let Some(target) = self.targets.get(id).filter(|target| self.accepts(target)) else {
+            return Standing::Leaving;
+        };
+        let read_at = self.departures.known_at().filter(|_| !target.expired);
+        match read_at.max(target.confirmed_at) {
+            Some(known_at) if now.since(known_at) <= max_age_ms => Standing::InUse,
+            _ => Standing::Unconfirmed,
+        }
     }
 
     /// Removes targets whose entries have expired once the store has been
@@ -337,6 +398,7 @@
                 self.remove(now, &id);
             }
         }
+        self.departures.expire(now);
         self.gone.retain(|_, gone| now.since(gone.at) < REMOVED_RETENTION_MS);
     }
 
@@ -374,6 +436,8 @@
     pub fn accepts(&self, target: &Target) -> bool {
         let is_complete = target.announcement.start_ms.is_some() || !self.starts_reported;
         let is_in_use = !self.evacuated.contains(&target.announcement.domain);
-        is_complete && is_in_use && !target.announcement.draining && !target.invalid_entry
+        let leaves = target.announcement.draining
+            || self.departures.contains(&target.announcement.id) && !target.expired;
+        is_complete && is_in_use && !leaves && !target.invalid_entry
     }
 }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -26,6 +26,7 @@
 //! | [`group`] | whether a reading of the group of instances shows all members |
 //! | [`room`] | whether a target's memory takes one more sample |
 //! | [`poison`] | which requests end the targets that run them |
+//! | [`departure`] | which targets leave, and up to when that is known |
 //! | [`permit`] | which instance may do what only one may do at a time |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
 //!
@@ -39,6 +40,7 @@
 pub mod choice;
 pub mod claim;
 pub mod configuration;
+pub mod departure;
 pub mod dispatch;
 pub mod effect;
 pub mod ending;
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -79,9 +79,9 @@
     /// instances, or came from another one, and is current only after the next
     /// incremental read.
     pub requested_at: Option<Time>,
-    /// The same for all records, with the age of those that came from another
-    /// instance taken off.
-    pub known_at: Time,
+    /// The time up to which the records are complete, for snapshots as well;
+    /// `None` if more were left at the partition's end.
+    pub known_at: Option<Time>,
 }
 
 /// How far a partition is read, and the parameters of the next read.
@@ -238,7 +238,7 @@
     if is_relayed && let Some((records, age_ms)) = relay::fetch(&shared, &part).await {
         relay::keep(&shared, &part, &records, age_ms);
         position.advance(&records);
-        let known_at = Time(shared.now().0.saturating_sub(age_ms));
+        let known_at = Some(Time(shared.now().0.saturating_sub(age_ms)));
         on_records(&shared, records, Origin { is_snapshot: true, requested_at: None, known_at });
     }
     loop {
@@ -250,7 +250,7 @@
                 }
                 position.advance(&records);
                 position.is_current |= !is_snapshot;
-                let known_at = requested_at;
+                let known_at = Some(requested_at);
                 let requested_at = (!is_snapshot).then_some(requested_at);
                 on_records(&shared, records, Origin { is_snapshot, requested_at, known_at });
                 if is_snapshot {
@@ -331,13 +331,16 @@
                         records.records.iter().map(|record| record.key.as_str()).collect();
                     let ids: Vec<String> = control.fleet.targets.keys().cloned().collect();
                     for id in ids.iter().filter(|id| !listed.contains(id.as_str())) {
-                        control.fleet.record_expiry(now, id);
+                        control.fleet.record_end(now, records.end.saturating_sub(1), id);
                     }
+                    control.fleet.departures.restart(records.end);
                 }
                 for record in &records.records {
-                    apply_entry(shared, control, now, origin.known_at, record);
+                    apply_entry(shared, control, now, record);
+                }
+                if let Some(known_at) = origin.known_at {
+                    control.fleet.departures.mark_known(known_at, records.end);
                 }
-                control.fleet.mark_known(origin.known_at);
                 control.fleet_loaded |= origin.requested_at.is_some();
             }
             shared.handle_event(&crate::core::dispatch::Event::Tick);
@@ -346,21 +349,21 @@
     .await;
 }
 
-/// Applies the newest entry of a target, which was known at `known_at`.
-fn apply_entry(shared: &Shared, control: &mut Control, now: Time, known_at: Time, record: &Record) {
-    let id = &record.key;
+/// Applies the newest entry of a target.
+fn apply_entry(shared: &Shared, control: &mut Control, now: Time, record: &Record) {
+    let (id, offset) = (&record.key, record.offset);
     let Some(value) = &record.value else {
-        log::info!("target {id} vanished, read {} ms ago", now.since(known_at));
-        control.fleet.record_expiry(now, id);
+        log::info!("target {id} vanished, by record {offset}");
+        control.fleet.record_end(now, offset, id);
         return;
     };
     match (shared.codec.announcement)(id, value) {
         Ok(announcement) => {
             let known = control.fleet.targets.get(id);
             if announcement.draining && known.is_none_or(|known| !known.announcement.draining) {
-                log::info!("target {id} drains, read {} ms ago", now.since(known_at));
+                log::info!("target {id} drains, by record {offset}");
             }
-            apply_announcement(shared, control, now, announcement);
+            apply_announcement(shared, control, now, offset, announcement);
         }
         Err(why) => {
             shared.meters.announcements_skipped.inc();
@@ -375,10 +378,11 @@
     shared: &Shared,
     control: &mut Control,
     now: Time,
+    offset: u64,
     announcement: Announcement,
 ) {
     let (id, born) = (announcement.id.clone(), announcement.start_ms);
-    match control.fleet.announce(now, announcement) {
+    match control.fleet.announce_at(now, offset, announcement) {
         AnnounceOutcome::Accepted => {}
         AnnounceOutcome::Outdated => log::info!("entry of {id}, start {born:?}, is out of date"),
         AnnounceOutcome::Restarted(address) => shared.reset_target(control, &id, address),
--- a/crates/hollywell/src/entry/forward/attempt.rs
+++ b/crates/hollywell/src/entry/forward/attempt.rs
@@ -15,6 +15,7 @@
         time::Time,
     },
     entry::{
+        confirm,
         exchange::{Error, IncomingResponse},
         shared::Shared,
         suspects,
@@ -68,8 +69,13 @@
     let &SendAttempt { plain, target, limit_ms, left_ms, .. } = attempt;
     shared.control.borrow_mut().observations.request_started(&target.id);
     let _in_flight = InFlight { shared, id: &target.id };
-    let limit = Duration::from_millis(limit_ms);
     let started = shared.now();
+    if !confirm::is_usable(shared, target).await {
+        return SendOutcome::NotRun;
+    }
+    let checked_ms = shared.now().since(started);
+    let limit = Duration::from_millis(limit_ms.saturating_sub(checked_ms));
+    let left_ms = left_ms.saturating_sub(checked_ms);
     let still_allowed = || {
         let may_send_to = shared.may_send_to(target);
         if may_send_to {
@@ -97,6 +103,7 @@
         Ok(response) => {
             let spent = shared.now().since(started);
             let left = Duration::from_millis(limit_ms.saturating_sub(spent).max(1));
+            confirm::record_answer(shared, started, target, &response);
             read_response(shared, attempt, response, left).await
         }
         Err(Error::Cancelled) => {
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -217,7 +217,7 @@
         let version =
             control.configuration.as_ref().map_or(0, |configuration| configuration.version);
         meters.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        let age_ms = control.fleet.age_ms(shared.now());
+        let age_ms = control.fleet.departures.age_ms(shared.now());
         meters.targets_age_ms.set(age_ms.map_or(-1, |ms| i64::try_from(ms).unwrap_or(i64::MAX)));
         meters.members.set(gauge(control.roster.members().len()));
         meters.late_samples.set(gauge(control.dispatch.late_samples()));
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -75,6 +75,8 @@
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// Health checks of targets, by outcome.
+    pub health_checks: IntCounterVec,
     /// Age of what is known of the targets, in milliseconds; -1 before they were
     /// read.
     pub targets_age_ms: IntGauge,
@@ -212,6 +214,11 @@
                 "hollywell_entry_jobs_late_total",
                 "Jobs rejected, as they would be late.",
             )?,
+            health_checks: counter(
+                "hollywell_entry_health_checks_total",
+                "Health checks of targets of which too little was known.",
+                &["outcome"],
+            )?,
             unstarted_jobs: counter(
                 "hollywell_entry_jobs_unbegun_total",
                 "Jobs accepted here that had not begun in time.",
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -18,6 +18,8 @@
 pub mod capacity;
 pub mod codec;
 pub mod configuration;
+pub mod confirm;
+pub mod departures;
 pub mod duties;
 pub mod ends;
 pub mod exchange;
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -21,8 +21,8 @@
 use crate::{
     core::roster,
     entry::{
-        configuration, ends, exchange::IncomingResponse, feed, member, relay, shared::Shared,
-        suspects, usage,
+        configuration, departures, ends, exchange::IncomingResponse, feed, member, relay,
+        shared::Shared, suspects, usage,
     },
 };
 
@@ -134,6 +134,7 @@
         Method::GET if path.starts_with(configuration::PATH) => {
             configuration::respond(shared, &path)
         }
+        Method::GET if path.starts_with(departures::PATH) => departures::respond(shared, &path),
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -20,6 +20,7 @@
     },
     entry::{
         codec::Chunk,
+        confirm,
         exchange::{Error, IncomingResponse},
         lines::EventSplitter,
         samples,
@@ -213,6 +214,10 @@
     digest: Digest,
     request: Request<Full<Bytes>>,
 ) -> End {
+    let started = shared.now();
+    if !confirm::is_usable(shared, target).await {
+        return End::Full;
+    }
     let still_allowed = || {
         let may_send = shared.may_send(sample_id) && shared.may_send_to(target);
         if may_send {
@@ -230,6 +235,7 @@
             return if error.is_not_sent() { End::Unreached } else { End::Broken };
         }
     };
+    confirm::record_answer(shared, started, target, &response);
     let headers = &shared.codec.headers;
     let _load = shared.record_load(shared.now(), &target.id, &response);
     match response.head.status {
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -26,7 +26,7 @@
     entry::{
         self,
         codec::Codec,
-        configuration, duties, ends,
+        configuration, confirm, departures, duties, ends,
         exchange::Pool,
         feed::Feed,
         follow, garbage, hints, ingress, member,
@@ -146,6 +146,7 @@
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         text_cache: TextCache::default(),
         probe_permits: RefCell::default(),
+        confirmations: confirm::Confirmations::default(),
         usage: usage::Usage::default(),
         unsaved_suspects: suspects::UnsavedSuspects::default(),
         orphans: garbage::Orphans::default(),
@@ -178,6 +179,7 @@
     spawn(Box::pin(follow::commands(shared.clone())));
     spawn(Box::pin(configuration::serve(shared.clone())));
     spawn(Box::pin(follow::targets(shared.clone())));
+    spawn(Box::pin(departures::serve(shared.clone())));
     spawn(Box::pin(hints::serve(shared.clone())));
     spawn(Box::pin(suspects::serve(shared.clone())));
     spawn(Box::pin(suspects::save(shared.clone())));
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -84,6 +84,9 @@
     pub status: Duration,
     /// Time between two announcements of a target.
     pub heartbeat: Duration,
+    /// Time from the acknowledgement that a target leaves until it must get no
+    /// more requests.
+    pub drain: Duration,
     /// Time from the acknowledgement of a configuration until it has to be in
     /// force at all instances.
     pub config_apply: Duration,
@@ -176,6 +179,7 @@
             lease: reader.time(times, "lease_ms", MILLISECOND, 3_000.0, 100.0..=MAX_MS),
             status: reader.time(times, "status_s", SECOND, 120.0, 0.1..=MAX_S),
             heartbeat: reader.time(times, "beat_ms", MILLISECOND, 1_200.0, 1.0..=MAX_MS),
+            drain: reader.time(times, "drain_ms", MILLISECOND, 2_000.0, 1.0..=MAX_MS),
             config_apply: reader.time(times, "config_apply_ms", MILLISECOND, 2_000.0, 1.0..=MAX_MS),
             revoke: (revoke_ms > 0).then(|| Duration::from_millis(revoke_ms)),
         },
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -5,7 +5,7 @@
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     rc::Rc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
@@ -23,7 +23,7 @@
         configuration::{Configuration, Route, RouteKind},
         dispatch::{self, Demand, Effect, Event, JobSpec, Run, SampleId},
         ending,
-        fleet::{Announcement, Fleet},
+        fleet::{Announcement, Fleet, Standing},
         group::GroupSize,
         hedge,
         permit::Permits,
@@ -34,7 +34,7 @@
     },
     entry::{
         codec::Codec,
-        ends,
+        confirm, ends,
         exchange::{IncomingResponse, Pool},
         feed::Feed,
         garbage, jobs, member,
@@ -68,6 +68,8 @@
 /// counts as unavailable; one refused call is not an outage.
 const UNAVAILABLE_MS: u64 = 700;
 
+/// Time that a request may take from the last check until it is at its target.
+const SEND_TIME: Duration = Duration::from_millis(500);
 /// Age of what is known of the targets, in milliseconds, from which each send is
 /// logged at level `info`: with a store that answers it is less.
 const OLD_TARGETS_MS: u64 = 1_500;
@@ -254,6 +256,8 @@
     pub unsaved_suspects: suspects::UnsavedSuspects,
     /// Permits for isolated probes of suspects that this instance issues.
     pub probe_permits: RefCell<Permits>,
+    /// Targets that are being asked whether they accept work.
+    pub confirmations: confirm::Confirmations,
     /// Requests of organisations counted here.
     pub usage: usage::Usage,
     /// Records that were appended, or may have been, without a reference.
@@ -505,17 +509,27 @@
         control.is_sample_open(part, sample_id) && !control.is_stale(now, part)
     }
 
-    /// Whether a target's failure domain may get new requests, that is, is not
-    /// evacuated. Checked immediately before a send, as [`Shared::may_send`].
+    /// Whether a target may get a request now. Checked immediately before a
+    /// send, as [`Shared::may_send`].
     #[must_use]
     pub fn may_send_to(&self, target: &Announcement) -> bool {
-        !self.control.borrow().fleet.evacuated().contains(&target.domain)
+        self.standing(target) == Standing::InUse
+    }
+
+    /// Whether a target may get a request now, as far as is known. A request
+    /// takes some time to reach its target.
+    #[must_use]
+    pub fn standing(&self, target: &Announcement) -> Standing {
+        let max_age = self.settings.times.drain.saturating_sub(SEND_TIME);
+        let max_age_ms = u64::try_from(max_age.as_millis()).unwrap_or(u64::MAX);
+        self.control.borrow().fleet.standing(self.now(), &target.id, max_age_ms)
     }
 
     /// Logs that a request or sample is sent to a target, and how old what is
     /// known of the targets is.
     pub fn log_send(&self, target: &Announcement, what: &str) {
-        let age_ms = self.control.borrow().fleet.age_ms(self.now()).unwrap_or(u64::MAX);
+        let age_ms = self.control.borrow().fleet.departures.age_ms(self.now());
+        let age_ms = age_ms.unwrap_or(u64::MAX);
         let level = if age_ms > OLD_TARGETS_MS { log::Level::Info } else { log::Level::Debug };
         log::log!(level, "{what} is sent to {}; targets were read {age_ms} ms ago", target.id);
     }
