What was read is no more recent than the read that reached the end

The sender had read the drain itself, and logged that its view was 137 ms old.

Cause: the age of records was not the time up to which they are complete. The follower took it over although it ended before the follower's own position. A read that left records at the partition's end (a response holds a limited number of bytes) counted as current too, for targets, jobs, the operator's records and what sources pass on; this was read in the code, no trace shows it.

--- a/crates/hollywell/src/entry/feed.rs
+++ b/crates/hollywell/src/entry/feed.rs
@@ -23,7 +23,7 @@
 };
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{HeaderName, Response, StatusCode};
 use http_body_util::Full;
 use prost::Message as _;
 use tokio::{
@@ -50,6 +50,10 @@
 /// Maximum age of a source's last read, in milliseconds; beyond it the source's
 /// next read is overdue, and its answer is not used.
 const MAX_AGE_MS: u64 = 1_300;
+/// Header with the time since a source last read to the partition's end, in
+/// milliseconds. A snapshot is encoded once and sent for as long as the records
+/// that follow it are held, so its age is not part of it.
+const AGE_MS: HeaderName = HeaderName::from_static("age-ms");
 /// Maximum number of records held of each partition: those of some seconds.
 const MAX_RECORDS: usize = 8_192;
 /// Maximum size of the records held of each partition, in bytes.
@@ -106,6 +110,10 @@
     pub requested_at: Time,
     /// The records are a snapshot: the newest of all keys.
     pub is_snapshot: bool,
+    /// All records that the partition had at `requested_at` were read. A read
+    /// returns a limited number of bytes, and records may follow a source's
+    /// snapshot.
+    pub is_complete: bool,
 }
 
 /// Records of one partition that were read recently.
@@ -121,7 +129,8 @@
     announced: HashMap<String, Announcement>,
     /// The newest record of each target, if it is known for all of them.
     newest: Option<HashMap<String, Record>>,
-    /// `newest` as an encoded [`Page`], and the end up to which it was read.
+    /// `newest` as an encoded [`Page`] without an age, and the end up to which it
+    /// was read.
     snapshot: Option<(u64, Bytes)>,
 }
 
@@ -181,7 +190,7 @@
     /// The newest records of all keys, for followers whose offset is no longer
     /// held. They are encoded once for many followers, and reused while all
     /// records after them are held.
-    fn encoded_snapshot(&mut self, now: Time) -> Option<Bytes> {
+    fn encoded_snapshot(&mut self) -> Option<Bytes> {
         if let Some((end, snapshot)) = &self.snapshot
             && *end >= self.first
         {
@@ -190,12 +199,7 @@
         let mut records: Vec<FeedRecord> =
             self.newest.as_ref()?.values().map(FeedRecord::new).collect();
         records.sort_by_key(|record| record.offset);
-        let page = Page {
-            end: self.end,
-            age_ms: now.since(self.requested_at),
-            records,
-            is_snapshot: true,
-        };
+        let page = Page { end: self.end, age_ms: 0, records, is_snapshot: true };
         let snapshot = Bytes::from(page.encode_to_vec());
         self.snapshot = Some((self.end, snapshot.clone()));
         Some(snapshot)
@@ -306,19 +310,13 @@
 
 /// Adds the records that were read of a partition from an offset on, for the
 /// followers of this instance.
-pub(super) fn record(
-    shared: &Shared,
-    part: &Partition,
-    from: u64,
-    read: &Records,
-    requested_at: Time,
-) {
+pub(super) fn record(shared: &Shared, part: &Partition, from: u64, read: &Batch) {
     let mut logs = shared.feed.logs.borrow_mut();
     let log = logs.entry(part.clone()).or_default();
     if log.end != from {
         *log = Log { first: from, end: from, ..Log::default() };
     }
-    for record in &read.records {
+    for record in &read.records.records {
         let is_entry = part.topic == shared.codec.announcements;
         log.update_newest(record);
         if !is_entry || log.is_change(shared, record) {
@@ -326,8 +324,10 @@
         }
         log.end = log.end.max(record.offset + 1);
     }
-    log.requested_at = requested_at;
-    if !read.records.is_empty() {
+    if read.is_complete {
+        log.requested_at = read.requested_at;
+    }
+    if !read.records.records.is_empty() {
         shared.feed.changed.notify_waiters();
     }
 }
@@ -353,6 +353,7 @@
                     records: Records { end: page.end, records, beyond: vec![] },
                     requested_at: Time(requested_at.0.saturating_sub(page.age_ms)),
                     is_snapshot: page.is_snapshot,
+                    is_complete: !page.is_snapshot,
                 });
             }
             Ok(Some(page)) => {
@@ -385,6 +386,7 @@
     let path = format!("{PATH}{}/{}/{from}", part.topic, part.number);
     let answer = peers::get(shared, source, &path, IDLE_TIMEOUT).await?;
     let status = answer.head.status;
+    let age_ms = answer.header(&AGE_MS).and_then(|age| age.parse().ok());
     let body = answer.read_body_with_idle_timeout(MAX_RESPONSE_BYTES, IDLE_TIMEOUT).await;
     let body = body.map_err(|error| error.to_string())?;
     match status {
@@ -392,7 +394,10 @@
         StatusCode::GONE => return Ok(None),
         other => return Err(other.to_string()),
     }
-    let page = Page::decode(body).map_err(|error| error.to_string())?;
+    let mut page = Page::decode(body).map_err(|error| error.to_string())?;
+    if page.is_snapshot {
+        page.age_ms = age_ms.ok_or("a snapshot without an age")?;
+    }
     let first = if page.is_snapshot { 0 } else { from };
     let is_contiguous = page.end >= from
         && page.records.iter().all(|record| (first..page.end).contains(&record.offset))
@@ -420,15 +425,20 @@
                 Some(page) => (Some(page), None),
                 None => (
                     None,
-                    log.filter(|log| from < log.first).and_then(|log| log.encoded_snapshot(now)),
+                    log.filter(|log| from < log.first).and_then(|log| {
+                        let age_ms = now.since(log.requested_at);
+                        Some((log.encoded_snapshot()?, age_ms))
+                    }),
                 ),
             }
         };
         let Some(page) = page else {
-            let Some(all) = all else {
+            let Some((all, age_ms)) = all else {
                 return peers::empty_response(StatusCode::GONE);
             };
-            return Response::new(Full::new(all));
+            let mut response = Response::new(Full::new(all));
+            response.headers_mut().insert(AGE_MS, age_ms.into());
+            return response;
         };
         if page.end > from || timeout_at(until, changed).await.is_err() {
             return Response::new(Full::new(page.encode_to_vec().into()));
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -77,7 +77,7 @@
     /// late: it may have waited unprocessed, and says nothing of what happened
     /// since. `None` for a snapshot: it takes seconds to read with many
     /// instances, or came from another one, and is current only after the next
-    /// incremental read.
+    /// incremental read. `None` too if more records were left.
     pub requested_at: Option<Time>,
     /// The time up to which the records are complete, for snapshots as well;
     /// `None` if more were left at the partition's end.
@@ -88,6 +88,8 @@
 struct Position {
     /// The offset to read from; `None` to begin with a snapshot.
     next: Option<u64>,
+    /// The furthest offset read to: what ends before it is out of date.
+    reached: u64,
     /// Pages of the snapshot that were read so far.
     newest: Newest,
     /// How long the next read waits for a record.
@@ -103,6 +105,7 @@
         let next = (!keyed).then_some(0);
         Position {
             next,
+            reached: 0,
             newest: Newest::default(),
             wait: READ_WAIT,
             failures: 0,
@@ -136,6 +139,10 @@
         if self.next.is_none() && !batch.is_snapshot {
             return None;
         }
+        if batch.records.end < self.reached {
+            log::info!("a source is at {} of {part:?}, behind {}", batch.records.end, self.reached);
+            return None;
+        }
         // A source leaves out heartbeats without a change, so the last record
         // does not say how far the batch goes.
         self.next = Some(batch.records.end);
@@ -177,7 +184,7 @@
         if relay::is_relayed(shared, part) {
             relay::keep(shared, part, &records, shared.now().since(requested_at));
         }
-        Ok(Batch { records, requested_at, is_snapshot: true })
+        Ok(Batch { records, requested_at, is_snapshot: true, is_complete: true })
     }
 
     /// Reads incrementally from the store.
@@ -194,10 +201,12 @@
         let read = Read { part: part.clone(), from, wait, max_kb: None };
         let records = shared.reader.read(read).await?;
         shared.record_store_result(true);
+        let is_complete = records.records.last().is_none_or(|last| last.offset + 1 >= records.end);
+        let batch = Batch { records, requested_at, is_snapshot: false, is_complete };
         if is_source {
-            feed::record(shared, part, from, &records, requested_at);
+            feed::record(shared, part, from, &batch);
         }
-        Ok(Batch { records, requested_at, is_snapshot: false })
+        Ok(batch)
     }
 
     /// Moves the position behind what was read: an incremental read ends at its
@@ -208,6 +217,7 @@
         // A snapshot may be outdated by now: the next read must not wait.
         self.wait = if self.next.is_none() { Duration::ZERO } else { READ_WAIT };
         self.next = Some(next);
+        self.reached = self.reached.max(next);
         self.failures = 0;
     }
 
@@ -244,14 +254,14 @@
     loop {
         let started = Instant::now();
         match position.read(&shared, &part, may_follow).await {
-            Ok(Batch { records, requested_at, is_snapshot }) => {
+            Ok(Batch { records, requested_at, is_snapshot, is_complete }) => {
                 if part.topic != JOBS {
                     shared.account_for_read(&part, &records);
                 }
                 position.advance(&records);
                 position.is_current |= !is_snapshot;
-                let known_at = Some(requested_at);
-                let requested_at = (!is_snapshot).then_some(requested_at);
+                let known_at = is_complete.then_some(requested_at);
+                let requested_at = known_at.filter(|_| !is_snapshot);
                 on_records(&shared, records, Origin { is_snapshot, requested_at, known_at });
                 if is_snapshot {
                     continue;
@@ -301,7 +311,9 @@
         true,
         move |shared, records, origin| {
             let end = if origin.is_snapshot { records.end } else { 0 };
-            shared.control.borrow_mut().partitions[part].read_at = origin.requested_at;
+            if origin.is_snapshot || origin.requested_at.is_some() {
+                shared.control.borrow_mut().partitions[part].read_at = origin.requested_at;
+            }
             if origin.is_snapshot {
                 shared.remove_missing_jobs(part, &records);
             }
