Pages and guards on targets that leave

The six guards of core/departure.rs and core/fleet.rs were each removed once in a scratch copy: a test of tests/departure.rs failed each time.

--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -36,6 +36,9 @@
 const REDUCER_PEERS: &str = "crates/hollywell/src/core/reducer/peers.rs";
 const REDUCER_STOP: &str = "crates/hollywell/src/core/reducer/stop.rs";
 
+const DEPARTURE: &str = "crates/hollywell/src/core/departure.rs";
+const FLEET: &str = "crates/hollywell/src/core/fleet.rs";
+
 const GUARDS: &[Guard] = &[
     Guard {
         name: "replica's copy before dispatch",
@@ -310,6 +313,48 @@
         replace: "self.first_sent = Some(now);",
         proof: "lease",
     },
+    Guard {
+        name: "no gap in what a peer lists",
+        file: DEPARTURE,
+        find: "|| page.from > self.end ",
+        replace: "",
+        proof: "departure",
+    },
+    Guard {
+        name: "age of what a peer lists",
+        file: DEPARTURE,
+        find: "self.mark_known(known_at, page.end);",
+        replace: "self.mark_known(now, page.end);",
+        proof: "departure",
+    },
+    Guard {
+        name: "older records return no target",
+        file: DEPARTURE,
+        find: "is_some_and(|known| known.offset > offset)",
+        replace: "is_some_and(|_| false && offset == 0)",
+        proof: "departure",
+    },
+    Guard {
+        name: "departures forgotten are not claimed",
+        file: DEPARTURE,
+        find: "*from = (*from).max(known.offset + 1);",
+        replace: "*from = (*from).max(0);",
+        proof: "departure",
+    },
+    Guard {
+        name: "age of the view at a send",
+        file: FLEET,
+        find: "Some(known_at) if now.since(known_at) <= max_age_ms => Standing::InUse",
+        replace: "Some(known_at) if now >= known_at || max_age_ms == 0 => Standing::InUse",
+        proof: "departure",
+    },
+    Guard {
+        name: "a target's own word after an outage",
+        file: FLEET,
+        find: "self.departures.known_at().filter(|_| !target.expired)",
+        replace: "self.departures.known_at()",
+        proof: "departure",
+    },
 ];
 
 /// Removes the guards whose names contain `only`, one by one.
