--- a/crates/hollywell/src/entry/configuration.rs
+++ b/crates/hollywell/src/entry/configuration.rs
@@ -131,15 +131,7 @@
         if age_ms(&shared).is_some_and(|age| age < STALE_MS) {
             continue;
         }
-        let peers = peers::random_peers(&shared, PEERS_PER_ROUND);
-        let requests: Vec<_> =
-            peers.into_iter().map(|peer| update_from(shared.clone(), peer)).collect();
-        let requests: Vec<_> = requests.into_iter().map(tokio::task::spawn_local).collect();
-        for request in requests {
-            if let Err(error) = request.await {
-                log::error!("the task that asks a peer for the configuration failed: {error}");
-            }
-        }
+        peers::ask_random(&shared, PEERS_PER_ROUND, update_from).await;
     }
 }
 
--- a/crates/hollywell/src/entry/departures.rs
+++ b/crates/hollywell/src/entry/departures.rs
@@ -67,16 +67,7 @@
         if age_ms.is_none_or(|age_ms| age_ms <= limit_ms) {
             continue;
         }
-        let peers = peers::random_peers(&shared, PEERS_PER_ROUND);
-        let requests: Vec<_> = peers
-            .into_iter()
-            .map(|peer| tokio::task::spawn_local(update_from(shared.clone(), peer)))
-            .collect();
-        for request in requests {
-            if let Err(error) = request.await {
-                log::error!("the task that asks a peer for departures failed: {error}");
-            }
-        }
+        peers::ask_random(&shared, PEERS_PER_ROUND, update_from).await;
     }
 }
 
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -92,6 +92,25 @@
     others.choose_multiple(&mut rand::rng(), max).map(|peer| (*peer).clone()).collect()
 }
 
+/// Asks up to `max` other members, chosen at random, at the same time, and waits
+/// until all are done.
+pub(super) async fn ask_random<A>(
+    shared: &Rc<Shared>,
+    max: usize,
+    ask: impl Fn(Rc<Shared>, String) -> A,
+) where
+    A: Future<Output = ()> + 'static,
+{
+    let peers = random_peers(shared, max).into_iter();
+    let tasks: Vec<_> =
+        peers.map(|peer| tokio::task::spawn_local(ask(shared.clone(), peer))).collect();
+    for task in tasks {
+        if let Err(error) = task.await {
+            log::error!("a task that asks a peer failed: {error}");
+        }
+    }
+}
+
 /// Serves peers until the process ends.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     loop {
--- a/crates/hollywell/tests/departure.rs
+++ b/crates/hollywell/tests/departure.rs
@@ -143,8 +143,7 @@
                 1 => {
                     // Reads on from where it read last, perhaps not to the end.
                     let to = u.int_in_range(read[at]..=log.len())?;
-                    for offset in read[at]..to {
-                        let (id, leaves) = log[offset];
+                    for (offset, (id, leaves)) in (read[at]..to).zip(&log[read[at]..to]) {
                         match leaves {
                             true => all[at].record(Time(now), id, offset as u64),
                             false => all[at].record_return(id, offset as u64),
