An entry that was written late returns no target that leaves

Cause: a later offset was taken for a later word of the target, though entries may be written late; the target's own start and count say which is newer. The departure was forgotten and not told to peers any more; the instance itself kept the target out of use. Found by reading; the test fails on the code before (the list for peers is empty).

Change: what the target's counts reject returns nothing.

--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -22,7 +22,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{departure::Departures, time::Time};
+use crate::core::{
+    departure::{Departures, Page},
+    time::Time,
+};
 
 /// How long after the recovery of the store an expired entry may take to
 /// reappear, in milliseconds. The platform specifies about two seconds.
@@ -124,6 +127,10 @@
     /// has not.
     #[serde(default)]
     pub confirmed_at: Option<Time>,
+    /// Whether a peer knows of a record by which it leaves, which was not read
+    /// here yet.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 impl Target {
@@ -197,15 +204,29 @@
         offset: u64,
         announcement: Announcement,
     ) -> AnnounceOutcome {
-        let id = &announcement.id;
-        if announcement.draining {
-            self.departures.record(now, id, offset);
-        } else if self.departures.is_superseded(id, offset) {
+        let (id, is_draining) = (announcement.id.clone(), announcement.draining);
+        if !is_draining && self.departures.is_superseded(&id, offset) {
             return AnnounceOutcome::Outdated;
-        } else {
-            self.departures.record_return(id, offset);
         }
-        self.announce(now, announcement)
+        let outcome = self.announce(now, announcement);
+        match (outcome, is_draining) {
+            (AnnounceOutcome::Outdated, _) => {}
+            (_, true) => self.departures.record(now, &id, offset),
+            (_, false) => self.departures.record_return(&id, offset),
+        }
+        outcome
+    }
+
+    /// Adds the departures that another instance knew at `known_at`. Returns
+    /// whether that was of use, as [`Departures::merge`].
+    pub fn merge_departures(&mut self, now: Time, known_at: Time, page: &Page) -> bool {
+        let is_merged = self.departures.merge(now, known_at, page);
+        for (id, _) in page.departures.iter().filter(|_| is_merged) {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.leaving = self.departures.contains(id);
+            }
+        }
+        is_merged
     }
 
     /// Applies an announcement. Within an incarnation versions never decrease:
@@ -242,6 +263,7 @@
             expired: false,
             invalid_entry: false,
             confirmed_at,
+            leaving: false,
         };
         self.targets.insert(id, target);
         self.update_reports_start();
@@ -436,8 +458,7 @@
     pub fn accepts(&self, target: &Target) -> bool {
         let is_complete = target.announcement.start_ms.is_some() || !self.starts_reported;
         let is_in_use = !self.evacuated.contains(&target.announcement.domain);
-        let leaves = target.announcement.draining
-            || self.departures.contains(&target.announcement.id) && !target.expired;
+        let leaves = target.announcement.draining || target.leaving && !target.expired;
         is_complete && is_in_use && !leaves && !target.invalid_entry
     }
 }
--- a/crates/hollywell/src/entry/departures.rs
+++ b/crates/hollywell/src/entry/departures.rs
@@ -86,7 +86,7 @@
     let page = Page { from: listing.from, end: listing.end, departures: departures.collect() };
     let is_taken = {
         let fleet = &mut shared.control.borrow_mut().fleet;
-        fleet.departures.merge(shared.now(), known_at, &page)
+        fleet.merge_departures(shared.now(), known_at, &page)
     };
     if is_taken {
         log::debug!("{} departures up to {} taken from {peer}", page.departures.len(), page.end);
--- a/crates/hollywell/tests/departure.rs
+++ b/crates/hollywell/tests/departure.rs
@@ -57,6 +57,32 @@
     assert_eq!(fleet.usable("llm").count(), 1);
 }
 
+// An entry that was written late says less than an earlier one of the same
+// target.
+#[test]
+fn an_entry_that_was_written_late_returns_no_target_that_leaves() {
+    let mut fleet = fleet(Time(1), &[]);
+    let entry =
+        |sequence, draining| Announcement { start_ms: Some(7), sequence, ..target("a", draining) };
+    fleet.announce_at(Time(1), 110, entry(1, false));
+    fleet.announce_at(Time(2), 120, entry(3, true));
+    assert_eq!(fleet.announce_at(Time(3), 121, entry(2, false)), AnnounceOutcome::Outdated);
+    assert_eq!(fleet.usable("llm").count(), 0);
+    assert_eq!(fleet.departures.since(0).departures, [(String::from("a"), 120)]);
+}
+
+#[test]
+fn a_departure_that_a_peer_knows_holds_until_a_later_entry() {
+    let mut fleet = fleet(Time(1_000), &["a"]);
+    let page = Page { from: 100, end: 121, departures: vec![(String::from("a"), 120)] };
+    assert!(fleet.merge_departures(Time(2_000), Time(1_900), &page));
+    assert_eq!(fleet.standing(Time(2_000), "a", MAX_AGE_MS), Standing::Leaving);
+    fleet.announce_at(Time(2_100), 110, target("a", false));
+    assert_eq!(fleet.standing(Time(2_100), "a", MAX_AGE_MS), Standing::Leaving);
+    fleet.announce_at(Time(2_200), 130, target("a", false));
+    assert_eq!(fleet.standing(Time(2_200), "a", MAX_AGE_MS), Standing::InUse);
+}
+
 // Sends went on by a view of the targets that nobody knew the age of.
 #[test]
 fn an_old_view_confirms_no_target() {
