Review: show that a foreign answer makes an item dead

Cause: a run acts on the status of a response (422, 500, 421) before it compares the response's Request-Id with the item's, so an extra response of another item, sent late on the same connection, is taken for the item's own answer.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not
 //! run. With TROUBLE=0 in the environment the disruption is left out.
 
+mod dead;
 mod engine;
 mod http;
 mod json;
@@ -35,6 +36,7 @@
         }
     });
     let played = panic::catch_unwind(panic::AssertUnwindSafe(|| match name.as_str() {
+        "dead" => dead::play(&record, trouble),
         "twice" => twice::play(&record, trouble),
         "shutdown" => shutdown::play(&record, trouble),
         "single-version" => single_version::play(&record, trouble),
