--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -6,7 +6,10 @@
     os::unix::process::CommandExt as _,
     path::PathBuf,
     process::{Child, Command},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -42,9 +45,20 @@
     folder: PathBuf,
 }
 
+/// A free port below the ephemeral range, so that no outgoing connection takes it
+/// before the instance listens there.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    loop {
+        let at = std::process::id().wrapping_mul(64).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(FIRST + at % COUNT).expect("a port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Instance {
--- a/review/standin/shutdown.rs
+++ b/review/standin/shutdown.rs
@@ -4,6 +4,10 @@
 use std::{
     net::{SocketAddr, TcpStream},
     os::fd::AsRawFd as _,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -18,10 +22,10 @@
 
 /// Size of an answer.
 const BYTES: usize = 30_000_000;
-/// What the client's link carries in a second: 60 Mbit.
-const BYTES_PER_S: f64 = 7_500_000.0;
-/// When SIGTERM is sent, counted from the request.
-const STOP_AFTER: Duration = Duration::from_millis(500);
+/// What the client's link carries in a second: 45 Mbit.
+const BYTES_PER_S: f64 = 5_625_000.0;
+/// When SIGTERM is sent, counted from the begin of the answer.
+const STOP_AFTER: Duration = Duration::from_millis(100);
 const GRACE_S: f64 = 8.0;
 
 unsafe extern "C" {
@@ -62,7 +66,12 @@
 
 /// Reads an answer as fast as the link carries it; returns the number of bytes
 /// of its body, and whether they are all.
-fn read_answer(front: SocketAddr, id: &str, record: &Record) -> (usize, bool) {
+fn read_answer(
+    front: SocketAddr,
+    id: &str,
+    record: &Record,
+    has_begun: &AtomicBool,
+) -> (usize, bool) {
     let mut client = Client::connect(front).expect("a connection");
     keep_window_small(&client.stream);
     let headers = [
@@ -94,6 +103,7 @@
             if let Some(at) = body_at {
                 let head = String::from_utf8_lossy(&bytes[..at]).replace("\r\n", "; ");
                 record.line(&format!("{id} begins to be answered: {head}"));
+                has_begun.store(true, Ordering::SeqCst);
             }
         }
         if body_at.is_some_and(|at| bytes.len() >= at + BYTES) {
@@ -118,9 +128,15 @@
     let mut instance = Instance::start(&store, "front-0", DOMAINS[0]);
     record.line("the instance is ready");
     let (front, seen) = (instance.front, record.clone());
-    let reader = thread::spawn(move || read_answer(front, "survey-1", &seen));
+    let has_begun = Arc::new(AtomicBool::new(false));
+    let begun = has_begun.clone();
+    let reader = thread::spawn(move || read_answer(front, "survey-1", &seen, &begun));
     let mut stopped = None;
     if trouble {
+        while !has_begun.load(Ordering::SeqCst) {
+            assert!(!reader.is_finished(), "the answer did not begin");
+            thread::sleep(Duration::from_millis(5));
+        }
         thread::sleep(STOP_AFTER);
         record.line("the instance gets SIGTERM");
         stopped = Some(Instant::now());
