Review: show that one empty text makes a batch job unreadable

Cause: a text is stored as the value of a record of a keyed topic, where a record without a value deletes its key. An empty text is therefore never stored; only the memory of the instance that wrote it has it. A page of results with such a text is refused as a whole.

--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -190,13 +190,16 @@
 
 /// A client's kept connection.
 pub struct Client {
-    pub stream: TcpStream,
+    stream: TcpStream,
     reader: BufReader<TcpStream>,
 }
 
 impl Client {
     pub fn connect(address: SocketAddr) -> io::Result<Client> {
-        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        Client::over(TcpStream::connect_timeout(&address, Duration::from_secs(1))?)
+    }
+
+    pub fn over(stream: TcpStream) -> io::Result<Client> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(15)))?;
         let reader = BufReader::new(stream.try_clone()?);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! run. With TROUBLE=0 in the environment the disruption is left out.
 
 mod dead;
+mod empty;
 mod engine;
 mod http;
 mod json;
@@ -37,6 +38,7 @@
     });
     let played = panic::catch_unwind(panic::AssertUnwindSafe(|| match name.as_str() {
         "dead" => dead::play(&record, trouble),
+        "empty" => empty::play(&record, trouble),
         "twice" => twice::play(&record, trouble),
         "shutdown" => shutdown::play(&record, trouble),
         "single-version" => single_version::play(&record, trouble),
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -4,7 +4,7 @@
     fs,
     net::{SocketAddr, TcpListener},
     os::unix::process::CommandExt as _,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command},
     sync::{
         Mutex,
@@ -61,6 +61,24 @@
     }
 }
 
+/// Starts the program with the settings file in a folder, as the deploy file says.
+fn spawn(folder: &Path) -> Child {
+    let log = fs::File::options().create(true).append(true).open(folder.join("log"));
+    let log = log.expect("the log file");
+    let mut command = Command::new("target/release/hollywell");
+    command.arg("enter").env_clear().env("HOLLYWELL_BOOT", folder.join("boot.ini"));
+    command.stdout(log.try_clone().expect("the log file")).stderr(log);
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+            Ok(())
+        });
+    }
+    let child = command.spawn().expect("target/release/hollywell");
+    RUNNING.lock().unwrap().push(child.id() as i32);
+    child
+}
+
 impl Instance {
     /// Starts an instance with the settings that the platform renders from
     /// deploy/settings.ini for falaj-drain, and waits until it is ready.
@@ -80,27 +98,38 @@
             DOMAINS.join(","),
             store.address,
         );
-        let path = folder.join("boot.ini");
-        fs::write(&path, settings).expect("the settings file");
-        let log = fs::File::create(folder.join("log")).expect("the log file");
-        let mut command = Command::new("target/release/hollywell");
-        command.arg("enter").env_clear().env("HOLLYWELL_BOOT", &path);
-        command.stdout(log.try_clone().expect("the log file")).stderr(log);
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
-                Ok(())
-            });
-        }
-        let child = command.spawn().expect("target/release/hollywell");
-        RUNNING.lock().unwrap().push(child.id() as i32);
+        fs::write(folder.join("boot.ini"), settings).expect("the settings file");
+        let child = spawn(&folder);
         let instance = Instance { front, ready, child, folder };
+        instance.wait_ready();
+        instance
+    }
+
+    fn wait_ready(&self) {
         let until = Instant::now() + Duration::from_secs(20);
-        while !instance.is_ready() {
-            assert!(Instant::now() < until, "{name} is not ready\n{}", instance.log());
+        while !self.is_ready() {
+            assert!(Instant::now() < until, "an instance is not ready\n{}", self.log());
             thread::sleep(Duration::from_millis(50));
         }
-        instance
+    }
+
+    /// Stops the instance as the platform does, and starts it again.
+    pub fn restart(&mut self) {
+        self.terminate();
+        let until = Instant::now() + Duration::from_secs(8);
+        while !self.has_ended() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+        self.child = spawn(&self.folder);
+        self.wait_ready();
+    }
+
+    fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let pid = self.child.id() as i32;
+        RUNNING.lock().unwrap_or_else(|held| held.into_inner()).retain(|other| *other != pid);
     }
 
     pub fn is_ready(&self) -> bool {
@@ -125,10 +154,7 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let pid = self.child.id() as i32;
-        RUNNING.lock().unwrap_or_else(|held| held.into_inner()).retain(|other| *other != pid);
+        self.kill();
         if std::env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
--- a/review/standin/shutdown.rs
+++ b/review/standin/shutdown.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::{SocketAddr, TcpStream},
-    os::fd::AsRawFd as _,
+    os::fd::FromRawFd as _,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -21,23 +21,56 @@
 };
 
 /// Size of an answer.
-const BYTES: usize = 30_000_000;
-/// What the client's link carries in a second: 45 Mbit.
-const BYTES_PER_S: f64 = 5_625_000.0;
+const BYTES: usize = 6_000_000;
+/// What the client's link carries in a second: 8 Mbit.
+const BYTES_PER_S: f64 = 1_000_000.0;
 /// When SIGTERM is sent, counted from the begin of the answer.
 const STOP_AFTER: Duration = Duration::from_millis(100);
 const GRACE_S: f64 = 8.0;
 
+/// The largest segment and the receive buffer of the client's connection, as on a
+/// network: on loopback they would hold megabytes.
+const SEGMENT: i32 = 1_400;
+const RECEIVE_BUFFER: i32 = 64 << 10;
+
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    port: [u8; 2],
+    ip: [u8; 4],
+    zero: [u8; 8],
+}
+
 unsafe extern "C" {
+    fn socket(family: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(fd: i32, address: *const SocketAddress, length: u32) -> i32;
 }
 
-/// Keeps the window of a connection small.
-fn keep_window_small(stream: &TcpStream) {
+/// Connects with small segments and a small window.
+fn connect_as_over_a_network(to: SocketAddr) -> TcpStream {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
     const SOL_SOCKET: i32 = 1;
     const SO_RCVBUF: i32 = 8;
-    let bytes: i32 = 64 << 10;
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    let SocketAddr::V4(to) = to else { panic!("{to} is no IPv4 address") };
+    let address = SocketAddress {
+        family: AF_INET as u16,
+        port: to.port().to_be_bytes(),
+        ip: to.ip().octets(),
+        zero: [0; 8],
+    };
+    unsafe {
+        let fd = socket(AF_INET, SOCK_STREAM, 0);
+        assert!(fd >= 0, "no socket");
+        let stream = TcpStream::from_raw_fd(fd);
+        assert_eq!(setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &SEGMENT, 4), 0);
+        assert_eq!(setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BUFFER, 4), 0);
+        assert_eq!(connect(fd, &address, 16), 0, "no connection");
+        stream
+    }
 }
 
 fn engine(store: &Store, n: usize, record: &Record) {
@@ -72,8 +105,7 @@
     record: &Record,
     has_begun: &AtomicBool,
 ) -> (usize, bool) {
-    let mut client = Client::connect(front).expect("a connection");
-    keep_window_small(&client.stream);
+    let mut client = Client::over(connect_as_over_a_network(front)).expect("a connection");
     let headers = [
         ("Host", HOST.to_owned()),
         ("Request-Id", id.to_owned()),
@@ -82,7 +114,7 @@
     record.line(&format!("{id} is sent"));
     client.send(&format!("POST /survey/{id}"), &headers, b"survey").expect("a send");
     let mut bytes = Vec::new();
-    let mut buffer = vec![0; 32 << 10];
+    let mut buffer = vec![0; 16 << 10];
     let mut body_at = None;
     let mut started = Instant::now();
     loop {
