--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -33,11 +33,6 @@
     pub gap: Duration,
     /// How long a change of version takes.
     pub load: Duration,
-    /// Of so many answers to requests, one comes a second time: late, at the
-    /// point where the next response is expected. 0 for none.
-    pub extra_each: u64,
-    /// What every attempt at a request with this marker in its body is answered.
-    pub status_for: Option<(&'static str, u16)>,
 }
 
 impl Default for Traits {
@@ -48,8 +43,6 @@
             events: 20,
             gap: Duration::from_millis(30),
             load: Duration::from_millis(900),
-            extra_each: 0,
-            status_for: None,
         }
     }
 }
@@ -70,11 +63,9 @@
     traits: Mutex<Traits>,
     running: AtomicUsize,
     version: AtomicU64,
-    named: AtomicU64,
     orders: AtomicU64,
     busy: AtomicBool,
     beats: AtomicU64,
-    answers: AtomicU64,
     is_draining: AtomicBool,
     is_gone: AtomicBool,
 }
@@ -109,11 +100,9 @@
             traits: Mutex::new(traits),
             running: AtomicUsize::new(0),
             version: AtomicU64::new(1),
-            named: AtomicU64::new(1),
             orders: AtomicU64::new(0),
             busy: AtomicBool::new(false),
             beats: AtomicU64::new(0),
-            answers: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
         };
@@ -165,15 +154,6 @@
         });
     }
 
-    /// Tells the engine which version may be ordered.
-    pub fn name_version(&self, version: u64) {
-        self.inner.named.store(version, Ordering::SeqCst);
-    }
-
-    pub fn set_traits(&self, change: impl Fn(&mut Traits)) {
-        change(&mut self.inner.traits.lock().unwrap());
-    }
-
     fn traits(&self) -> Traits {
         self.inner.traits.lock().unwrap().clone()
     }
@@ -206,28 +186,13 @@
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
-        // The second copy of an answer, which comes where the next is expected.
-        let mut extra: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = http::read(&mut reader) {
             if self.is_gone() {
                 return;
             }
-            if let Some(copy) = extra.take() {
-                if writer.write_all(&copy).is_err() {
-                    return;
-                }
-            }
             let Ok(answered) = self.answer(&request, &mut writer) else { return };
-            if let Some(answer) = answered {
-                let each = self.traits().extra_each;
-                let is_request = request.header("Request-Id").is_some();
-                if is_request && each > 0 {
-                    let n = self.inner.answers.fetch_add(1, Ordering::SeqCst) + 1;
-                    extra = (n % each == 0).then(|| answer.clone());
-                }
-                if writer.write_all(&answer).is_err() {
-                    return;
-                }
+            if answered.is_some_and(|answer| writer.write_all(&answer).is_err()) {
+                return;
             }
         }
     }
@@ -276,8 +241,7 @@
         thread::sleep(traits.work);
         let stamp = format!("stamp.{id}.{run}");
         let headers = [("Request-Id", id), ("Server-Stamp", stamp), ("Instance-Load", load)];
-        let marked = traits.status_for.filter(|(marker, _)| request.text().contains(marker));
-        bytes(marked.map_or(200, |(_, status)| status), &headers, b"whole body")
+        bytes(200, &headers, b"whole body")
     }
 
     fn stream(
@@ -305,7 +269,7 @@
                 event.push_str(&format!("weight-versions: {version}\n"));
             }
             event.push_str(&format!("id: {n}\ndata: t{n}\n\n"));
-            self.inner.record.event(id, n, version);
+            self.inner.record.at_engine(id);
             write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
             thread::sleep(traits.gap);
         }
@@ -333,7 +297,8 @@
         let version = field("version").unwrap_or(0);
         let inner = self.inner.clone();
         self.inner.record.line(&format!("{} is ordered {body}", self.id));
-        if version > inner.named.load(Ordering::SeqCst) {
+        // No version but the first is ever named here.
+        if version > 1 {
             return 400;
         }
         if inner.version.load(Ordering::SeqCst) >= version {
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -100,7 +100,8 @@
 
 /// Reads a body with a length or in chunks.
 pub fn read_body(reader: &mut impl BufRead, message: &mut Message) -> io::Result<()> {
-    let chunked = message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    let chunked =
+        message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
     if !chunked {
         let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
         message.body = vec![0; length];
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -31,12 +31,14 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     child: Child,
-    folder: PathBuf,
 }
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        self.end();
+        let id = self.child.id();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        RUNNING.lock().unwrap_or_else(|held| held.into_inner()).retain(|other| *other != id);
     }
 }
 
@@ -87,7 +89,7 @@
         );
         fs::write(folder.join("boot.ini"), settings).expect("settings can be written");
         let child = spawn(&folder);
-        Instance { name: name.to_owned(), front, ready, child, folder }
+        Instance { name: name.to_owned(), front, ready, child }
     }
 
     /// Waits until the instance is ready; false if it isn't in time.
@@ -103,29 +105,4 @@
         }
         false
     }
-
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
-    }
-
-    /// Kills the process and starts it again.
-    pub fn restart(&mut self) {
-        self.end();
-        self.child = spawn(&self.folder);
-    }
-
-    fn end(&mut self) {
-        let id = self.child.id();
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        RUNNING.lock().unwrap_or_else(|held| held.into_inner()).retain(|other| *other != id);
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
-    }
 }
--- a/review/standin-2/late_manifest.rs
+++ b/review/standin-2/late_manifest.rs
@@ -19,7 +19,7 @@
     instance::Instance,
     store::{Fate, Store},
     text::{json_field, json_objects},
-    trainer::{self, JOBS},
+    trainer::{self, JOBS, WADI},
 };
 
 const ITEMS: usize = 120;
@@ -48,7 +48,7 @@
 pub fn run(setting: &Setting) -> Outcome {
     let record = &setting.record;
     let store = Store::start();
-    trainer::configure(&store, 1, "");
+    trainer::configure(&store, 1, &trainer::to_one(WADI));
     let away: Arc<std::sync::Mutex<Option<Instant>>> = Arc::default();
     let armed = Arc::new(AtomicBool::new(setting.trouble));
     let (since, log) = (away.clone(), record.clone());
@@ -64,7 +64,7 @@
     let streams = Traits { events: 25, gap: Duration::from_millis(100), ..Traits::default() };
     let _engines: Vec<Engine> = ["e1", "e2"]
         .iter()
-        .map(|id| Engine::start(&store, record, id, "wadi", "za", true, streams.clone()))
+        .map(|id| Engine::start(&store, record, id, WADI, "za", true, streams.clone()))
         .collect();
     let _board = Engine::start(&store, record, "b1", "board", "za", false, Traits::default());
     let nodes = [
@@ -82,7 +82,8 @@
     let submit = |n: usize| {
         let target = format!("{JOBS}{JOB}");
         let headers = [("Request-Id", JOB)];
-        trainer::call(record, node(n), "POST", &target, &headers, body.as_bytes(), patience).status()
+        trainer::call(record, node(n), "POST", &target, &headers, body.as_bytes(), patience)
+            .status()
     };
     // The trainer's attempt at n1 and, if that fails, its retry at n2.
     let mut status = submit(0);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,21 +3,19 @@
 //!
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
-#![allow(dead_code)]
-
 mod engine;
 mod http;
 mod instance;
 mod late_manifest;
 mod moved_route;
 mod record;
-mod single_version;
 mod store;
 mod text;
 mod trainer;
 
 use std::{process::ExitCode, thread, time::Duration};
 
+use moved_route::Way;
 use record::Record;
 
 /// The outcome of a case.
@@ -58,8 +56,8 @@
     let record = Record::create(&format!("{folder}/record.txt"));
     let setting = Setting { record: record.clone(), temporary: temporary.clone(), trouble };
     let outcome = match case.as_str() {
-        "single-version" => single_version::run(&setting),
-        "moved-route" => moved_route::run(&setting),
+        "moved-route" => moved_route::run(&setting, Way::Moved),
+        "split-route" => moved_route::run(&setting, Way::Split),
         "late-manifest" => late_manifest::run(&setting),
         other => Outcome::Unfit(format!("no case {other}")),
     };
--- a/review/standin-2/moved_route.rs
+++ b/review/standin-2/moved_route.rs
@@ -1,6 +1,7 @@
-//! LOST: items of an accepted batch job that no engine gets any more. The
-//! operator moves the route to another service and then takes the engines of the
-//! old one away, after they have drained.
+//! LOST: items of an accepted batch job that no engine gets any more. The engines
+//! of one service are taken away after they have drained, and another service may
+//! run the items: the operator has moved the route to it, or the route was split
+//! between the two from the start.
 
 use std::{
     collections::BTreeMap,
@@ -29,10 +30,23 @@
 /// For how long an item must have been at no engine.
 const IDLE: f64 = 5.0;
 
-pub fn run(setting: &Setting) -> Outcome {
+/// How the other service comes to be allowed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// A configuration moves the route while the batch job is open.
+    Moved,
+    /// The route is split from the start, with most of the weight on it.
+    Split,
+}
+
+pub fn run(setting: &Setting, way: Way) -> Outcome {
     let record = &setting.record;
     let store = Store::start();
-    trainer::configure_for(&store, 1, WADI, "");
+    let goal = match way {
+        Way::Moved => trainer::to_one(WADI),
+        Way::Split => trainer::to_two((WADI, 10), (WADI_NEXT, 90)),
+    };
+    trainer::configure(&store, 1, &goal);
     let streams = Traits { events: 20, gap: Duration::from_millis(100), ..Traits::default() };
     let start = |id: &str, service: &str| {
         Engine::start(&store, record, id, service, "za", true, streams.clone())
@@ -53,7 +67,8 @@
     let submit = |n: usize, job: &str, items: usize| {
         let body = trainer::job(job, 1, 1, items);
         let (target, headers) = (format!("{JOBS}{job}"), [("Request-Id", job)]);
-        trainer::call(record, node(n), "POST", &target, &headers, body.as_bytes(), patience).status()
+        trainer::call(record, node(n), "POST", &target, &headers, body.as_bytes(), patience)
+            .status()
     };
     let read = |job: &str, listed: &mut BTreeMap<String, String>| {
         let target = format!("/-/lots/{job}?after={}", listed.len());
@@ -70,9 +85,11 @@
     let accepted = Instant::now();
     let until = |at: Duration| thread::sleep(at.saturating_sub(accepted.elapsed()));
     if setting.trouble {
-        until(MOVED);
-        trainer::configure_for(&store, 2, WADI_NEXT, "");
-        record.line("configuration 2 moves the batch jobs to the next service");
+        if way == Way::Moved {
+            until(MOVED);
+            trainer::configure(&store, 2, &trainer::to_one(WADI_NEXT));
+            record.line("configuration 2 moves the batch jobs to the next service");
+        }
         until(DRAINED);
         old.iter().for_each(|engine| engine.drain(Duration::from_millis(2_000)));
     }
@@ -103,7 +120,8 @@
         12 * next.len(),
         listed_next.len()
     ));
-    if begun == 0 || listed_next.len() < 4 {
+    // A split route sends the next batch job the same way.
+    if begun == 0 || way == Way::Moved && listed_next.len() < 4 {
         return Outcome::Unfit(String::from("no item had begun, or the next batch job isn't done"));
     }
     match idle {
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -20,8 +20,6 @@
     runs: Mutex<BTreeMap<String, Vec<String>>>,
     /// When an engine last had each request, in seconds.
     last: Mutex<BTreeMap<String, f64>>,
-    /// Versions under which the events of a request were made, by number.
-    events: Mutex<BTreeMap<String, BTreeMap<u64, u64>>>,
 }
 
 impl Record {
@@ -32,7 +30,6 @@
             file: Mutex::new(file),
             runs: Mutex::default(),
             last: Mutex::default(),
-            events: Mutex::default(),
         };
         Record { inner: Arc::new(inner) }
     }
@@ -66,15 +63,8 @@
         count
     }
 
-    /// Records that an event of a request was made under a version.
-    pub fn event(&self, id: &str, n: u64, version: u64) {
-        let mut events = self.inner.events.lock().unwrap();
-        events.entry(id.to_owned()).or_default().insert(n, version);
-        drop(events);
-        self.at_engine(id);
-    }
-
-    fn at_engine(&self, id: &str) {
+    /// Records that an engine works on a request.
+    pub fn at_engine(&self, id: &str) {
         self.inner.last.lock().unwrap().insert(id.to_owned(), self.seconds());
     }
 
@@ -86,13 +76,4 @@
     pub fn runs(&self, id: &str) -> Vec<String> {
         self.inner.runs.lock().unwrap().get(id).cloned().unwrap_or_default()
     }
-
-    pub fn versions(&self, id: &str) -> Vec<u64> {
-        let events = self.inner.events.lock().unwrap();
-        let mut versions: Vec<u64> =
-            events.get(id).into_iter().flat_map(BTreeMap::values).copied().collect();
-        versions.sort_unstable();
-        versions.dedup();
-        versions
-    }
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -21,8 +21,6 @@
     Serve,
     /// 503: nothing is done.
     Refuse,
-    /// Done, but not answered; the connection returns nothing further.
-    LoseAnswer,
     /// Not answered, and done after this time: the connection is closed.
     DoneLate(Duration),
 }
@@ -151,14 +149,6 @@
         self.inner.changed.notify_all();
     }
 
-    /// The live keys of all partitions of a topic.
-    pub fn keys(&self, topic: &str) -> Vec<String> {
-        let state = self.inner.state.lock().unwrap();
-        let parts = state.topics.iter().filter(|((name, _), _)| name == topic);
-        let keys = parts.flat_map(|(_, part)| part.newest.keys());
-        keys.map(|key| String::from_utf8_lossy(key).into_owned()).collect()
-    }
-
     fn serve(&self, stream: TcpStream, rule: &Rule) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
@@ -176,11 +166,6 @@
                         return;
                     }
                 }
-                Fate::LoseAnswer => {
-                    self.answer(&call);
-                    silent(&mut reader);
-                    return;
-                }
                 Fate::DoneLate(after) => {
                     let store = self.clone();
                     thread::spawn(move || {
@@ -295,7 +280,8 @@
                 break;
             }
             let (key, value) = (String::from_utf8_lossy(key), base64(value));
-            entries.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
+            entries
+                .push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
         }
         let (entries, end) = (entries.join(","), partition.end());
         let body = format!("{{\"entries\":[{entries}],\"has_more\":{has_more},\"end\":{end}}}");
@@ -325,8 +311,3 @@
         (200, body.into_bytes())
     }
 }
-
-/// Keeps a connection open without an answer until the caller closes it.
-fn silent(reader: &mut BufReader<TcpStream>) {
-    while let Ok(Some(_)) = http::read(reader) {}
-}
--- a/review/standin-2/trainer.rs
+++ b/review/standin-2/trainer.rs
@@ -11,39 +11,41 @@
 };
 
 pub const HOST: &str = "ficu95.example";
-/// Prefixes of the routes for batch jobs, scoring and unsafe requests.
+/// Prefixes of the routes for batch jobs and scoring.
 pub const JOBS: &str = "/pule252/";
 pub const SCORES: &str = "/pufi791/";
-pub const UPDATES: &str = "/lohu930/";
 
 /// The services with model engines.
 pub const WADI: &str = "wadi";
 pub const WADI_NEXT: &str = "wadinext";
 
-/// Writes a configuration with a route for batch jobs, to which `more` fields
-/// are added, a safe and an unsafe route.
-pub fn configure(store: &Store, version: u64, more: &str) {
-    configure_for(store, version, WADI, more);
+/// The fields of a route that goes to one service, or to two by weight.
+pub fn to_one(service: &str) -> String {
+    format!("\"backend\":\"{service}\"")
 }
 
-/// As [`configure`], with the service to which the batch jobs go.
-pub fn configure_for(store: &Store, version: u64, service: &str, more: &str) {
+pub fn to_two(first: (&str, u32), second: (&str, u32)) -> String {
+    let share = |(service, weight): (&str, u32)| {
+        format!("{{\"backend\":\"{service}\",\"weight\":{weight}}}")
+    };
+    format!("\"traffic_split\":[{},{}]", share(first), share(second))
+}
+
+/// Writes a configuration with a route for batch jobs, whose `goal` is a result of
+/// [`to_one`] or [`to_two`], and a safe route.
+pub fn configure(store: &Store, version: u64, goal: &str) {
     let route = |name: &str, prefix: &str, rest: &str| {
-        format!("{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"path_prefix\":\"{prefix}\",{rest}}}")
+        format!(
+            "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"path_prefix\":\"{prefix}\",{rest}}}"
+        )
     };
     let jobs = format!(
         "\"kind\":\"rollout\",\"timeout_ms\":10000,\"target_latency_ms\":400,\"priority\":0,\
-         \"backend\":\"{service}\",\"max_attempts\":3,\"deadline_ms\":7500,\"retention_s\":40{more}"
+         {goal},\"max_attempts\":3,\"deadline_ms\":7500,\"retention_s\":40"
     );
     let scores = "\"kind\":\"safe\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":2,\
                   \"backend\":\"board\",\"max_attempts\":4";
-    let updates = "\"kind\":\"unsafe\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":2,\
-                   \"backend\":\"board\",\"max_attempts\":2";
-    let routes = [
-        route("r-jobs", JOBS, &jobs),
-        route("r-scores", SCORES, scores),
-        route("r-updates", UPDATES, updates),
-    ];
+    let routes = [route("r-jobs", JOBS, &jobs), route("r-scores", SCORES, scores)];
     let model_service = |name: &str| {
         format!(
             "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":170,\
@@ -62,12 +64,6 @@
     store.put("keyed.op", "config", &config);
 }
 
-/// Names a version of the weights.
-pub fn name_version(store: &Store, version: u64) {
-    let value = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
-    store.put("keyed.op", &format!("version/{MODEL}"), &value);
-}
-
 /// The id of an item of a job.
 pub fn item_id(job: &str, item: usize) -> String {
     format!("{job}i{item:02}")
