Log whose turn a sample is, and since when and why it is at no target

What callers saw can't be traced: a sample was at no target until its step ran out of time, and no line of any instance named it, or said whose turn it was or for what it waited.

The instance whose turn it is writes the ids of the samples of each job that it runs, both instances write a change of members that passes samples on, and samples that have been at no target for a second are written each second with their ids, the time and the cause, counted in hollywell_entry_unplaced_total. A run knows when its request is sent. No decision changed.

Tests: sample_at_no_target_is_reported_with_its_cause, a_change_of_the_instance_whose_turn_it_is_is_reported.

--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -72,6 +72,7 @@
             }
         }
         self.give_up_expired(now, effects);
+        self.report_unplaced(now, fleet, observations, effects);
     }
 
     /// Estimates the load of the other instances at each target. Groups are
@@ -217,6 +218,7 @@
         if let Some(active) = self.jobs.get_mut(&running.sample_id.job) {
             let progress = &mut active.progress[running.sample_id.index];
             progress.stage = Stage::Idle;
+            progress.idle_since = running.left_at(now);
             progress.events += running.events;
         }
         effects.push(Effect::Moved { sample_id: running.sample_id, target: running.target, why });
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -12,8 +12,9 @@
 //! `start` starts waiting samples, `place` finds a target with room for each,
 //! `leave` decides which runs should move away from their target, `locality`
 //! selects the targets to consider in a large pool, `pools` assigns groups to the
-//! pools of their job's route, `owners` assigns them to instances, and `texts`
-//! selects targets that can continue a text of one version.
+//! pools of their job's route, `owners` assigns them to instances, `texts`
+//! selects targets that can continue a text of one version, and `unplaced`
+//! reports samples that are at no target.
 //!
 //! Generated text never passes through the reducer: the driver keeps the text,
 //! the reducer only counts stream events.
@@ -25,6 +26,7 @@
 mod pools;
 mod start;
 mod texts;
+mod unplaced;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -36,6 +38,7 @@
 pub use place::Wait;
 use pools::Pools;
 pub use texts::Texts;
+pub use unplaced::Cause;
 
 use crate::core::{
     choice::Observations,
@@ -214,6 +217,11 @@
         /// Whether it is out of date.
         stale: bool,
     },
+    /// A run's request is sent to its target.
+    Sent {
+        /// The run.
+        run: Run,
+    },
     /// The head of a run's answer was received.
     #[serde(rename = "Head")]
     AnswerStarted {
@@ -314,6 +322,28 @@
         /// The reason.
         why: Wait,
     },
+    /// Samples of a job have been at no target for a while; for logs and metrics
+    /// only, and repeated at an interval.
+    Unplaced {
+        /// The job's id.
+        job: String,
+        /// The reason.
+        cause: Cause,
+        /// Their indices, with the time since which each is at no target.
+        samples: Vec<(usize, Time)>,
+    },
+    /// Open samples of a job are run by another instance from now on; for logs
+    /// only, and reported where one of the two is this instance.
+    Reassigned {
+        /// The job's id.
+        job: String,
+        /// The instance that ran them; `None` for a new job.
+        from: Option<String>,
+        /// The instance that runs them; `None` if there is none.
+        to: Option<String>,
+        /// Their indices.
+        samples: Vec<usize>,
+    },
     /// Discard the stored partial text of a sample.
     Discard(SampleId),
     /// Send the scoring request of a complete sample.
@@ -353,6 +383,8 @@
     stage: Stage,
     assigned: bool,
     not_before: Time,
+    /// Since when it is at no target, as far as is known here.
+    idle_since: Time,
     failures: u32,
     events: u32,
     /// The version that generated the text so far, if it is only one.
@@ -374,11 +406,22 @@
     pool: String,
     /// The target's start time as known when the run began.
     start_ms: Option<u64>,
+    /// Since when the sample was at no target before.
+    idle_since: Time,
+    sent: bool,
     answered: bool,
     last_event_at: Time,
     events: u32,
 }
 
+impl Running {
+    /// Since when its sample is at no target if the run ends now. One that its
+    /// target has not answered may never have been there.
+    fn left_at(&self, now: Time) -> Time {
+        if self.answered { now } else { self.idle_since }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ActiveJob {
     spec: JobSpec,
@@ -436,6 +479,8 @@
     demand: place::Demand,
     /// What this instance started, by pool.
     ledgers: BTreeMap<String, share::Ledger>,
+    /// When samples at no target were last reported.
+    reported_at: Time,
 }
 
 impl State {
@@ -472,7 +517,7 @@
         self.now = now;
         match event {
             Event::Tick => self.check_runs(now, fleet, observations, &mut effects),
-            Event::Opened(spec) => self.open(spec.clone()),
+            Event::Opened(spec) => self.open(spec.clone(), &mut effects),
             Event::Routed { job, pools, single_version } => {
                 self.set_route(job, pools, *single_version);
             }
@@ -480,13 +525,14 @@
                 self.result_read(sample_id, observations, &mut effects);
             }
             Event::Closed(job) => self.close(job, observations, &mut effects),
-            Event::Members(members) => self.set_members(members),
+            Event::Members(members) => self.set_members(members, &mut effects),
             Event::Stale { part, stale: true } => {
                 self.stale.insert(*part);
             }
             Event::Stale { part, stale: false } => {
                 self.stale.remove(part);
             }
+            Event::Sent { run } => self.request_sent(*run),
             Event::AnswerStarted { run } => self.answer_started(now, *run),
             Event::StreamEvent { run } => self.stream_event(now, *run, fleet, observations),
             Event::Ended { run, end } => {
@@ -516,7 +562,8 @@
         }
         let is_progress = matches!(
             event,
-            Event::AnswerStarted { .. }
+            Event::Sent { .. }
+                | Event::AnswerStarted { .. }
                 | Event::StreamEvent { .. }
                 | Event::TextVersion { .. }
                 | Event::Restarted { .. }
@@ -527,7 +574,7 @@
         effects
     }
 
-    fn open(&mut self, spec: JobSpec) {
+    fn open(&mut self, spec: JobSpec, effects: &mut Vec<Effect>) {
         if self.jobs.contains_key(&spec.job) {
             return;
         }
@@ -536,11 +583,13 @@
             stage: if spec.done[at] { Stage::Done } else { Stage::Idle },
             assigned: owners.is_owner(&item.group, &self.own_id),
             not_before: Time(0),
+            idle_since: self.now,
             failures: 0,
             events: 0,
             version: spec.texts.versions.get(&at).copied(),
         };
         let progress: Vec<Progress> = spec.samples.iter().enumerate().map(progress).collect();
+        unplaced::report_own(&self.own_id, &spec.job, &progress, effects);
         let mut order: Vec<usize> = (0..spec.samples.len()).collect();
         // Resumed samples first, since the trainer waits for them; then the
         // longest first, since a step ends with its longest sample.
@@ -609,6 +658,7 @@
         let own_events = progress.events + self.runs.get(&run).map_or(0, |running| running.events);
         if own_events + RESTART_LEAD_EVENTS < last {
             progress.stage = Stage::Idle;
+            progress.idle_since = self.now;
             progress.events = last;
             self.cancel(run, observations, effects);
         }
@@ -630,18 +680,26 @@
         }
     }
 
-    fn set_members(&mut self, members: &[String]) {
+    fn set_members(&mut self, members: &[String], effects: &mut Vec<Effect>) {
         self.demand.expire();
         let change = Change::between(&self.members, members);
         for active in self.jobs.values_mut() {
+            let before = active.owners.clone();
             active.owners.change(&active.spec.job, members, &change);
             for (item, progress) in active.spec.samples.iter().zip(&mut active.progress) {
                 progress.assigned = active.owners.is_owner(&item.group, &self.own_id);
             }
+            unplaced::report_reassigned(&self.own_id, active, &before, effects);
         }
         self.members = members.to_vec();
     }
 
+    fn request_sent(&mut self, run: Run) {
+        if let Some(running) = self.runs.get_mut(&run) {
+            running.sent = true;
+        }
+    }
+
     fn answer_started(&mut self, now: Time, run: Run) {
         if let Some(running) = self.runs.get_mut(&run) {
             running.answered = true;
@@ -700,6 +758,7 @@
         let attempts = active.spec.max_attempts.max(1);
         let progress = &mut active.progress[running.sample_id.index];
         progress.stage = Stage::Idle;
+        progress.idle_since = running.left_at(now);
         progress.events += running.events;
         match end {
             End::Whole => {
--- a/crates/hollywell/src/core/dispatch/owners.rs
+++ b/crates/hollywell/src/core/dispatch/owners.rs
@@ -70,9 +70,14 @@
         }
     }
 
+    /// The owner of a group.
+    pub(super) fn of(&self, group: &str) -> Option<&str> {
+        self.by_group.get(group)?.as_deref()
+    }
+
     /// Whether an instance owns a group.
     pub(super) fn is_owner(&self, group: &str, member: &str) -> bool {
-        self.by_group.get(group).is_some_and(|owner| owner.as_deref() == Some(member))
+        self.of(group) == Some(member)
     }
 }
 
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -108,7 +108,7 @@
                 if let Some(locality) = active.localities.get_mut(pool) {
                     locality.mark_exhausted();
                 }
-                if memory.is_some() && active.waits.replace(why) != Some(why) {
+                if active.waits.replace(why) != Some(why) && memory.is_some() {
                     effects.push(Effect::Waits { sample_id: sample_id.clone(), why });
                 }
                 return false;
@@ -132,6 +132,8 @@
             target: target.id.clone(),
             pool: pool.to_owned(),
             start_ms: target.start_ms,
+            idle_since: active.progress[sample_id.index].idle_since,
+            sent: false,
             answered: false,
             last_event_at: now,
             events: 0,
--- a/crates/hollywell/src/core/dispatch/texts.rs
+++ b/crates/hollywell/src/core/dispatch/texts.rs
@@ -82,6 +82,7 @@
         let progress = &mut active.progress[sample_id.index];
         if progress.stage == Stage::Delivering {
             progress.stage = Stage::Idle;
+            progress.idle_since = self.now;
             progress.discard_text();
             effects.push(Effect::Discard(sample_id.clone()));
         }
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -23,6 +23,9 @@
     pub moves: IntCounterVec,
     /// Times that samples began to wait for a target with room, by reason.
     pub waits: IntCounterVec,
+    /// Samples that had been at no target for a second or more, by reason; counted
+    /// again each second.
+    pub unplaced: IntCounterVec,
     /// Tokens of the targets' memory that are expected to stay free, by pool.
     pub free_tokens: IntGaugeVec,
     /// Calls of the store, by success.
@@ -137,6 +140,11 @@
                 "Samples that began to wait for room.",
                 &["why"],
             )?,
+            unplaced: counter(
+                "hollywell_entry_unplaced_total",
+                "Samples at no target for a second or more, counted each second.",
+                &["why"],
+            )?,
             free_tokens,
             store_calls: counter("hollywell_entry_store_total", "Calls of the store.", &["well"])?,
             appended_bytes: counter(
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -51,6 +51,7 @@
 pub mod submission;
 pub mod suspects;
 pub mod texts;
+mod unplaced;
 mod unstarted;
 pub mod usage;
 pub mod versions;
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -252,6 +252,7 @@
         let may_send = shared.may_send(sample_id) && shared.may_send_to(target);
         if may_send {
             shared.log_send(target, &format!("{}/{}", sample_id.job, sample_id.index));
+            shared.handle_event(&Event::Sent { run });
         }
         may_send
     };
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -50,7 +50,7 @@
         store::{Append, Appended, Client, Partition, Records, StoreError},
         suspects,
         texts::TextCache,
-        usage, versions,
+        unplaced, usage, versions,
     },
 };
 
@@ -424,6 +424,14 @@
                 self.meters.waits.with_label_values(&[&format!("{why:?}")]).inc();
                 log::info!("sample {}/{} waits: {why:?}", sample_id.job, sample_id.index);
             }
+            Effect::Unplaced { job, cause, samples } => {
+                let count = samples.len() as u64;
+                self.meters.unplaced.with_label_values(&[cause.as_str()]).inc_by(count);
+                unplaced::log_unplaced(self, &job, &cause, &samples);
+            }
+            Effect::Reassigned { job, from, to, samples } => {
+                unplaced::log_reassigned(self, &job, (from.as_deref(), to.as_deref()), &samples);
+            }
             Effect::Discard(sample_id) => {
                 self.control.borrow_mut().partial_texts.remove(&sample_id);
             }
--- /dev/null
+++ b/crates/hollywell/tests/waiting.rs
@@ -0,0 +1,198 @@
+//! Samples that wait at an instance although targets have room for them.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeMap;
+
+use hollywell::core::{
+    choice::{Load, Observations},
+    dispatch::{Cause, Demand, Effect, Event, JobSpec, Run, SampleSpec, Size, State, Texts, owner},
+    fleet::{Announcement, Fleet},
+    time::Time,
+};
+
+const TICK_MS: u64 = 50;
+const SLOTS: u32 = 12;
+
+struct World {
+    state: State,
+    fleet: Fleet,
+    observations: Observations,
+    now: u64,
+    /// The target of each run in flight.
+    runs: BTreeMap<Run, (usize, String)>,
+    /// What was reported of samples at no target: the cause, and each sample with
+    /// the time.
+    unplaced: Vec<(Cause, Vec<(usize, u64)>)>,
+    /// What was reported of the instances whose turn it is.
+    reassigned: Vec<(Option<String>, Option<String>, Vec<usize>)>,
+}
+
+fn target(number: usize) -> Announcement {
+    Announcement {
+        id: format!("e{number}"),
+        pool: "llm".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: "d".into(),
+        slots: SLOTS,
+        draining: false,
+        cold: false,
+        start_ms: None,
+        sequence: 0,
+        versions: BTreeMap::from([("m".to_owned(), 1)]),
+    }
+}
+
+/// A job of one group.
+fn job_spec(job: &str, samples: usize) -> JobSpec {
+    let sample =
+        SampleSpec { group: "g".into(), tokens: 5_000, size: Size::default(), resumed: false };
+    JobSpec {
+        job: job.into(),
+        part: 0,
+        pools: vec![("llm".into(), 1)],
+        model: "m".into(),
+        min_version: 1,
+        max_attempts: 3,
+        keep_until: Time(400_000),
+        demand: Demand::default(),
+        texts: Texts::default(),
+        done: vec![false; samples],
+        samples: vec![sample; samples],
+    }
+}
+
+impl World {
+    fn new(members: &[String], targets: usize) -> World {
+        let mut fleet = Fleet::default();
+        for number in 0..targets {
+            fleet.announce(Time(1), target(number));
+        }
+        let mut world = World {
+            state: State::new("me"),
+            fleet,
+            observations: Observations::default(),
+            now: 0,
+            runs: BTreeMap::new(),
+            unplaced: vec![],
+            reassigned: vec![],
+        };
+        world.step(&Event::Members(members.to_vec()));
+        world
+    }
+
+    /// Applies an event. Returns the runs that it starts.
+    fn step(&mut self, event: &Event) -> Vec<Run> {
+        let now = Time(self.now);
+        let effects = self.state.step(now, event, &self.fleet, &mut self.observations);
+        let mut started = vec![];
+        for effect in effects {
+            match effect {
+                Effect::Start { run, sample_id, target, .. } => {
+                    self.runs.insert(run, (sample_id.index, target));
+                    started.push(run);
+                }
+                Effect::Cancel(run) => drop(self.runs.remove(&run)),
+                Effect::Unplaced { cause, samples, .. } => {
+                    let samples = samples.iter().map(|(at, since)| (*at, since.0)).collect();
+                    self.unplaced.push((cause, samples));
+                }
+                Effect::Reassigned { from, to, samples, .. } => {
+                    self.reassigned.push((from, to, samples));
+                }
+                _ => {}
+            }
+        }
+        started
+    }
+
+    fn runs_at(&self, target: &str) -> u32 {
+        u32::try_from(self.runs.values().filter(|(_, at)| at == target).count()).unwrap()
+    }
+
+    /// Lets the targets answer runs that have just started, and make an event of
+    /// every run.
+    fn serve(&mut self, started: &[Run]) {
+        for run in started {
+            let Some((_, target)) = self.runs.get(run).cloned() else {
+                continue;
+            };
+            let load = Load {
+                running: self.runs_at(&target),
+                waiting: 0,
+                slots: SLOTS,
+                slowdown_percent: None,
+            };
+            self.observations.record_load(Time(self.now), &target, load);
+            self.step(&Event::AnswerStarted { run: *run });
+        }
+        for run in self.runs.keys().copied().collect::<Vec<_>>() {
+            self.step(&Event::StreamEvent { run });
+        }
+    }
+
+    /// Lets time pass while all targets serve.
+    fn run_for(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += TICK_MS;
+            let started = self.step(&Event::Tick);
+            self.serve(&started);
+        }
+    }
+}
+
+fn members(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn sample_at_no_target_is_reported_with_its_cause() {
+    let mut world = World::new(&members(&["me"]), 0);
+    world.now = 1_000;
+    world.step(&Event::Opened(job_spec("j", 1)));
+    world.run_for(950);
+    assert_eq!(world.unplaced, [], "reported before the sample has waited for a second");
+    world.run_for(2_000);
+    let none = (Cause::NoTarget, vec![(0, 1_000)]);
+    assert_eq!(world.unplaced, [none.clone(), none]);
+
+    world.fleet.announce(Time(world.now), target(0));
+    world.step(&Event::Stale { part: 0, stale: true });
+    world.run_for(1_000);
+    assert_eq!(world.unplaced.last(), Some(&(Cause::Stale, vec![(0, 1_000)])));
+
+    let started = world.step(&Event::Stale { part: 0, stale: false });
+    let target = String::from("e0");
+    for _ in 0..1_000 / TICK_MS {
+        world.now += TICK_MS;
+        world.step(&Event::Tick);
+    }
+    let unsent = Cause::Unsent { target: target.clone() };
+    assert_eq!(world.unplaced.last(), Some(&(unsent, vec![(0, 1_000)])));
+    world.step(&Event::Sent { run: started[0] });
+    for _ in 0..1_000 / TICK_MS {
+        world.now += TICK_MS;
+        world.step(&Event::Tick);
+    }
+    let unanswered = Cause::Unanswered { target };
+    assert_eq!(world.unplaced.last(), Some(&(unanswered, vec![(0, 1_000)])));
+
+    let reports = world.unplaced.len();
+    world.serve(&started);
+    world.run_for(2_000);
+    assert_eq!(world.unplaced.len(), reports, "reported while it is at a target");
+}
+
+#[test]
+fn a_change_of_the_instance_whose_turn_it_is_is_reported() {
+    let me = Some(String::from("me"));
+    let mut world = World::new(&members(&["me"]), 0);
+    world.step(&Event::Opened(job_spec("j", 2)));
+    assert_eq!(world.reassigned, [(None, me.clone(), vec![0, 1])]);
+    let all = members(&["a", "b", "c", "me"]);
+    let other = owner(&all, "j", "g").map(str::to_owned);
+    assert_ne!(other, me, "the case needs a group that moves");
+    world.step(&Event::Members(all));
+    assert_eq!(world.reassigned.last(), Some(&(me, other, vec![0, 1])));
+}
