Show samples that wait at an instance although targets have room

In each a sample is at no target for more than 5 s while targets have room for it:

- sample_is_placed_although_others_are_expected_to_fill_the_targets: an instance with 23 of the 23 runs at 132 places; its next sample is not placed in 60 s.
- sample_is_placed_although_all_targets_have_failed_before: 6.0 s.

--- a/crates/hollywell/tests/waiting.rs
+++ b/crates/hollywell/tests/waiting.rs
@@ -6,11 +6,16 @@
 
 use hollywell::core::{
     choice::{Load, Observations},
-    dispatch::{Cause, Demand, Effect, Event, JobSpec, Run, SampleSpec, Size, State, Texts, owner},
+    dispatch::{
+        Cause, Demand, Effect, End, Event, JobSpec, Run, SampleSpec, Size, State, Texts, owner,
+    },
     fleet::{Announcement, Fleet},
     time::Time,
 };
 
+/// Time that no sample of an open job may be at no target, while targets have
+/// room, in milliseconds.
+const MAX_WAIT_MS: u64 = 5_000;
 const TICK_MS: u64 = 50;
 const SLOTS: u32 = 12;
 
@@ -106,6 +111,11 @@
         started
     }
 
+    fn end(&mut self, run: Run, end: End) {
+        self.runs.remove(&run);
+        self.step(&Event::Ended { run, end });
+    }
+
     fn runs_at(&self, target: &str) -> u32 {
         u32::try_from(self.runs.values().filter(|(_, at)| at == target).count()).unwrap()
     }
@@ -140,6 +150,16 @@
             self.serve(&started);
         }
     }
+
+    /// Time until a sample is at a target, while all targets serve.
+    fn wait_of(&mut self, sample: usize) -> u64 {
+        let since = self.now;
+        while !self.runs.values().any(|(index, _)| *index == sample) {
+            assert!(self.now < since + 60_000, "the sample is not placed within 60 s");
+            self.run_for(TICK_MS);
+        }
+        self.now - since
+    }
 }
 
 fn members(names: &[&str]) -> Vec<String> {
@@ -196,3 +216,49 @@
     world.step(&Event::Members(all));
     assert_eq!(world.reassigned.last(), Some(&(me, other, vec![0, 1])));
 }
+
+/// One instance had nearly all runs that there were, and took the others to
+/// have as many each, so that all targets seemed full to it.
+#[test]
+fn sample_is_placed_although_others_are_expected_to_fill_the_targets() {
+    let mut all: Vec<String> = (0..12).map(|n| format!("i{n}")).collect();
+    all.push("me".into());
+    let is_own = |job: &String| owner(&all, job, "g") == Some("me");
+    let job = (0..).map(|n| format!("j{n}")).find(is_own).unwrap();
+    let mut world = World::new(&all, 11);
+    world.now = 1_000;
+    let started = world.step(&Event::Opened(job_spec(&job, 24)));
+    world.serve(&started);
+    world.run_for(2_000);
+    assert_eq!(world.runs.len(), 24);
+    let (run, (sample, _)) = world.runs.first_key_value().map(|(r, s)| (*r, s.clone())).unwrap();
+    world.end(run, End::Broken);
+    let wait_ms = world.wait_of(sample);
+    assert!(wait_ms <= MAX_WAIT_MS, "the sample waited for {wait_ms} ms");
+}
+
+/// All targets had failed several times in a row, and served again: each was
+/// left alone for a fixed time.
+#[test]
+fn sample_is_placed_although_all_targets_have_failed_before() {
+    for back_at in (3_000..=12_000).step_by(500) {
+        let mut world = World::new(&members(&["me"]), 2);
+        world.now = 1_000;
+        let mut started = world.step(&Event::Opened(job_spec("j", 12)));
+        while world.now < back_at {
+            for run in started {
+                world.end(run, End::Unreached);
+            }
+            world.now += TICK_MS;
+            started = world.step(&Event::Tick);
+        }
+        for run in started {
+            world.end(run, End::Unreached);
+        }
+        for sample in 0..12 {
+            world.wait_of(sample);
+        }
+        let wait_ms = world.now - back_at;
+        assert!(wait_ms <= MAX_WAIT_MS, "back at {back_at} ms: one waited for {wait_ms} ms");
+    }
+}
