Other instances are not expected to run more samples than are open

Cause: where a target has reported no load for a second, an instance takes the others to have as many runs as it has itself. One that has most of the runs that there are (groups are spread by a hash, and members that have just come run nothing) then takes every target for full. It sends nothing, so no answer corrects it, until its own runs have ended.

Evidence: sample_is_placed_although_others_are_expected_to_fill_the_targets. 13 instances, 132 places, 23 runs, all of one instance: on the code before, its 24th sample is not placed in 60 s; now at once.

Why this works: every instance knows the open samples of all jobs and whose they are. The others cannot have more runs than they have open samples. At a full load that is no limit, so nothing changes there.

--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -47,9 +47,19 @@
 /// free slot for a run that moves.
 const MOVE_MAX_LOAD: f64 = 0.85;
 
-/// How long a count of the targets is reused, in milliseconds. It is only the
-/// denominator of a mean, and there may be thousands of targets to count.
-const TARGET_COUNT_AGE_MS: u64 = 500;
+/// How long counts are reused, in milliseconds. They only enter a mean, and there
+/// may be thousands of targets and samples to count.
+const COUNTS_AGE_MS: u64 = 500;
+
+/// What the load of the other instances is estimated from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Counts {
+    at: Time,
+    /// Targets in the pools of the open jobs.
+    targets: usize,
+    /// Open samples that other instances run.
+    others_open: usize,
+}
 
 impl State {
     /// Moves runs away from targets that are unresponsive, slow, gone or
@@ -77,20 +87,26 @@
 
     /// Estimates the load of the other instances at each target. Groups are
     /// assigned evenly, so each of them is assumed to have as many runs as this
-    /// one.
+    /// one, but together not more than they have open samples: otherwise the last
+    /// instance with runs would take all targets for full.
     fn estimate_other_load(&mut self, now: Time, fleet: &Fleet, observations: &mut Observations) {
-        let is_kept = |(at, targets): &(Time, usize)| {
-            now.since(*at) < TARGET_COUNT_AGE_MS && *targets > 0 && !locality::is_small(fleet)
+        let is_kept = |counts: &Counts| {
+            now.since(counts.at) < COUNTS_AGE_MS && counts.targets > 0 && !locality::is_small(fleet)
         };
-        let counted = self.target_count.filter(is_kept);
-        let (at, targets) = counted.unwrap_or_else(|| {
-            let pools: BTreeSet<&str> =
-                self.jobs.values().flat_map(|active| active.pools.names()).collect();
-            (now, pools.iter().map(|pool| fleet.usable(pool).count()).sum())
-        });
-        self.target_count = Some((at, targets));
+        let counts = self.counts.filter(is_kept).unwrap_or_else(|| self.count(now, fleet));
+        self.counts = Some(counts);
         let others = self.members.len().saturating_sub(1) * self.runs.len();
-        observations.expect_others(others as f64 / targets.max(1) as f64);
+        let others = others.min(counts.others_open);
+        observations.expect_others(others as f64 / counts.targets.max(1) as f64);
+    }
+
+    fn count(&self, now: Time, fleet: &Fleet) -> Counts {
+        let pools: BTreeSet<&str> =
+            self.jobs.values().flat_map(|active| active.pools.names()).collect();
+        let targets = pools.iter().map(|pool| fleet.usable(pool).count()).sum();
+        let is_others = |progress: &&Progress| !progress.assigned && progress.stage != Stage::Done;
+        let samples = self.jobs.values().flat_map(|active| &active.progress);
+        Counts { at: now, targets, others_open: samples.filter(is_others).count() }
     }
 
     /// Refreshes the targets considered for jobs that have running samples.
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -460,9 +460,8 @@
     own_id: String,
     /// The failure domain of this instance.
     domain: String,
-    /// Number of targets in the pools of the active jobs, and when they were
-    /// counted.
-    target_count: Option<(Time, usize)>,
+    /// What the load of the other instances is estimated from.
+    counts: Option<leave::Counts>,
     now: Time,
     members: Vec<String>,
     jobs: BTreeMap<String, ActiveJob>,
