A sample that waits tries a target that is avoided after failures

A target that has failed several times in a row is left alone for up to 6 s, whether or not there is another one, and nothing is sent there that could show that it serves again. After a cut between an instance and its targets, or a pause of the process in which all its streams were taken for broken, its samples were at no target for 6 s while all targets had room.

Cause: avoidance is a preference among targets that was applied as a ban. In a large pool an instance left avoided targets out of its selection, so that none was left.

Why this works: a sample that has been at no target for a second goes to a target that is avoided and has had nothing of this instance for a second after its last failure, one at a time for each target. If that is answered the target is used as any other. Targets that are down are tried by samples that wait without another choice only.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -20,6 +20,9 @@
 /// How long a target is avoided after a failed exchange, in milliseconds. A
 /// target that is gone disappears from the store within a few heartbeats.
 const FAILURE_AVOID_MS: u64 = 1_500;
+/// Time after a failed exchange from which a target that is avoided may be tried
+/// by one request, in milliseconds.
+const TRIAL_MS: u64 = 1_000;
 /// How long a target that refused a request because it was full is avoided, in
 /// milliseconds; twice as long each time in a row. An engine that loads weights
 /// refuses all requests for most of a second.
@@ -84,6 +87,8 @@
     other_requests: u32,
     other_requests_at: Time,
     avoid_until: Time,
+    /// When an exchange last failed.
+    failed_at: Time,
     /// Mean time between events of its streams, in milliseconds.
     pub pace_ms: Option<f64>,
     /// Mean time until a plain request's answer was complete, in milliseconds.
@@ -200,6 +205,7 @@
     /// the longer the target is avoided.
     pub fn record_failure(&mut self, now: Time, id: &str) {
         let observation = self.entry(id);
+        observation.failed_at = now;
         observation.consecutive_failures += 1;
         let factor = u64::from(observation.consecutive_failures.min(4));
         observation.avoid_until = now.after(FAILURE_AVOID_MS * factor);
@@ -223,6 +229,22 @@
         self.targets.get(id).is_some_and(|observation| now < observation.avoid_until)
     }
 
+    /// Whether a target that is avoided after failed exchanges may be tried by one
+    /// request, to find out whether it serves again.
+    #[must_use]
+    pub fn may_try(&self, now: Time, id: &str) -> bool {
+        self.targets.get(id).is_some_and(|observation| {
+            observation.own_requests == 0
+                && observation.consecutive_failures > 0
+                && now.since(observation.failed_at) >= TRIAL_MS
+        })
+    }
+
+    /// Records that a target has answered the request that tried it.
+    pub fn record_trial_answer(&mut self, id: &str) {
+        self.entry(id).avoid_until = Time(0);
+    }
+
     /// Whether an exchange with a target failed recently and none has succeeded
     /// since.
     #[must_use]
@@ -249,6 +271,22 @@
         self.targets.get(id).map_or(0.0, |observation| f64::from(observation.own_requests))
     }
 
+    /// Of targets that are avoided after failed exchanges, the one to try: that
+    /// which has failed the fewest times in a row.
+    #[must_use]
+    pub fn choose_trial<'a>(
+        &self,
+        now: Time,
+        targets: impl Iterator<Item = &'a Announcement>,
+        salt: u64,
+    ) -> Option<&'a Announcement> {
+        let key = |target: &&Announcement| {
+            let failures = self.get(&target.id).map_or(0, |known| known.consecutive_failures);
+            (failures, xxhash_rust::xxh3::xxh3_64_with_seed(target.id.as_bytes(), salt))
+        };
+        targets.filter(|target| self.may_try(now, &target.id)).min_by_key(key)
+    }
+
     /// Whether a target reported enough free slots recently.
     fn has_free_slots(&self, now: Time, target: &Announcement) -> bool {
         let Some(observation) = self.targets.get(&target.id) else {
--- a/crates/hollywell/src/core/dispatch/locality.rs
+++ b/crates/hollywell/src/core/dispatch/locality.rs
@@ -7,8 +7,8 @@
 //! domain, since traffic between domains is expensive, and among equals those
 //! with the lowest hash of both names. The hash spreads the instances evenly
 //! over the targets, and a change of targets or instances changes few
-//! selections. Targets that are avoided are left out, so that those of a lost
-//! domain are replaced by others.
+//! selections. Targets that are avoided are left out while there are others, so
+//! that those of a lost domain are replaced.
 
 use super::JobSpec;
 use crate::core::{
@@ -73,14 +73,12 @@
         if is_current || is_small(fleet) {
             return;
         }
-        let is_suitable = |target: &&Target| {
-            target.may_run(&spec.model, spec.min_version)
-                && !observations.is_avoided(now, &target.announcement.id)
-        };
+        let is_suitable = |target: &&Target| target.may_run(&spec.model, spec.min_version);
+        let is_avoided = |target: &Target| observations.is_avoided(now, &target.announcement.id);
         let rank = |target: &Target| {
             let id = target.announcement.id.as_bytes();
             let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id, selector.salt);
-            (target.announcement.domain != selector.domain, hash)
+            (is_avoided(target), target.announcement.domain != selector.domain, hash)
         };
         let all = fleet.usable(pool).filter(is_suitable);
         let mut all: Vec<_> = all.map(|target| (rank(target), &target.announcement.id)).collect();
@@ -89,6 +87,10 @@
             all.select_nth_unstable(limit);
             all.truncate(limit);
         }
+        // Those that are avoided are of use only where there is no other.
+        if all.iter().any(|((is_avoided, ..), _)| !is_avoided) {
+            all.retain(|((is_avoided, ..), _)| !is_avoided);
+        }
         self.ids = all.into_iter().map(|(_, id)| id.clone()).collect();
         (self.selected_at, self.exhausted) = (Some(now), false);
     }
--- a/crates/hollywell/src/core/dispatch/mod.rs
+++ b/crates/hollywell/src/core/dispatch/mod.rs
@@ -408,6 +408,8 @@
     start_ms: Option<u64>,
     /// Since when the sample was at no target before.
     idle_since: Time,
+    /// The target was avoided, and is tried by this run.
+    is_trial: bool,
     sent: bool,
     answered: bool,
     last_event_at: Time,
@@ -532,7 +534,7 @@
                 self.stale.remove(part);
             }
             Event::Sent { run } => self.request_sent(*run),
-            Event::AnswerStarted { run } => self.answer_started(now, *run),
+            Event::AnswerStarted { run } => self.answer_started(now, *run, observations),
             Event::StreamEvent { run } => self.stream_event(now, *run, fleet, observations),
             Event::Ended { run, end } => {
                 let too_large = self.too_large(*run, *end, fleet);
@@ -699,8 +701,11 @@
         }
     }
 
-    fn answer_started(&mut self, now: Time, run: Run) {
+    fn answer_started(&mut self, now: Time, run: Run, observations: &mut Observations) {
         if let Some(running) = self.runs.get_mut(&run) {
+            if running.is_trial {
+                observations.record_trial_answer(&running.target);
+            }
             running.answered = true;
             running.last_event_at = now;
         }
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -12,7 +12,7 @@
 use crate::core::{
     backlog::Work,
     choice::{Need, Observations},
-    fleet::Fleet,
+    fleet::{Announcement, Fleet},
     share::{self, Quorum, Rule, Waiting},
     time::Time,
 };
@@ -22,6 +22,10 @@
 /// still go to whichever target has a free slot first.
 pub(super) const MAX_LOAD: f64 = 1.6;
 
+/// Time at no target after which a sample tries a target that is avoided, in
+/// milliseconds.
+const TRIAL_WAIT_MS: u64 = 1_000;
+
 /// Priority of all samples at targets whose memory is stated. A target preempts
 /// a request for a more urgent one, which is then the only thing that its
 /// priority decides: which sample goes first is decided here, and the queues at
@@ -102,6 +106,23 @@
                 break;
             }
         }
+        let waits_long = now.since(active.progress[sample_id.index].idle_since) >= TRIAL_WAIT_MS;
+        let trial = if chosen.is_err() && waits_long {
+            let has_room = |target: &Announcement| {
+                let place = |memory| self.demand.place(now, target, memory, observations);
+                memory.zip(tokens).is_none_or(|(memory, tokens)| {
+                    self.room.fits(&target.id, &item.group, tokens, place(memory))
+                })
+            };
+            let targets = active.targets(pool, fleet).into_iter();
+            let targets = targets.filter(|target| {
+                !place::is_loading(&self.room, now, target, &spec.model) && has_room(target)
+            });
+            observations.choose_trial(now, targets, need.salt)
+        } else {
+            None
+        };
+        let chosen = trial.map_or(chosen, Ok);
         let target = match chosen {
             Ok(target) => target,
             Err(why) => {
@@ -133,6 +154,7 @@
             pool: pool.to_owned(),
             start_ms: target.start_ms,
             idle_since: active.progress[sample_id.index].idle_since,
+            is_trial: trial.is_some(),
             sent: false,
             answered: false,
             last_event_at: now,
--- a/crates/hollywell/tests/waiting.rs
+++ b/crates/hollywell/tests/waiting.rs
@@ -241,24 +241,35 @@
 /// left alone for a fixed time.
 #[test]
 fn sample_is_placed_although_all_targets_have_failed_before() {
-    for back_at in (3_000..=12_000).step_by(500) {
-        let mut world = World::new(&members(&["me"]), 2);
-        world.now = 1_000;
-        let mut started = world.step(&Event::Opened(job_spec("j", 12)));
-        while world.now < back_at {
-            for run in started {
-                world.end(run, End::Unreached);
-            }
-            world.now += TICK_MS;
-            started = world.step(&Event::Tick);
+    for targets in [2, 70] {
+        for back_at in (3_000..=12_000).step_by(500) {
+            let wait_ms = longest_wait_after_failures(targets, back_at);
+            assert!(
+                wait_ms <= MAX_WAIT_MS,
+                "{targets} targets, back at {back_at} ms: one sample waited for {wait_ms} ms"
+            );
         }
+    }
+}
+
+/// The longest wait of twelve samples after the time at which targets that could
+/// not be reached serve again.
+fn longest_wait_after_failures(targets: usize, back_at: u64) -> u64 {
+    let mut world = World::new(&members(&["me"]), targets);
+    world.now = 1_000;
+    let mut started = world.step(&Event::Opened(job_spec("j", 12)));
+    while world.now < back_at {
         for run in started {
             world.end(run, End::Unreached);
         }
-        for sample in 0..12 {
-            world.wait_of(sample);
-        }
-        let wait_ms = world.now - back_at;
-        assert!(wait_ms <= MAX_WAIT_MS, "back at {back_at} ms: one waited for {wait_ms} ms");
+        world.now += TICK_MS;
+        started = world.step(&Event::Tick);
+    }
+    for run in started {
+        world.end(run, End::Unreached);
+    }
+    for sample in 0..12 {
+        world.wait_of(sample);
     }
+    world.now - back_at
 }
