A sample whose request got no answer goes over a new connection

After connections between an instance and its targets had gone silent for good, without a reset, a sample was sent over one pooled connection after the other, and waited for an answer at each for 0.4 s, or for 4 s where no other target seemed to have room.

Cause: a request that is given up without a byte of an answer says nothing to the pool. All connections that were idle at the same time stay there for as long as the target keeps them.

Evidence: sample_is_placed_although_all_pooled_connections_are_silent, eight targets that keep idle connections for 60 s: 7.4 s before, with "at no target, Unanswered" at one target after the other. It passes now; the whole test takes 1.7 s.

Why this works: a sample loses one attempt at most, however many connections are silent. A connection given up after 0.4 s, in which nothing came from its address on any other, takes those with it that were idle meanwhile; this holds for requests of callers, reads of the store and messages to peers as well.

--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -49,6 +49,9 @@
 const IDLE_FRACTION: f64 = 0.7;
 /// How long a connection is pooled that was opened but not used.
 const UNUSED_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a byte from an address after which a pooled connection that is
+/// given up is taken for silent.
+const SILENCE: Duration = Duration::from_millis(400);
 /// Maximum size of a response's head, and of what is read of a body at a time,
 /// in bytes.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
@@ -122,12 +125,15 @@
     sender: SendRequest<Full<Bytes>>,
     /// Bytes were received since the last request was sent.
     has_received: Rc<Cell<bool>>,
+    /// Number of reads from the address that returned bytes.
+    reads: Rc<Cell<u64>>,
 }
 
 /// The byte stream of a connection.
 struct Stream {
     tcp: TcpStream,
     has_received: Rc<Cell<bool>>,
+    reads: Rc<Cell<u64>>,
 }
 
 impl AsyncRead for Stream {
@@ -140,6 +146,7 @@
         ready!(Pin::new(&mut self.tcp).poll_read(context, buffer))?;
         if buffer.filled().len() > before {
             self.has_received.set(true);
+            self.reads.set(self.reads.get() + 1);
         }
         Poll::Ready(Ok(()))
     }
@@ -175,8 +182,61 @@
     }
 }
 
+/// Whether a pooled connection may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// A new one is opened.
+    Avoided,
+}
+
+/// A connection that one request may use. Dropping it closes the connection.
+pub struct Checkout {
+    /// `None` once a response has it.
+    connection: Option<Connection>,
+    is_reused: bool,
+    /// When the request was sent, as time since boot, and the number of reads from
+    /// the address before.
+    sent: Option<(Duration, u64)>,
+    pool: Rc<Pool>,
+    address: SocketAddr,
+}
+
+impl fmt::Debug for Checkout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Checkout").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Checkout {
+    /// Whether a request was sent on a pooled connection and nothing came back.
+    /// Connections may pass nothing any more without having been closed.
+    #[must_use]
+    pub fn is_unanswered(&self) -> bool {
+        let is_silent = |connection: &Connection| !connection.has_received.get();
+        self.is_reused && self.sent.is_some() && self.connection.as_ref().is_some_and(is_silent)
+    }
+}
+
+impl Drop for Checkout {
+    fn drop(&mut self) {
+        let Some((sent_at, reads)) = self.sent.filter(|_| self.is_unanswered()) else {
+            return;
+        };
+        let is_silent =
+            self.connection.as_ref().is_some_and(|connection| connection.reads.get() == reads);
+        if is_silent && since_boot() - sent_at >= SILENCE {
+            // Those that were idle meanwhile may be silent as well.
+            self.pool.forget_before(self.address, sent_at);
+        }
+    }
+}
+
 struct PooledConnection {
     connection: Connection,
+    /// When it was pooled, as time since boot.
+    since: Duration,
     /// When it expires, as time since boot. That clock also runs while this
     /// machine is suspended, during which the peer may close the connection.
     until: Duration,
@@ -186,6 +246,8 @@
 #[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
+    /// Number of reads that returned bytes, by address.
+    reads: RefCell<HashMap<SocketAddr, Rc<Cell<u64>>>>,
     /// The number of connections opened so far.
     pub opened: Cell<u64>,
     /// The header with a request's id, which responses echo.
@@ -241,7 +303,8 @@
     }
 
     fn keep(&self, address: SocketAddr, connection: Connection, idle: Duration) {
-        let entry = PooledConnection { connection, until: since_boot() + idle };
+        let since = since_boot();
+        let entry = PooledConnection { connection, since, until: since + idle };
         self.idle.borrow_mut().entry(address).or_default().push(entry);
     }
 
@@ -254,6 +317,7 @@
             list.retain(|entry| entry.until > now && !entry.connection.sender.is_closed());
         }
         idle.retain(|_, list| !list.is_empty());
+        self.reads.borrow_mut().retain(|_, reads| Rc::strong_count(reads) > 1);
     }
 
     /// Closes all idle connections to an address.
@@ -261,6 +325,14 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes the connections to an address that have been idle since before a
+    /// time, as time since boot.
+    fn forget_before(&self, address: SocketAddr, time: Duration) {
+        if let Some(list) = self.idle.borrow_mut().get_mut(&address) {
+            list.retain(|entry| entry.since >= time);
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
         let not_sent = |cause: &dyn fmt::Display| Error::NotSent(cause.to_string());
         let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -272,7 +344,8 @@
             })?;
         tcp.set_nodelay(true).map_err(|error| not_sent(&error))?;
         let has_received = Rc::new(Cell::new(false));
-        let stream = Stream { tcp, has_received: has_received.clone() };
+        let reads = self.reads.borrow_mut().entry(address).or_default().clone();
+        let stream = Stream { tcp, has_received: has_received.clone(), reads: reads.clone() };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, connection) =
@@ -283,7 +356,7 @@
         tokio::task::spawn_local(async move {
             let _reported_by_request = connection.await;
         });
-        Ok(Connection { sender, has_received })
+        Ok(Connection { sender, has_received, reads })
     }
 
     /// Checks, after an exchange failed, whether the process at an address has
@@ -344,30 +417,70 @@
         limit: Duration,
         still_allowed: impl Fn() -> bool,
     ) -> Result<IncomingResponse, Error> {
-        let exchange = self.exchange(address, request, still_allowed);
+        let exchange = async {
+            let mut checkout = self.check_out(address, Reuse::Allowed).await?;
+            if !still_allowed() {
+                self.give_back(checkout);
+                return Err(Error::Cancelled);
+            }
+            self.send_on(&mut checkout, request).await
+        };
         timeout(limit, exchange).await.map_err(|_| Error::TimedOut)?
     }
 
+    /// Takes a connection to an address from the pool, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] or [`Error::ConnectionRefused`].
+    pub async fn check_out(
+        self: &Rc<Pool>,
+        address: SocketAddr,
+        reuse: Reuse,
+    ) -> Result<Checkout, Error> {
+        let pooled = if reuse == Reuse::Allowed { self.take(address) } else { None };
+        let is_reused = pooled.is_some();
+        let connection = match pooled {
+            Some(connection) => connection,
+            None => self.connect(address).await?,
+        };
+        Ok(Checkout {
+            connection: Some(connection),
+            is_reused,
+            sent: None,
+            pool: self.clone(),
+            address,
+        })
+    }
+
+    /// Returns a connection on which nothing was sent.
+    pub fn give_back(&self, mut checkout: Checkout) {
+        if let Some(connection) = checkout.connection.take() {
+            self.keep(checkout.address, connection, UNUSED_TIMEOUT);
+        }
+    }
+
     fn id_of(&self, headers: &HeaderMap) -> Option<HeaderValue> {
         headers.get(self.id_header.as_ref()?).cloned()
     }
 
-    async fn exchange(
+    /// Sends a request on a connection and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn send_on(
         self: &Rc<Pool>,
-        address: SocketAddr,
+        checkout: &mut Checkout,
         request: Request<Full<Bytes>>,
-        still_allowed: impl Fn() -> bool,
     ) -> Result<IncomingResponse, Error> {
-        let (mut connection, is_reused) = match self.take(address) {
-            Some(connection) => (connection, true),
-            None => (self.connect(address).await?, false),
+        let (address, is_reused) = (checkout.address, checkout.is_reused);
+        let Some(connection) = &mut checkout.connection else {
+            return Err(Error::NotSent(String::from("the connection was used")));
         };
-        if !still_allowed() {
-            self.keep(address, connection, UNUSED_TIMEOUT);
-            return Err(Error::Cancelled);
-        }
         let id = self.id_of(request.headers());
         connection.has_received.set(false);
+        checkout.sent = Some((since_boot(), connection.reads.get()));
         let response = connection.sender.send_request(request).await.map_err(|error| {
             // A response that ends within its head is a fault of the target.
             let is_unanswered = is_reused && !connection.has_received.get();
@@ -385,7 +498,7 @@
             return Err(Error::Foreign);
         }
         let (head, body) = response.into_parts();
-        let connection = Some(connection);
+        let connection = checkout.connection.take();
         Ok(IncomingResponse { head, body, connection, pool: self.clone(), address })
     }
 }
--- a/crates/hollywell/src/entry/run.rs
+++ b/crates/hollywell/src/entry/run.rs
@@ -23,7 +23,7 @@
         codec::Chunk,
         confirm,
         event_stream::EventStream,
-        exchange::{Error, IncomingResponse},
+        exchange::{Checkout, Error, IncomingResponse, Reuse},
         samples,
         shared::Shared,
         texts, versions,
@@ -248,16 +248,8 @@
     if !confirm::is_usable(shared, target).await {
         return End::Full;
     }
-    let still_allowed = || {
-        let may_send = shared.may_send(sample_id) && shared.may_send_to(target);
-        if may_send {
-            shared.log_send(target, &format!("{}/{}", sample_id.job, sample_id.index));
-            shared.handle_event(&Event::Sent { run });
-        }
-        may_send
-    };
-    let sent = shared.pool.send_if(target.address, request, EVENT_TIMEOUT, still_allowed).await;
-    let response = match sent {
+    let sent = timeout(EVENT_TIMEOUT, send(shared, run, sample_id, target, request)).await;
+    let response = match sent.unwrap_or(Err(Error::TimedOut)) {
         Ok(response) => response,
         Err(Error::Cancelled) => return End::Unready,
         Err(Error::StaleConnection) => return End::Stale,
@@ -289,6 +281,43 @@
     }
 }
 
+/// A run's request that is sent on a connection. One that is given up without an
+/// answer on a pooled connection may not have reached its target: the sample's
+/// next run uses a new connection.
+struct Attempt<'a> {
+    shared: &'a Shared,
+    sample_id: &'a SampleId,
+    checkout: Checkout,
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if self.checkout.is_unanswered() {
+            self.shared.unanswered.borrow_mut().insert(self.sample_id.clone());
+        }
+    }
+}
+
+async fn send(
+    shared: &Rc<Shared>,
+    run: Run,
+    sample_id: &SampleId,
+    target: &Announcement,
+    request: Request<Full<Bytes>>,
+) -> Result<IncomingResponse, Error> {
+    let was_unanswered = shared.unanswered.borrow_mut().remove(sample_id);
+    let reuse = if was_unanswered { Reuse::Avoided } else { Reuse::Allowed };
+    let checkout = shared.pool.check_out(target.address, reuse).await?;
+    if !(shared.may_send(sample_id) && shared.may_send_to(target)) {
+        shared.pool.give_back(checkout);
+        return Err(Error::Cancelled);
+    }
+    shared.log_send(target, &format!("{}/{}", sample_id.job, sample_id.index));
+    shared.handle_event(&Event::Sent { run });
+    let mut attempt = Attempt { shared, sample_id, checkout };
+    shared.pool.send_on(&mut attempt.checkout, request).await
+}
+
 /// A request for a sample's text.
 struct TextRequest {
     request: Request<Full<Bytes>>,
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -153,6 +153,7 @@
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         text_cache: TextCache::default(),
         probe_permits: RefCell::default(),
+        unanswered: RefCell::default(),
         confirmations: confirm::Confirmations::default(),
         usage: usage::Usage::default(),
         unsaved_suspects: suspects::UnsavedSuspects::default(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -264,6 +264,9 @@
     pub unsaved_suspects: suspects::UnsavedSuspects,
     /// Permits for isolated probes of suspects that this instance issues.
     pub probe_permits: RefCell<Permits>,
+    /// Samples whose last request was given up without an answer on a pooled
+    /// connection.
+    pub unanswered: RefCell<HashSet<SampleId>>,
     /// Targets that are being asked whether they accept work.
     pub confirmations: confirm::Confirmations,
     /// Requests of organisations counted here.
@@ -557,6 +560,7 @@
             control.unopened_jobs.retain(|other| other != job);
             control.bundles.retain(|(other, _), _| other != job);
         }
+        self.unanswered.borrow_mut().retain(|sample_id| sample_id.job != job);
         self.handle_event(&Event::Closed(job.to_owned()));
     }
 
