Plain services are not expected to run other instances' samples

What callers saw: not seen by them; found while looking for the cause of samples that wait. An instance with many runs of samples rejected lookups, and let scoring requests wait, although the services were idle.

Cause: the number of other instances' requests that is assumed at a target without a recent load report is estimated from the runs of samples, and was assumed at every target, also at those of pools that run none.

Evidence: plain_services_are_not_expected_to_run_samples: 13 instances, 24 runs here, 300 open samples elsewhere, 11 engines; a service of six places without a request is chosen by nobody. Failed on the code before ("a service without a request seems full").

Why this works: the estimate is kept for the pools of the open jobs. For the targets of other pools it is 0, and what they report decides.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -10,12 +10,12 @@
 //!
 //! Which targets may be used at all is decided in [`crate::core::fleet`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::core::{fleet::Announcement, time::Time};
 
-/// Time over which the reported load of other instances decays to the usual
-/// value, in milliseconds: about the run time of a sample of median length.
+/// Time over which the reported load of other instances decays to the expected
+/// one, in milliseconds: about the run time of a sample of median length.
 const LOAD_DECAY_MS: u64 = 1_000;
 /// How long a target is avoided after a failed exchange, in milliseconds. A
 /// target that is gone disappears from the store within a few heartbeats.
@@ -109,7 +109,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
     targets: BTreeMap<String, Observation>,
-    default_other_requests: f64,
+    /// Requests of other instances to assume at each target of some pools.
+    expected_others: f64,
+    /// These pools.
+    expected_pools: BTreeSet<String>,
 }
 
 impl Observations {
@@ -195,10 +198,13 @@
         observation.avoid_until = observation.avoid_until.max(now.after(STALLED_MS));
     }
 
-    /// Sets the number of requests of other instances to assume at a target
-    /// without a recent load report.
-    pub fn expect_others(&mut self, others: f64) {
-        self.default_other_requests = others;
+    /// Sets the number of requests of other instances to assume at a target of
+    /// these pools without a recent load report.
+    pub fn expect_others(&mut self, others: f64, pools: &BTreeSet<&str>) {
+        self.expected_others = others;
+        if !self.expected_pools.iter().map(String::as_str).eq(pools.iter().copied()) {
+            self.expected_pools = pools.iter().map(|pool| (*pool).to_owned()).collect();
+        }
     }
 
     /// Records a failed exchange with a target. The more have failed in a row,
@@ -256,14 +262,15 @@
 
     /// Estimated number of requests at a target, of all instances.
     #[must_use]
-    pub fn load_of(&self, now: Time, id: &str) -> f64 {
-        let Some(observation) = self.targets.get(id) else {
-            return self.default_other_requests;
+    pub fn load_of(&self, now: Time, target: &Announcement) -> f64 {
+        let is_expected = self.expected_pools.contains(&target.pool);
+        let expected = if is_expected { self.expected_others } else { 0.0 };
+        let Some(observation) = self.targets.get(&target.id) else {
+            return expected;
         };
         let age = now.since(observation.other_requests_at).min(LOAD_DECAY_MS);
         let weight = 1.0 - age as f64 / LOAD_DECAY_MS as f64;
-        let others = f64::from(observation.other_requests) * weight
-            + self.default_other_requests * (1.0 - weight);
+        let others = f64::from(observation.other_requests) * weight + expected * (1.0 - weight);
         f64::from(observation.own_requests) + others
     }
 
@@ -359,7 +366,7 @@
         let median = self.median_pace().unwrap_or(DEFAULT_PACE_MS);
         let cost = |target: &Announcement| {
             let slots = f64::from(target.slots.max(1));
-            let load = self.load_of(now, &target.id);
+            let load = self.load_of(now, target);
             if load >= slots * need.max_load || self.is_avoided(now, &target.id) {
                 return None;
             }
--- a/crates/hollywell/src/core/dispatch/leave.rs
+++ b/crates/hollywell/src/core/dispatch/leave.rs
@@ -97,12 +97,17 @@
         self.counts = Some(counts);
         let others = self.members.len().saturating_sub(1) * self.runs.len();
         let others = others.min(counts.others_open);
-        observations.expect_others(others as f64 / counts.targets.max(1) as f64);
+        let others = others as f64 / counts.targets.max(1) as f64;
+        observations.expect_others(others, &self.open_pools());
+    }
+
+    /// The pools of the open jobs.
+    fn open_pools(&self) -> BTreeSet<&str> {
+        self.jobs.values().flat_map(|active| active.pools.names()).collect()
     }
 
     fn count(&self, now: Time, fleet: &Fleet) -> Counts {
-        let pools: BTreeSet<&str> =
-            self.jobs.values().flat_map(|active| active.pools.names()).collect();
+        let pools = self.open_pools();
         let targets = pools.iter().map(|pool| fleet.usable(pool).count()).sum();
         let is_others = |progress: &&Progress| !progress.assigned && progress.stage != Stage::Done;
         let samples = self.jobs.values().flat_map(|active| &active.progress);
--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -321,7 +321,7 @@
         Place {
             memory: memory.tokens,
             slots: target.slots,
-            others: observations.load_of(now, &target.id) - f64::from(own),
+            others: observations.load_of(now, target) - f64::from(own),
             typical: self.typical(&target.pool),
         }
     }
--- a/crates/hollywell/src/core/weight_loading.rs
+++ b/crates/hollywell/src/core/weight_loading.rs
@@ -298,7 +298,7 @@
                     continue;
                 }
                 let behind = version - has;
-                let load = observations.load_of(now, target) as u64;
+                let load = observations.load_of(now, announcement) as u64;
                 // With loads ordered by age alone, loads for models whose steps
                 // had slots went before those for which samples waited: 0.742
                 // of the worth was earned, in this order 0.754 (mean of 40 test
--- a/crates/hollywell/src/entry/backlog.rs
+++ b/crates/hollywell/src/entry/backlog.rs
@@ -61,7 +61,7 @@
     let targets = || all().filter(holds_model);
     let load = |target: &Target| {
         let slots = f64::from(target.announcement.slots);
-        control.observations.load_of(now, &target.announcement.id).min(slots)
+        control.observations.load_of(now, &target.announcement).min(slots)
     };
     let supply = Supply {
         places: targets().map(|target| target.announcement.slots).fold(0, u32::saturating_add),
--- a/crates/hollywell/src/entry/forward/targets.rs
+++ b/crates/hollywell/src/entry/forward/targets.rs
@@ -53,7 +53,7 @@
     let choice = choice.or_else(|| {
         let times = |target: &&Announcement| tried.iter().filter(|id| **id == target.id).count();
         let usable =
-            all().filter(|target| control.observations.load_of(now, &target.id) < capacity(target));
+            all().filter(|target| control.observations.load_of(now, target) < capacity(target));
         usable.min_by_key(times)
     });
     choice.cloned()
@@ -85,7 +85,7 @@
 /// Whether a target is below its load limit.
 pub(super) fn has_capacity(shared: &Shared, target: &Announcement) -> bool {
     let control = shared.control.borrow();
-    control.observations.load_of(shared.now(), &target.id) < capacity(target)
+    control.observations.load_of(shared.now(), target) < capacity(target)
 }
 
 /// The number of requests at which a target counts as full.
--- a/crates/hollywell/tests/waiting.rs
+++ b/crates/hollywell/tests/waiting.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use hollywell::core::{
-    choice::{Load, Observations},
+    choice::{Load, Need, Observations},
     dispatch::{
         Cause, Demand, Effect, End, Event, JobSpec, Run, SampleSpec, Size, State, Texts, owner,
     },
@@ -273,3 +273,27 @@
     }
     world.now - back_at
 }
+
+/// Plain services seemed full of the samples that other instances were expected
+/// to run, which run at engines.
+#[test]
+fn plain_services_are_not_expected_to_run_samples() {
+    let mut all: Vec<String> = (0..12).map(|n| format!("i{n}")).collect();
+    all.push("me".into());
+    let with_owner = |is_own: bool| {
+        let is_wanted = |job: &String| (owner(&all, job, "g") == Some("me")) == is_own;
+        (0..).map(|n| format!("j{n}")).find(is_wanted).unwrap()
+    };
+    let mut world = World::new(&all, 11);
+    world.now = 1_000;
+    let started = world.step(&Event::Opened(job_spec(&with_owner(true), 24)));
+    world.serve(&started);
+    world.step(&Event::Opened(job_spec(&with_owner(false), 300)));
+    world.run_for(2_000);
+    assert_eq!(world.runs.len(), 24);
+    let service = Announcement { pool: "app".into(), slots: 6, ..target(100) };
+    let need = Need { events: 1.0, max_load: 3.0, instances: 1.0, salt: 1 };
+    let now = Time(world.now);
+    let chosen = world.observations.choose(now, [&service].into_iter(), need);
+    assert!(chosen.is_some(), "a service without a request seems full");
+}
