--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -109,9 +109,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
     targets: BTreeMap<String, Observation>,
-    /// Requests of other instances to assume at each target of some pools.
+    /// Requests of other instances to assume at each target of `expected_pools`.
     expected_others: f64,
-    /// These pools.
     expected_pools: BTreeSet<String>,
 }
 
@@ -235,17 +234,6 @@
         self.targets.get(id).is_some_and(|observation| now < observation.avoid_until)
     }
 
-    /// Whether a target that is avoided after failed exchanges may be tried by one
-    /// request, to find out whether it serves again.
-    #[must_use]
-    pub fn may_try(&self, now: Time, id: &str) -> bool {
-        self.targets.get(id).is_some_and(|observation| {
-            observation.own_requests == 0
-                && observation.consecutive_failures > 0
-                && now.since(observation.failed_at) >= TRIAL_MS
-        })
-    }
-
     /// Records that a target has answered the request that tried it.
     pub fn record_trial_answer(&mut self, id: &str) {
         self.entry(id).avoid_until = Time(0);
@@ -294,6 +282,16 @@
         targets.filter(|target| self.may_try(now, &target.id)).min_by_key(key)
     }
 
+    /// Whether a target that is avoided after failed exchanges may be tried by one
+    /// request, to find out whether it serves again.
+    fn may_try(&self, now: Time, id: &str) -> bool {
+        self.targets.get(id).is_some_and(|observation| {
+            observation.own_requests == 0
+                && observation.consecutive_failures > 0
+                && now.since(observation.failed_at) >= TRIAL_MS
+        })
+    }
+
     /// Whether a target reported enough free slots recently.
     fn has_free_slots(&self, now: Time, target: &Announcement) -> bool {
         let Some(observation) = self.targets.get(&target.id) else {
