Refuse a body that is announced over the limit before it is read

Callers saw: a body whose length is announced over the limit was read up to the limit and only then refused; eight such callers at once made an instance use 223 to 252 MB where the smallest machines have 130.

Cause: the limit was checked only while the body was collected.

The announced length is all that is needed for the answer, 413, which callers do not retry; nothing is read for it.

--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -14,7 +14,12 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header, uri::Authority};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request,
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -322,6 +327,10 @@
     } else {
         configuration.max_body_bytes
     };
+    if body.size_hint().lower() > limit as u64 {
+        log::info!("a request body on route {} is announced over the limit", route.name);
+        return refuse(shared, Kind::TooLarge);
+    }
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
