Account for the memory of request bodies, and end those that stop

Callers saw: an instance ran out of memory under callers that send large bodies of legal size and stop before their end, and all of its requests broke. Their connections and what they had sent stayed for good.

Cause: a body was collected without any account or end. Nothing bounded all bodies together; a body's parts were kept and then copied, each small chunk as an allocation of its own; neither a deadline nor an idle time applied.

What a request's body holds is now charged to one account before the memory is taken: by the announced length, else as its buffer is doubled, and until the last copy is dropped, so that retries, second sends and targets that do not read are covered. Half of the machine's memory is for it, as the settings state it; bodies of up to 64 KB have a sixteenth beyond that, so that large ones never keep ordinary callers out. Where there is no room, a body without a byte for a second, or with less than 16 KB in one, is given up for the new one; if there is none, the new one gets 503 and Retry-After. A body that is not complete at the request's deadline gets 408; neither has run. What is still sent after a refusal is read for up to a second, so that the refusal is not lost with a reset.

Weighed: leaving a body unread until there is room. What the kernel has received counts as the instance's memory too, and the caller could be at another instance by then. Refusing the newest only: the crowd would keep the memory until its deadlines.

Generated schedules check the account and which body is given up.

--- a/crates/hollywell/src/core/memory.rs
+++ b/crates/hollywell/src/core/memory.rs
@@ -1,16 +1,17 @@
-//! Bounds the memory of response bodies that are being read.
+//! Bounds the memory of bodies: those of responses that are being read, and
+//! those of callers' requests.
 //!
 //! A faulty target may send bytes without end, and several requests may be at
-//! such targets at once. A limit on each body alone would have to be a small
-//! part of the instance's memory, or a few of them would fill it. Here all
-//! bodies share one limit; small ones are always admitted, so that a few endless
-//! ones cannot keep the others from being read.
+//! such targets at once; a caller may send many large bodies and leave them
+//! unfinished. A limit on each body alone would have to be a small part of the
+//! instance's memory, or a few of them would fill it. Here all bodies share one
+//! limit; small ones have memory beyond it, so that a few large ones cannot keep
+//! the others from being read.
 
-/// Part of a body that is admitted however much is in use, in bytes. Most
-/// bodies are smaller.
-const ALWAYS_ADMITTED: usize = 64 << 10;
+/// Size up to which a body is small, in bytes. Most bodies are smaller.
+const SMALL: usize = 64 << 10;
 
-/// Memory in use for bodies that are being read.
+/// Memory in use for bodies.
 ///
 /// # Example
 ///
@@ -26,14 +27,30 @@
 #[derive(Clone, Debug)]
 pub struct Memory {
     limit: usize,
+    /// Memory for small bodies beyond the limit.
+    reserve: usize,
     used: usize,
 }
 
 impl Memory {
-    /// Creates an account with a limit in bytes.
+    /// Creates an account with a limit in bytes. Small bodies are always
+    /// admitted.
     #[must_use]
     pub const fn new(limit: usize) -> Memory {
-        Memory { limit, used: 0 }
+        Memory::with_reserve(limit, usize::MAX)
+    }
+
+    /// Creates an account with a limit, and `reserve` bytes beyond it for small
+    /// bodies.
+    #[must_use]
+    pub const fn with_reserve(limit: usize, reserve: usize) -> Memory {
+        Memory { limit, reserve, used: 0 }
+    }
+
+    /// The limit, in bytes.
+    #[must_use]
+    pub const fn limit(&self) -> usize {
+        self.limit
     }
 
     /// Bytes in use.
@@ -46,8 +63,9 @@
     /// the body has to be broken off.
     #[must_use]
     pub fn try_grow(&mut self, held: usize, more: usize) -> bool {
-        let is_small = held.saturating_add(more) <= ALWAYS_ADMITTED;
-        let admits = is_small || self.used.saturating_add(more) <= self.limit;
+        let is_small = held.saturating_add(more) <= SMALL;
+        let limit = self.limit.saturating_add(if is_small { self.reserve } else { 0 });
+        let admits = self.used.saturating_add(more) <= limit;
         if admits {
             self.used = self.used.saturating_add(more);
         }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -38,6 +38,7 @@
 pub mod admission;
 pub mod backlog;
 pub mod batch;
+pub mod callers;
 pub mod capacity;
 pub mod choice;
 pub mod claim;
@@ -55,6 +56,7 @@
 pub mod id;
 pub mod inquiry;
 pub mod lease;
+pub mod machine;
 mod malformed;
 pub mod member;
 pub mod memory;
--- /dev/null
+++ b/crates/hollywell/src/entry/connection.rs
@@ -0,0 +1,328 @@
+//! Connections of callers.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    collections::HashMap,
+    convert::Infallible,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use http::{HeaderValue, header};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    time::timeout,
+};
+
+use crate::{
+    core::{
+        callers::{Callers, Id, Phase},
+        machine::BUFFER_BYTES,
+        time::Time,
+    },
+    entry::{ingress, shared::Shared},
+};
+
+/// Idle timeout of callers' connections until a configuration is loaded, in
+/// milliseconds.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+/// How long a connection is read after an answer to a request whose body was
+/// not read: closing it with unread bytes could reset it before the answer has
+/// arrived.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Delay after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Counts connections that have carried a request, for a graceful shutdown. As
+/// idle ones end at once when the instance stops, those that are left then have
+/// an answer under way.
+#[derive(Debug, Default)]
+pub struct OpenConnections {
+    connections: Cell<usize>,
+}
+
+impl OpenConnections {
+    /// The number of these connections.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.connections.get()
+    }
+}
+
+struct OpenConnectionGuard(Rc<OpenConnections>);
+
+impl OpenConnectionGuard {
+    fn new(open: &Rc<OpenConnections>) -> OpenConnectionGuard {
+        open.connections.set(open.connections.get() + 1);
+        OpenConnectionGuard(open.clone())
+    }
+}
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// All connections of callers.
+#[derive(Debug)]
+pub struct Connections {
+    state: RefCell<Callers>,
+    signals: RefCell<HashMap<Id, Rc<Signals>>>,
+}
+
+/// What a connection is told.
+#[derive(Debug, Default)]
+struct Signals {
+    /// The body that it receives is to be refused.
+    is_body_given_up: Cell<bool>,
+    /// Notified when that changes.
+    body_given_up: Notify,
+}
+
+impl Connections {
+    /// Creates an empty set for at most `limit` connections.
+    #[must_use]
+    pub fn new(limit: usize) -> Connections {
+        Connections { state: RefCell::new(Callers::new(limit)), signals: RefCell::default() }
+    }
+
+    /// The number of connections.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.state.borrow().len()
+    }
+
+    /// Gives up the body of a stalled connection other than `presser`. Returns
+    /// false if there is none.
+    pub(super) fn give_up_body(&self, now: Time, presser: &Connection) -> bool {
+        let Some(id) = self.state.borrow_mut().give_up_body(now, presser.id) else {
+            return false;
+        };
+        if let Some(signals) = self.signals.borrow().get(&id) {
+            signals.is_body_given_up.set(true);
+            signals.body_given_up.notify_one();
+        }
+        true
+    }
+}
+
+/// A connection of a caller.
+#[derive(Debug)]
+pub(super) struct Connection {
+    id: Id,
+    signals: Rc<Signals>,
+    shared: Rc<Shared>,
+    /// The body of the last request was not read to its end.
+    pub(super) has_unread_body: Cell<bool>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.shared.callers.state.borrow_mut().close(self.id);
+        self.shared.callers.signals.borrow_mut().remove(&self.id);
+    }
+}
+
+impl Connection {
+    fn new(shared: &Rc<Shared>) -> Rc<Connection> {
+        let id = shared.callers.state.borrow_mut().open(shared.now());
+        let signals = Rc::new(Signals::default());
+        shared.callers.signals.borrow_mut().insert(id, signals.clone());
+        let shared = shared.clone();
+        Rc::new(Connection { id, signals, shared, has_unread_body: Cell::new(false) })
+    }
+
+    /// Records what the connection does from now on.
+    pub(super) fn enter(&self, phase: Phase) {
+        self.shared.callers.state.borrow_mut().enter(self.shared.now(), self.id, phase);
+    }
+
+    /// Records that a body is being received, and completes when it is to be
+    /// refused.
+    pub(super) async fn body_given_up(&self) {
+        self.signals.is_body_given_up.set(false);
+        while !self.signals.is_body_given_up.get() {
+            self.signals.body_given_up.notified().await;
+        }
+    }
+
+    fn phase(&self) -> Option<Phase> {
+        self.shared.callers.state.borrow().phase(self.id)
+    }
+
+    fn record_received(&self, bytes: usize) {
+        match self.phase() {
+            Some(Phase::Idle) => self.enter(Phase::Head),
+            Some(Phase::Head | Phase::Body) => self.record_bytes(bytes),
+            Some(Phase::Serving | Phase::Blocked) | None => {}
+        }
+    }
+
+    fn record_sent(&self, sent: &Poll<io::Result<usize>>) {
+        match (self.phase(), sent) {
+            (Some(Phase::Idle | Phase::Serving), Poll::Pending) => self.enter(Phase::Blocked),
+            (Some(Phase::Blocked), Poll::Ready(Ok(_))) => self.enter(Phase::Idle),
+            _ => {}
+        }
+    }
+
+    fn record_bytes(&self, bytes: usize) {
+        self.shared.callers.state.borrow_mut().record_bytes(self.shared.now(), self.id, bytes);
+    }
+}
+
+/// The byte stream of a connection.
+struct Stream<'a> {
+    tcp: &'a mut TcpStream,
+    connection: &'a Connection,
+}
+
+impl AsyncRead for Stream<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut *self.tcp).poll_read(context, buffer);
+        let received = buffer.filled().len() - before;
+        if received > 0 {
+            self.connection.record_received(received);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Stream<'_> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let sent = Pin::new(&mut *self.tcp).poll_write(context, bytes);
+        self.connection.record_sent(&sent);
+        sent
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let sent = Pin::new(&mut *self.tcp).poll_write_vectored(context, slices);
+        self.connection.record_sent(&sent);
+        sent
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.tcp).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.tcp).poll_shutdown(context)
+    }
+}
+
+/// Accepts callers' connections until the instance stops.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener, open: Rc<OpenConnections>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(run(Connection::new(&shared), stream, open.clone()));
+            }
+            Err(error) => {
+                log::warn!("failed to accept a connection: {error}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn run(connection: Rc<Connection>, mut stream: TcpStream, open: Rc<OpenConnections>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("failed to set TCP_NODELAY on a connection: {error}");
+    }
+    let guard = OnceCell::new();
+    let on_request = || {
+        guard.get_or_init(|| OpenConnectionGuard::new(&open));
+    };
+    match serve_requests(&connection, &mut stream, on_request).await {
+        Ok(false) if !connection.has_unread_body.get() => {}
+        Ok(is_stopping) => {
+            // hyper has handed the end of the answer to the kernel, which drops it
+            // if the socket is closed with unread bytes. The caller closes once it
+            // has read everything.
+            connection.enter(Phase::Idle);
+            let drained = async { tokio::io::copy(&mut stream, &mut tokio::io::sink()).await };
+            let drained = match is_stopping {
+                true => Ok(drained.await),
+                false => timeout(LINGER_TIME, drained).await,
+            };
+            if let Ok(Err(error)) = drained {
+                log::debug!("a connection failed after its last answer: {error}");
+            }
+        }
+        Err(error) => log::debug!("a connection failed: {error}"),
+    }
+}
+
+/// Serves a connection until the caller closes it or the instance stops, and
+/// what is under way then to its end. Returns whether anything was.
+async fn serve_requests(
+    connection: &Rc<Connection>,
+    stream: &mut TcpStream,
+    on_request: impl Fn(),
+) -> hyper::Result<bool> {
+    let shared = &connection.shared;
+    let idle_ms = {
+        let control = shared.control.borrow();
+        control.configuration.as_ref().map_or(DEFAULT_IDLE_MS, |configuration| {
+            configuration.idle_timeout_ms.max(configuration.header_timeout_ms)
+        })
+    };
+    let service = service_fn(|request| {
+        on_request();
+        let connection = connection.clone();
+        async move {
+            connection.enter(Phase::Serving);
+            let mut response = ingress::answer(&connection.shared, &connection, request).await;
+            connection.enter(Phase::Idle);
+            if connection.shared.control.borrow().stopping {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    // hyper's timeout for reading a head starts when the previous response
+    // ends, so it has to cover the connection's idle time as well.
+    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(idle_ms.max(1)));
+    builder.keep_alive(true).max_buf_size(BUFFER_BYTES);
+    let stream = Stream { tcp: stream, connection };
+    let served = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    let mut stop = shared.stop.subscribe();
+    tokio::select! {
+        ended = served.as_mut() => return ended.map(|()| false),
+        _ = stop.wait_for(|stop| *stop) => served.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        biased;
+        // An idle connection ends at once.
+        ended = served.as_mut() => ended.map(|()| false),
+        () = std::future::ready(()) => served.await.map(|()| true),
+    }
+}
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -15,6 +15,7 @@
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -34,7 +35,10 @@
     time::{sleep, timeout},
 };
 
-use crate::{clock::since_boot, core::memory::Memory};
+use crate::{
+    clock::since_boot,
+    entry::account::{Account, Charge},
+};
 
 /// Timeout for opening a connection. Round trips take milliseconds, but a lost
 /// packet is retransmitted only after one second.
@@ -515,27 +519,6 @@
     body.extend_from_slice(data);
 }
 
-/// A body's share of the memory for bodies; released when dropped, which also
-/// covers a caller that disconnects.
-struct Share<'a> {
-    memory: &'a RefCell<Memory>,
-    held: usize,
-}
-
-impl Share<'_> {
-    fn try_grow(&mut self, held: usize, more: usize) -> bool {
-        let admits = self.memory.borrow_mut().try_grow(held, more);
-        self.held += if admits { more } else { 0 };
-        admits
-    }
-}
-
-impl Drop for Share<'_> {
-    fn drop(&mut self) {
-        self.memory.borrow_mut().release(self.held);
-    }
-}
-
 impl IncomingResponse {
     /// The value of a header, if it is present and text.
     #[must_use]
@@ -584,11 +567,11 @@
     /// As [`IncomingResponse::read_body`].
     pub async fn read_body_within(
         mut self,
-        memory: &RefCell<Memory>,
+        memory: &Arc<Account>,
         time_limit: Duration,
     ) -> Result<Bytes, Error> {
-        let mut share = Share { memory, held: 0 };
-        let all = self.collect(time_limit, |held, more| share.try_grow(held, more));
+        let mut charge = Charge::new(memory);
+        let all = self.collect(time_limit, |_, more| charge.try_grow(more));
         timeout(time_limit, all).await.map_err(|_| Error::TimedOut)?
     }
 
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -1,27 +1,22 @@
-//! The HTTP listener for callers: classifies each request, dispatches it and
-//! writes the response.
+//! Serves callers' requests: classifies each one, dispatches it and creates the
+//! response.
 //!
 //! When a caller disconnects, hyper drops the request's future, which also
 //! cancels the request's exchange with a target.
 
 use std::{
     cell::{Cell, OnceCell},
-    convert::Infallible,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header, uri::Authority};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request,
     body::{Body as _, Incoming},
-    server::conn::http1,
-    service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     core::{
@@ -32,7 +27,9 @@
     entry::{
         caller::{self, Caller},
         codec::Operation,
+        connection::Connection,
         forward::{self, ForwardResult, PlainRequest},
+        intake,
         jobs::{self, JobReply},
         shared::Shared,
         submission,
@@ -40,9 +37,6 @@
     error::Kind,
 };
 
-/// Idle timeout of callers' connections until a configuration is loaded, in
-/// milliseconds.
-const DEFAULT_IDLE_MS: u64 = 15_000;
 /// Limit on request bodies where the configuration sets none, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 32 << 20;
 /// Longest wait of a long poll for results, in milliseconds.
@@ -58,121 +52,14 @@
 
 type HttpResponse = Response<Full<Bytes>>;
 
-/// Counts connections that have carried a request, for a graceful shutdown. As
-/// idle ones end at once when the instance stops, those that are left then have
-/// an answer under way.
-#[derive(Debug, Default)]
-pub struct OpenConnections {
-    connections: Cell<usize>,
-}
-
-impl OpenConnections {
-    /// The number of these connections.
-    #[must_use]
-    pub fn count(&self) -> usize {
-        self.connections.get()
-    }
-}
-
-struct OpenConnectionGuard(Rc<OpenConnections>);
-
-impl OpenConnectionGuard {
-    fn new(open: &Rc<OpenConnections>) -> OpenConnectionGuard {
-        open.connections.set(open.connections.get() + 1);
-        OpenConnectionGuard(open.clone())
-    }
-}
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
-/// Accepts callers' connections until the instance stops.
-pub async fn serve(shared: Rc<Shared>, listener: TcpListener, open: Rc<OpenConnections>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(shared.clone(), stream, open.clone()));
-            }
-            Err(error) => {
-                log::warn!("failed to accept a connection: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
-async fn connection(shared: Rc<Shared>, mut stream: TcpStream, open: Rc<OpenConnections>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("failed to set TCP_NODELAY on a connection: {error}");
-    }
-    let guard = OnceCell::new();
-    let on_request = || {
-        guard.get_or_init(|| OpenConnectionGuard::new(&open));
-    };
-    match serve_requests(&shared, &mut stream, on_request).await {
-        Ok(false) => {}
-        Ok(true) => {
-            // hyper has handed the end of the answer to the kernel, which drops it
-            // if the socket is closed with unread bytes. The caller closes once it
-            // has read everything.
-            if let Err(error) = tokio::io::copy(&mut stream, &mut tokio::io::sink()).await {
-                log::debug!("a connection failed after its last answer: {error}");
-            }
-        }
-        Err(error) => log::debug!("a connection failed: {error}"),
-    }
-}
-
-/// Serves a connection until the caller closes it or the instance stops, and
-/// what is under way then to its end. Returns whether anything was.
-async fn serve_requests(
+/// Serves one request.
+pub(super) async fn answer(
     shared: &Rc<Shared>,
-    stream: &mut TcpStream,
-    on_request: impl Fn(),
-) -> hyper::Result<bool> {
-    let idle_ms = {
-        let control = shared.control.borrow();
-        control.configuration.as_ref().map_or(DEFAULT_IDLE_MS, |configuration| {
-            configuration.idle_timeout_ms.max(configuration.header_timeout_ms)
-        })
-    };
-    let service = service_fn(|request| {
-        on_request();
-        let shared = shared.clone();
-        async move {
-            let mut response = answer(&shared, request).await;
-            if shared.control.borrow().stopping {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let mut builder = http1::Builder::new();
-    // hyper's timeout for reading a head starts when the previous response
-    // ends, so it has to cover the connection's idle time as well.
-    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(idle_ms.max(1)));
-    builder.keep_alive(true).max_buf_size(64 << 10);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let mut stop = shared.stop.subscribe();
-    tokio::select! {
-        ended = connection.as_mut() => return ended.map(|()| false),
-        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
-    }
-    tokio::select! {
-        biased;
-        // An idle connection ends at once.
-        ended = connection.as_mut() => ended.map(|()| false),
-        () = std::future::ready(()) => connection.await.map(|()| true),
-    }
-}
-
-async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> HttpResponse {
+    connection: &Rc<Connection>,
+    request: Request<Incoming>,
+) -> HttpResponse {
     let arrived = shared.now();
+    connection.has_unread_body.set(!request.body().is_end_stream());
     let operation = (shared.codec.operation)(request.method(), request.uri());
     let label = match &operation {
         Operation::Ready => "ready",
@@ -181,7 +68,7 @@
         Operation::EndJob { .. } => "end_job",
         Operation::Routed => "routed",
     };
-    let response = dispatch(shared, request, operation, arrived).await;
+    let response = dispatch(shared, connection, request, operation, arrived).await;
     let seconds = shared.now().since(arrived) as f64 / 1_000.0;
     shared.meters.answer_seconds.with_label_values(&[label]).observe(seconds);
     shared.meters.answers.with_label_values(&[label, response.status().as_str()]).inc();
@@ -197,6 +84,7 @@
 
 async fn dispatch(
     shared: &Rc<Shared>,
+    connection: &Rc<Connection>,
     request: Request<Incoming>,
     operation: Operation,
     arrived: Time,
@@ -204,7 +92,7 @@
     let headers = request.headers();
     match operation {
         Operation::Ready => ready(shared),
-        Operation::Routed => routed(shared, request, arrived).await,
+        Operation::Routed => routed(shared, connection, request, arrived).await,
         Operation::Results { job, after } => {
             let names = &shared.codec.headers;
             let max_wait = parse_number(headers, &names.wait).unwrap_or(0).min(MAX_WAIT_MS);
@@ -273,6 +161,8 @@
         }
     }
     meters.connections_opened.set(i64::try_from(shared.pool.opened.get()).unwrap_or(i64::MAX));
+    meters.callers.set(gauge(shared.callers.count()));
+    meters.request_bytes.set(gauge(shared.request_memory.used()));
     meters.ready.set(i64::from(is_ready(shared)));
     match meters.text() {
         Ok(text) => Response::new(Full::new(Bytes::from(text))),
@@ -300,7 +190,12 @@
     control.configuration.clone().filter(|_| control.poison_loaded)
 }
 
-async fn routed(shared: &Rc<Shared>, request: Request<Incoming>, arrived: Time) -> HttpResponse {
+async fn routed(
+    shared: &Rc<Shared>,
+    connection: &Rc<Connection>,
+    request: Request<Incoming>,
+    arrived: Time,
+) -> HttpResponse {
     let authority = authority(&request).to_owned();
     let host = host::name(&authority);
     let (mut head, body) = request.into_parts();
@@ -327,16 +222,20 @@
     } else {
         configuration.max_body_bytes
     };
-    if body.size_hint().lower() > limit as u64 {
-        log::info!("a request body on route {} is announced over the limit", route.name);
-        return refuse(shared, Kind::TooLarge);
-    }
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            let too_large = error.downcast_ref::<http_body_util::LengthLimitError>().is_some();
-            log::info!("failed to read a request body on route {}: {error}", route.name);
-            return refuse(shared, if too_large { Kind::TooLarge } else { Kind::Malformed });
+    let timeout_ms = if route.timeout_ms == 0 { DEFAULT_DEADLINE_MS } else { route.timeout_ms };
+    let deadline_ms =
+        parse_number(&head.headers, &names.deadline).unwrap_or(timeout_ms).min(timeout_ms);
+    // The timeout of a route for batch jobs is that of its samples.
+    let receive_ms = match route.kind {
+        RouteKind::Batch => timeout_ms.max(DEFAULT_DEADLINE_MS),
+        _ => deadline_ms,
+    };
+    let body = intake::read(shared, connection, body, limit, arrived.after(receive_ms)).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(kind) => {
+            log::info!("a request body on route {} is refused: {}", route.name, kind.as_str());
+            return refuse(shared, kind);
         }
     };
     let id = head.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
@@ -344,11 +243,9 @@
         return refuse(shared, Kind::Malformed);
     };
     if route.kind == RouteKind::Batch {
-        return submit(shared, &caller, &id, &host, head.uri.path(), &body).await;
+        let submitted = Submitted { caller, id, host, path: head.uri.path().to_owned(), body };
+        return submit(shared, submitted).await;
     }
-    let timeout_ms = if route.timeout_ms == 0 { DEFAULT_DEADLINE_MS } else { route.timeout_ms };
-    let deadline_ms =
-        parse_number(&head.headers, &names.deadline).unwrap_or(timeout_ms).min(timeout_ms);
     let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let request = PlainRequest {
         method: head.method,
@@ -412,26 +309,29 @@
     }
 }
 
-async fn submit(
-    shared: &Rc<Shared>,
-    caller: &Caller,
-    id: &str,
-    host: &str,
-    path: &str,
-    raw: &[u8],
-) -> HttpResponse {
-    let mut submission = match (shared.codec.submission)(raw) {
+/// A batch job as it arrived.
+struct Submitted {
+    caller: Caller,
+    id: String,
+    host: String,
+    path: String,
+    body: Bytes,
+}
+
+async fn submit(shared: &Rc<Shared>, submitted: Submitted) -> HttpResponse {
+    let Submitted { caller, id, host, path, body } = submitted;
+    let mut submission = match (shared.codec.submission)(&body) {
         Ok(submission) => submission,
         Err(why) => {
             log::info!("job {id} is malformed: {why}");
             return refuse(shared, Kind::Malformed);
         }
     };
-    if *caller != Caller::Unrestricted {
+    if caller != Caller::Unrestricted {
         let reserved = [header::AUTHORIZATION.as_str(), shared.codec.headers.organisation.as_str()];
         submission.remove_headers(&reserved);
     }
-    let job_reply = submission::submit(shared, caller, id, host, path, &submission).await;
+    let job_reply = submission::submit(shared, &caller, &id, &host, &path, &submission).await;
     let accepted = job_reply == JobReply::Done;
     let mut response = reply(shared, job_reply);
     if accepted {
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -70,6 +70,12 @@
     pub late_jobs: IntCounter,
     /// Jobs accepted by this instance that had not started in time, by reason.
     pub unstarted_jobs: IntCounterVec,
+    /// Request bodies that were refused, by reason.
+    pub bodies_refused: IntCounterVec,
+    /// Open connections of callers.
+    pub callers: IntGauge,
+    /// Bytes that callers' requests hold.
+    pub request_bytes: IntGauge,
     /// Connections opened to targets and peers.
     pub connections_opened: IntGauge,
     /// Waiting samples that cannot be complete in time.
@@ -232,6 +238,13 @@
                 "Jobs accepted here that had not begun in time.",
                 &["why"],
             )?,
+            bodies_refused: counter(
+                "hollywell_entry_bodies_refused_total",
+                "Request bodies refused.",
+                &["why"],
+            )?,
+            callers: gauge("hollywell_entry_callers", "Open connections of callers.")?,
+            request_bytes: gauge("hollywell_entry_request_bytes", "Memory held by requests.")?,
             connections_opened: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
             late_samples: gauge(
                 "hollywell_entry_samples_late",
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -13,12 +13,14 @@
 //! core a second thread only adds a wake-up to every decision, and wake-ups
 //! dominate the cost there.
 
+pub mod account;
 pub mod backlog;
 pub mod caller;
 pub mod capacity;
 pub mod codec;
 pub mod configuration;
 pub mod confirm;
+pub mod connection;
 pub mod departures;
 pub mod duties;
 pub mod ends;
@@ -30,6 +32,7 @@
 pub mod garbage;
 pub mod hints;
 pub mod ingress;
+mod intake;
 pub mod jobs;
 pub mod lease;
 pub mod lines;
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use nix::sys::resource::{Resource, getrlimit};
 use tokio::{
     net::TcpListener,
     sync::{Notify, watch},
@@ -20,13 +21,25 @@
 use crate::{
     clock::Clock,
     core::{
-        capacity, choice::Observations, dispatch, ending, fleet::Fleet, group::GroupSize, hedge,
-        inquiry::Inquiry, memory::Memory, poison, roster::Roster,
+        capacity,
+        choice::Observations,
+        dispatch, ending,
+        fleet::Fleet,
+        group::GroupSize,
+        hedge,
+        inquiry::Inquiry,
+        machine::{Limits, Machine},
+        memory::Memory,
+        poison,
+        roster::Roster,
     },
     entry::{
         self,
+        account::Account,
         codec::Codec,
-        configuration, confirm, departures, duties, ends,
+        configuration, confirm,
+        connection::{self, Connections, OpenConnections},
+        departures, duties, ends,
         exchange::Pool,
         feed::Feed,
         follow, garbage, hints, ingress, member,
@@ -127,6 +140,7 @@
         fleet_loaded: false,
         stopping: false,
     };
+    let limits = limits(settings.machine);
     let codec = (adapter.codec)();
     let pool = Pool::checking(codec.headers.request_id.clone());
     let store = (adapter.store)(pool.clone(), &settings.store);
@@ -138,7 +152,12 @@
         relay: Relay::default(),
         store,
         pool,
-        response_memory: RefCell::new(Memory::new(MAX_RESPONSE_MEMORY)),
+        request_memory: Account::new(Memory::with_reserve(
+            limits.request_bytes,
+            limits.small_request_bytes,
+        )),
+        response_memory: Account::new(Memory::new(MAX_RESPONSE_MEMORY)),
+        callers: Connections::new(limits.connections),
         clock: Clock::start(),
         instance_id,
         writer_id,
@@ -163,6 +182,18 @@
     }))
 }
 
+/// The limits of a machine. Descriptors may be limited further by the system.
+fn limits(machine: Machine) -> Limits {
+    let descriptors = match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft, _)) => usize::try_from(soft).unwrap_or(usize::MAX).min(machine.descriptors),
+        Err(error) => {
+            log::warn!("the limit on open descriptors is not known: {error}");
+            machine.descriptors
+        }
+    };
+    Machine { descriptors, ..machine }.limits()
+}
+
 async fn serve(
     adapter: &Adapter,
     settings: Settings,
@@ -180,7 +211,7 @@
         settings.listen,
         path.display()
     );
-    let open = Rc::new(ingress::OpenConnections::default());
+    let open = Rc::new(OpenConnections::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     // In the order in which a starting instance reads from the store: data that
     // is small and needed for every request before the jobs.
@@ -209,13 +240,13 @@
     spawn(Box::pin(save(shared.clone())));
     spawn(Box::pin(serve_constant(shared.clone(), ready, ingress::ready)));
     spawn(Box::pin(serve_constant(shared.clone(), metrics, ingress::metrics)));
-    spawn(Box::pin(ingress::serve(shared.clone(), callers, open.clone())));
+    spawn(Box::pin(connection::serve(shared.clone(), callers, open.clone())));
     crate::serve::shutdown_signal().await?;
     stop(&shared, &open).await;
     Ok(())
 }
 
-async fn stop(shared: &Rc<Shared>, open: &ingress::OpenConnections) {
+async fn stop(shared: &Rc<Shared>, open: &OpenConnections) {
     log::info!("stopping");
     let deadline =
         tokio::time::Instant::now() + shared.settings.times.grace.mul_f64(GRACE_FRACTION);
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -8,7 +8,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use crate::{
-    core::{relay, usage},
+    core::{machine::Machine, relay, usage},
     settings::{self, Fault, Reader},
 };
 
@@ -35,6 +35,8 @@
     pub store: Store,
     /// Times that the platform guarantees or requires.
     pub times: Times,
+    /// The machine.
+    pub machine: Machine,
     /// Duties that one instance at a time performs, if the platform requires
     /// them.
     pub duties: Option<Duties>,
@@ -141,6 +143,7 @@
     const MAX_S: f64 = 86_400.0;
     const MAX_MS: f64 = MAX_S * 1_000.0;
     const MAX_BYTES: u64 = 1 << 30;
+    const MAX_MEMORY_MB: u64 = 1 << 20;
     const MAX_MB: f64 = 1e6;
     /// The users' store holds 400 MB; measurements show that these are MiB.
     const CAPACITY_BYTES: u64 = 400 << 20;
@@ -150,6 +153,7 @@
     let level = reader.choice("logs", "level", "info", &levels);
     let store = "store";
     let parts = reader.number(store, "parts", 1, 1..=1_000);
+    let limits = "limits";
     let times = "times";
     let revoke_ms = reader.number(times, "revoke_ms", 0, 0..=86_400_000);
     Settings {
@@ -183,6 +187,10 @@
             config_apply: reader.time(times, "config_apply_ms", MILLISECOND, 2_000.0, 1.0..=MAX_MS),
             revoke: (revoke_ms > 0).then(|| Duration::from_millis(revoke_ms)),
         },
+        machine: Machine {
+            memory_bytes: reader.size(limits, "memory_mb", 130, 16..=MAX_MEMORY_MB) * 1_000_000,
+            descriptors: reader.size(limits, "descriptors", 8_200, 300..=MAX_BYTES),
+        },
         duties: read_duties(reader),
         level: level.parse().unwrap_or(log::LevelFilter::Info),
     }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -5,6 +5,7 @@
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     rc::Rc,
+    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -27,7 +28,6 @@
         group::GroupSize,
         hedge,
         inquiry::Inquiry,
-        memory::Memory,
         permit::Permits,
         poison,
         roster::Roster,
@@ -35,8 +35,11 @@
         weight_loading::Models,
     },
     entry::{
+        account::Account,
         codec::Codec,
-        confirm, ends,
+        confirm,
+        connection::Connections,
+        ends,
         exchange::{IncomingResponse, Pool},
         feed::Feed,
         jobs, member,
@@ -230,8 +233,12 @@
     pub relay: Relay,
     /// Connections to targets and peers.
     pub pool: Rc<Pool>,
-    /// Memory of the plain services' responses that are being read.
-    pub response_memory: RefCell<Memory>,
+    /// Memory of callers' requests.
+    pub request_memory: Arc<Account>,
+    /// Memory of the plain services' responses.
+    pub response_memory: Arc<Account>,
+    /// Callers' connections.
+    pub callers: Connections,
     /// The process's clock.
     pub clock: Clock,
     /// The identifier of this run of the instance, as used in the group.
--- a/crates/hollywell/src/error.rs
+++ b/crates/hollywell/src/error.rs
@@ -38,6 +38,10 @@
     Malformed,
     /// The body or the headers exceed the configured size.
     TooLarge,
+    /// The body did not arrive in time.
+    ReceiveTimeout,
+    /// The instance has no memory for the request at present.
+    NoMemory,
     /// The path or the method does not exist.
     NoRoute,
     /// The caller sent no key, or one that no organisation has.
@@ -110,9 +114,11 @@
 
 impl Kind {
     /// Every kind, in the order of the documentation.
-    pub const ALL: [Kind; 22] = [
+    pub const ALL: [Kind; 24] = [
         Kind::Malformed,
         Kind::TooLarge,
+        Kind::ReceiveTimeout,
+        Kind::NoMemory,
         Kind::NoRoute,
         Kind::UnknownCaller,
         Kind::UnknownTrainer,
@@ -157,6 +163,8 @@
         match self {
             Kind::Malformed => answer(400, NotRun, None, "the request is malformed"),
             Kind::TooLarge => answer(413, NotRun, None, "the request is too large"),
+            Kind::ReceiveTimeout => answer(408, NotRun, Some(1), "the body did not arrive in time"),
+            Kind::NoMemory => answer(503, NotRun, Some(1), "no memory for the request at present"),
             Kind::NoRoute => answer(404, NotRun, None, "no such path or method"),
             Kind::UnknownCaller => answer(401, NotRun, None, "no key of any organisation"),
             Kind::UnknownTrainer => answer(404, NotRun, None, "the table has no such trainer"),
@@ -188,6 +196,8 @@
         match self {
             Kind::Malformed => "malformed",
             Kind::TooLarge => "too_large",
+            Kind::ReceiveTimeout => "receive_timeout",
+            Kind::NoMemory => "no_memory",
             Kind::NoRoute => "no_route",
             Kind::UnknownCaller => "unknown_caller",
             Kind::UnknownTrainer => "unknown_trainer",
--- a/crates/hollywell/tests/memory.rs
+++ b/crates/hollywell/tests/memory.rs
@@ -46,3 +46,37 @@
     }
     Ok(())
 }
+
+/// Memory for small bodies beyond the limit, in bytes.
+const RESERVE: usize = 4 * SMALL;
+
+#[test]
+fn small_bodies_without_number_stay_within_the_reserve() {
+    for seed in 0..SCHEDULES {
+        arbtest(read_small_bodies).seed((seed + 1).wrapping_mul(0x9E37_79B9) << 32 | SIZE).run();
+    }
+}
+
+fn read_small_bodies(u: &mut Unstructured<'_>) -> Result<(), arbitrary::Error> {
+    let mut memory = Memory::with_reserve(LIMIT, RESERVE);
+    let mut held = Vec::new();
+    while !u.is_empty() {
+        let is_small = u.ratio(2, 3)?;
+        let bytes =
+            if is_small { u.int_in_range(1..=SMALL)? } else { u.int_in_range(SMALL + 1..=LIMIT)? };
+        let used = memory.used();
+        if memory.try_grow(0, bytes) {
+            held.push(bytes);
+        } else if is_small {
+            assert!(used + bytes > LIMIT + RESERVE, "refused with {used} bytes in use");
+        } else {
+            assert!(used + bytes > LIMIT, "refused with {used} bytes in use");
+        }
+        if !held.is_empty() && u.ratio(1, 8)? {
+            memory.release(held.swap_remove(u.choose_index(held.len())?));
+        }
+        assert!(memory.used() <= LIMIT + RESERVE, "{} bytes in use", memory.used());
+        assert_eq!(memory.used(), held.iter().sum::<usize>());
+    }
+    Ok(())
+}
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -41,6 +41,7 @@
 const FLEET: &str = "crates/hollywell/src/core/fleet.rs";
 const ORPHANS: &str = "crates/hollywell/src/core/batch/orphans.rs";
 const POOLS: &str = "crates/hollywell/src/core/dispatch/pools.rs";
+const CALLERS: &str = "crates/hollywell/src/core/callers.rs";
 const MEMORY: &str = "crates/hollywell/src/core/memory.rs";
 
 const GUARDS: &[Guard] = &[
@@ -404,17 +405,45 @@
     Guard {
         name: "limit of all bodies",
         file: MEMORY,
-        find: "is_small || self.used.saturating_add(more) <= self.limit;",
-        replace: "is_small || held.saturating_add(more) <= self.limit;",
+        find: "let admits = self.used.saturating_add(more) <= limit;",
+        replace: "let admits = held.saturating_add(more) <= limit;",
         proof: "memory",
     },
     Guard {
         name: "small bodies are read",
         file: MEMORY,
-        find: "is_small || self.used",
-        replace: "is_small && more == 0 || self.used",
+        find: "if is_small { self.reserve } else { 0 }",
+        replace: "if is_small && more == 0 { self.reserve } else { 0 }",
         proof: "memory",
     },
+    Guard {
+        name: "limit of small bodies",
+        file: MEMORY,
+        find: "Memory { limit, reserve, used: 0 }",
+        replace: "Memory { limit, reserve: usize::MAX.max(reserve), used: 0 }",
+        proof: "memory",
+    },
+    Guard {
+        name: "only stalled bodies are given up",
+        file: CALLERS,
+        find: "!connection.is_given_up && connection.is_stalled(now)",
+        replace: "!connection.is_given_up",
+        proof: "callers",
+    },
+    Guard {
+        name: "connections that hardly move are stalled",
+        file: CALLERS,
+        find: "connection.is_slow = connection.moved < MIN_BYTES;",
+        replace: "connection.is_slow = connection.moved == 0;",
+        proof: "callers",
+    },
+    Guard {
+        name: "requests that are being served stay",
+        file: CALLERS,
+        find: "Phase::Serving => None,",
+        replace: "Phase::Serving => Some(1),",
+        proof: "callers",
+    },
 ];
 
 /// Removes the guards whose names contain `only`, one by one.
