Account for what is decoded of a batch job, item by item

Callers saw: one batch job of legal size made an instance use 521 to 619 MB, so that the process was ended and all of its requests broke.

Cause: a job was decoded as a whole before anything looked at it. An item of 22 bytes takes hundreds once decoded, and so does a header of an item; then its samples were copied into bundles and encoded.

Items are now decoded one at a time, each charged to the account of requests before the next is read. A job that doesn't fit with nothing else in memory gets 413, one that finds no room at present 503 and Retry-After. As much again is charged for the copies that storing takes, once the bytes as they arrived are dropped.

--- a/crates/hollywell/src/entry/codec.rs
+++ b/crates/hollywell/src/entry/codec.rs
@@ -165,6 +165,19 @@
     pub version: Option<u64>,
 }
 
+/// Why a submission was not decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SubmissionError {
+    /// It is not valid; with the reason, for the log.
+    Malformed(String),
+    /// There is no memory for what is decoded.
+    NoMemory,
+}
+
+/// Called with the bytes of memory that are about to be taken; false if there
+/// are none.
+pub type TakeMemory<'a> = &'a mut dyn FnMut(usize) -> bool;
+
 /// The platform's names and formats.
 #[derive(Clone, Debug)]
 pub struct Codec {
@@ -176,8 +189,9 @@
     pub announcements: &'static str,
     /// Maps a method and a path with its query to an operation.
     pub operation: fn(&Method, &http::Uri) -> Operation,
-    /// Decodes the submission of a job.
-    pub submission: fn(&[u8]) -> Result<Submission, String>,
+    /// Decodes the submission of a job. Its samples may take much more memory
+    /// than its bytes.
+    pub submission: fn(&[u8], TakeMemory<'_>) -> Result<Submission, SubmissionError>,
     /// Encodes a page of results.
     pub results: fn(&Results) -> Bytes,
     /// Decodes a record of the operator's topic from its key and value. The
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -20,13 +20,15 @@
 
 use crate::{
     core::{
+        batch::Submission,
         configuration::{Configuration, Route, RouteKind},
         host,
         time::Time,
     },
     entry::{
+        account::Charge,
         caller::{self, Caller},
-        codec::Operation,
+        codec::{Operation, SubmissionError},
         connection::Connection,
         forward::{self, ForwardResult, PlainRequest},
         intake,
@@ -244,7 +246,7 @@
     };
     if route.kind == RouteKind::Batch {
         let submitted = Submitted { caller, id, host, path: head.uri.path().to_owned(), body };
-        return submit(shared, submitted).await;
+        return submit(shared, connection, submitted).await;
     }
     let target = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let request = PlainRequest {
@@ -318,14 +320,15 @@
     body: Bytes,
 }
 
-async fn submit(shared: &Rc<Shared>, submitted: Submitted) -> HttpResponse {
+async fn submit(
+    shared: &Rc<Shared>,
+    connection: &Connection,
+    submitted: Submitted,
+) -> HttpResponse {
     let Submitted { caller, id, host, path, body } = submitted;
-    let mut submission = match (shared.codec.submission)(&body) {
-        Ok(submission) => submission,
-        Err(why) => {
-            log::info!("job {id} is malformed: {why}");
-            return refuse(shared, Kind::Malformed);
-        }
+    let (mut submission, _charge) = match decode(shared, connection, &id, body).await {
+        Ok(decoded) => decoded,
+        Err(kind) => return refuse(shared, kind),
     };
     if caller != Caller::Unrestricted {
         let reserved = [header::AUTHORIZATION.as_str(), shared.codec.headers.organisation.as_str()];
@@ -340,6 +343,47 @@
     response
 }
 
+/// Decodes a job, and takes the memory for what is decoded and, once it is
+/// encoded to be stored, as much again.
+///
+/// # Errors
+///
+/// [`Kind::Malformed`]; [`Kind::NoMemory`] if there is no room at present, or
+/// [`Kind::TooLarge`] if there would be none with nothing else in memory.
+async fn decode(
+    shared: &Rc<Shared>,
+    connection: &Connection,
+    id: &str,
+    body: Bytes,
+) -> Result<(Submission, Charge), Kind> {
+    let mut charge = Charge::new(&shared.request_memory);
+    // Bodies are in base64, of which four bytes are three decoded.
+    intake::take(shared, connection, &mut charge, body.len() / 4 * 3).await?;
+    let limit = shared.request_memory.limit();
+    let mut decoded_bytes = 0;
+    let decoded = (shared.codec.submission)(&body, &mut |more| {
+        decoded_bytes += more;
+        decoded_bytes <= charge.held() || charge.try_grow(decoded_bytes - charge.held())
+    });
+    let no_memory = |bytes| {
+        log::info!("job {id} takes over {bytes} bytes of memory; all requests have {limit}");
+        if bytes > limit { Kind::TooLarge } else { Kind::NoMemory }
+    };
+    let submission = decoded.map_err(|error| match error {
+        SubmissionError::Malformed(why) => {
+            log::info!("job {id} is malformed: {why}");
+            Kind::Malformed
+        }
+        SubmissionError::NoMemory => no_memory(body.len() + decoded_bytes),
+    })?;
+    drop(body);
+    charge.shrink_to(decoded_bytes);
+    match intake::take(shared, connection, &mut charge, decoded_bytes).await {
+        Ok(()) => Ok((submission, charge)),
+        Err(_) => Err(no_memory(2 * decoded_bytes)),
+    }
+}
+
 fn reply(shared: &Shared, reply: JobReply) -> HttpResponse {
     match reply {
         JobReply::Done => Response::new(Full::default()),
