Limit the head of a request in size and time, and answers that stand still

Callers saw: an instance ran out of memory under callers that send heads without end; 3,600 of them made it use 268 to 269 MB where the smallest machines have 130.

Cause: the limit on the size of a head was not even decoded from the configuration, so that each connection could hold 64 KB; and as hyper's timeout for a head also covers a connection's idle time, a head that stops was kept for 15 s instead of the 3 s that the configuration allows.

A head is now limited to the configured size (431), and a connection whose head is not complete in the configured time is closed, as is one that has accepted nothing of its answer for the idle timeout.

--- a/crates/hollywell/src/core/configuration.rs
+++ b/crates/hollywell/src/core/configuration.rs
@@ -108,6 +108,9 @@
     /// Maximum size of a request body, in bytes.
     #[serde(rename = "body_bytes")]
     pub max_body_bytes: usize,
+    /// Maximum size of the head of a request, in bytes.
+    #[serde(rename = "head_bytes", default)]
+    pub max_head_bytes: usize,
     /// Maximum idle time of a caller's connection, in milliseconds.
     #[serde(rename = "idle_ms")]
     pub idle_timeout_ms: u64,
--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -1,4 +1,5 @@
-//! Connections of callers.
+//! Connections of callers: accepting them, and closing those that have to make
+//! room or that keep the instance waiting.
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -33,6 +34,8 @@
 /// Idle timeout of callers' connections until a configuration is loaded, in
 /// milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
+/// Limit on the head of a request where the configuration sets none, in bytes.
+const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
 /// How long a connection is read after an answer to a request whose body was
 /// not read: closing it with unread bytes could reset it before the answer has
 /// arrived.
@@ -76,11 +79,16 @@
 pub struct Connections {
     state: RefCell<Callers>,
     signals: RefCell<HashMap<Id, Rc<Signals>>>,
+    /// Connections that were closed for others or were overdue, since the last
+    /// log line.
+    closed: Cell<usize>,
 }
 
 /// What a connection is told.
 #[derive(Debug, Default)]
 struct Signals {
+    /// It is to be closed.
+    close: Notify,
     /// The body that it receives is to be refused.
     is_body_given_up: Cell<bool>,
     /// Notified when that changes.
@@ -91,7 +99,11 @@
     /// Creates an empty set for at most `limit` connections.
     #[must_use]
     pub fn new(limit: usize) -> Connections {
-        Connections { state: RefCell::new(Callers::new(limit)), signals: RefCell::default() }
+        Connections {
+            state: RefCell::new(Callers::new(limit)),
+            signals: RefCell::default(),
+            closed: Cell::new(0),
+        }
     }
 
     /// The number of connections.
@@ -112,6 +124,38 @@
         }
         true
     }
+
+    /// Closes connections whose caller takes too long.
+    pub(super) fn close_overdue(&self, shared: &Shared) {
+        let (head_ms, blocked_ms) = {
+            let control = shared.control.borrow();
+            let configuration = control.configuration.as_ref();
+            let times = configuration.map(|plan| (plan.header_timeout_ms, plan.idle_timeout_ms));
+            let or_default = |ms: u64| if ms == 0 { DEFAULT_IDLE_MS } else { ms };
+            times.map_or((DEFAULT_IDLE_MS, DEFAULT_IDLE_MS), |(head_ms, idle_ms)| {
+                (or_default(head_ms), or_default(idle_ms))
+            })
+        };
+        let overdue = self.state.borrow_mut().overdue(shared.now(), head_ms, blocked_ms);
+        for id in overdue {
+            self.close(shared, id, "overdue");
+        }
+        let closed = self.closed.take();
+        if closed > 0 {
+            log::info!(
+                "{closed} connections of callers closed that were overdue or made room; {} are open",
+                self.count()
+            );
+        }
+    }
+
+    fn close(&self, shared: &Shared, id: Id, reason: &str) {
+        self.closed.set(self.closed.get() + 1);
+        shared.meters.connections_closed.with_label_values(&[reason]).inc();
+        if let Some(signals) = self.signals.borrow().get(&id) {
+            signals.close.notify_one();
+        }
+    }
 }
 
 /// A connection of a caller.
@@ -250,15 +294,27 @@
     }
 }
 
-async fn run(connection: Rc<Connection>, mut stream: TcpStream, open: Rc<OpenConnections>) {
+async fn run(connection: Rc<Connection>, stream: TcpStream, open: Rc<OpenConnections>) {
+    let served = serve_to_end(&connection, stream, &open);
+    tokio::select! {
+        () = served => {}
+        () = connection.signals.close.notified() => log::debug!("a connection was closed to make room"),
+    }
+}
+
+async fn serve_to_end(
+    connection: &Rc<Connection>,
+    mut stream: TcpStream,
+    open: &Rc<OpenConnections>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY on a connection: {error}");
     }
     let guard = OnceCell::new();
     let on_request = || {
-        guard.get_or_init(|| OpenConnectionGuard::new(&open));
+        guard.get_or_init(|| OpenConnectionGuard::new(open));
     };
-    match serve_requests(&connection, &mut stream, on_request).await {
+    match serve_requests(connection, &mut stream, on_request).await {
         Ok(false) if !connection.has_unread_body.get() => {}
         Ok(is_stopping) => {
             // hyper has handed the end of the answer to the kernel, which drops it
@@ -286,11 +342,13 @@
     on_request: impl Fn(),
 ) -> hyper::Result<bool> {
     let shared = &connection.shared;
-    let idle_ms = {
+    let (idle_ms, max_head_bytes) = {
         let control = shared.control.borrow();
-        control.configuration.as_ref().map_or(DEFAULT_IDLE_MS, |configuration| {
-            configuration.idle_timeout_ms.max(configuration.header_timeout_ms)
-        })
+        let limits = control.configuration.as_ref().map(|configuration| {
+            let idle_ms = configuration.idle_timeout_ms.max(configuration.header_timeout_ms);
+            (idle_ms, configuration.max_head_bytes)
+        });
+        limits.unwrap_or((DEFAULT_IDLE_MS, DEFAULT_MAX_HEAD_BYTES))
     };
     let service = service_fn(|request| {
         on_request();
@@ -311,6 +369,9 @@
     // ends, so it has to cover the connection's idle time as well.
     builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(idle_ms.max(1)));
     builder.keep_alive(true).max_buf_size(BUFFER_BYTES);
+    if max_head_bytes > 0 {
+        builder.max_header_size(max_head_bytes);
+    }
     let stream = Stream { tcp: stream, connection };
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -72,6 +72,8 @@
     pub unstarted_jobs: IntCounterVec,
     /// Request bodies that were refused, by reason.
     pub bodies_refused: IntCounterVec,
+    /// Connections of callers that were closed, by reason.
+    pub connections_closed: IntCounterVec,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Bytes that callers' requests hold.
@@ -243,6 +245,11 @@
                 "Request bodies refused.",
                 &["why"],
             )?,
+            connections_closed: counter(
+                "hollywell_entry_connections_closed_total",
+                "Connections of callers that were overdue or made room.",
+                &["why"],
+            )?,
             callers: gauge("hollywell_entry_callers", "Open connections of callers.")?,
             request_bytes: gauge("hollywell_entry_request_bytes", "Memory held by requests.")?,
             connections_opened: gauge("hollywell_entry_connections_opened", "Connections opened.")?,
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -291,6 +291,7 @@
         if last_sweep.elapsed() > SWEEP_INTERVAL {
             last_sweep = tokio::time::Instant::now();
             shared.pool.sweep();
+            shared.callers.close_overdue(&shared);
             shared.relay.expire(now);
             suspects::expire(&shared);
         }
