Limit callers' connections; the one that has stood still longest makes room

Callers saw: once 456 descriptors were used up by callers that stop in a body, an instance answered nobody any more, neither new callers nor its own calls to the store, peers and targets; they were freed only when the callers left.

Cause: nothing limited the connections of callers, and nothing ended one that stands still.

One whose request is being served is never closed. The counter hollywell_entry_connections_closed_total and one log line a second tell of it.

--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -156,6 +156,19 @@
             signals.close.notify_one();
         }
     }
+
+    /// Makes room for another connection if all that there may be are open.
+    /// Returns false if every one is being served.
+    fn make_room(&self, shared: &Shared) -> bool {
+        if !self.state.borrow().is_full() {
+            return true;
+        }
+        let chosen = self.state.borrow_mut().make_room(shared.now());
+        if let Some(id) = chosen {
+            self.close(shared, id, "made_room");
+        }
+        chosen.is_some()
+    }
 }
 
 /// A connection of a caller.
@@ -283,9 +296,11 @@
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener, open: Rc<OpenConnections>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, _)) if shared.callers.make_room(&shared) => {
                 tokio::task::spawn_local(run(Connection::new(&shared), stream, open.clone()));
             }
+            // Closed unread, which tells the caller that its request has not run.
+            Ok(_) => shared.meters.connections_closed.with_label_values(&["no_room"]).inc(),
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
                 tokio::time::sleep(ACCEPT_RETRY).await;
