Account for answers until their callers have read them

Callers saw: an instance ran out of memory under callers that read nothing of their answers and stay connected; sixteen with answers of 16 MB made it use 316 MB where the smallest machines have 130.

Cause: the memory of a target's response was released from its account as soon as it was read, although it is held until the caller has taken it. Pages of results had no account at all.

The charge now stays with the bytes until the last copy is dropped, and pages of results and bodies of samples are charged as well; one that finds no room gets 503.

--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -560,7 +560,7 @@
     }
 
     /// As [`IncomingResponse::read_body`], for one of many bodies that share the
-    /// limit of `memory`.
+    /// limit of `memory`, until nobody has the body any more.
     ///
     /// # Errors
     ///
@@ -572,7 +572,8 @@
     ) -> Result<Bytes, Error> {
         let mut charge = Charge::new(memory);
         let all = self.collect(time_limit, |_, more| charge.try_grow(more));
-        timeout(time_limit, all).await.map_err(|_| Error::TimedOut)?
+        let body = timeout(time_limit, all).await.map_err(|_| Error::TimedOut)??;
+        Ok(charge.attach(body))
     }
 
     /// Reads the complete body. There is no limit on the total time, but each
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -387,7 +387,13 @@
 fn reply(shared: &Shared, reply: JobReply) -> HttpResponse {
     match reply {
         JobReply::Done => Response::new(Full::default()),
-        JobReply::Body(body) => Response::new(Full::new(body)),
+        JobReply::Body(body) => {
+            let mut charge = Charge::new(&shared.response_memory);
+            match charge.try_grow(body.len()) {
+                true => Response::new(Full::new(charge.attach(body))),
+                false => refuse(shared, Kind::NoMemory),
+            }
+        }
         JobReply::Rejected | JobReply::Unavailable => refuse(shared, Kind::StoreUnavailable),
         JobReply::StoreFull(ms) => set_retry_after(refuse(shared, Kind::StoreFull), ms),
         JobReply::Late(ms) => set_retry_after(refuse(shared, Kind::Overloaded), ms),
