Limit the samples of all jobs that are kept

Callers saw: an instance ran out of memory although no single job was large. Forty accepted jobs of 15,000 small items each, of 0.4 MB, made one use 296 MB where the smallest machines have 130, and every instance keeps the metadata of all jobs.

Cause: a job was accepted if the store had room and it would be in time; what its samples take at the instances, about 500 bytes each, had no limit.

Jobs are now refused with 503 and Retry-After while 100,000 samples are kept. The last tenth is for jobs of up to 1,000 samples, so that a few large ones do not keep ordinary trainers out. The largest jobs of the users' deployments have some 240 samples; a trainer that submits one each 4 s has 7,200 kept after the two minutes for which results are.

--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -31,6 +31,31 @@
 pub use orphans::{AttemptId, DueOrphans, MayArrive, Orphans};
 pub use text::TextRef;
 
+/// Samples of all jobs that are kept. Every instance keeps the metadata of all
+/// of them, about 500 bytes each.
+pub const MAX_SAMPLES: usize = 100_000;
+/// Samples of a small job, and the part of [`MAX_SAMPLES`] that only small jobs
+/// may use.
+const SMALL_JOB: usize = 1_000;
+const SMALL_JOBS_RESERVE: usize = MAX_SAMPLES / 10;
+
+/// Whether a job with `more` samples may be accepted while there are `kept`.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::batch::{MAX_SAMPLES, may_keep_samples};
+///
+/// assert!(may_keep_samples(0, 20_000));
+/// assert!(!may_keep_samples(MAX_SAMPLES - 200, 20_000));
+/// assert!(may_keep_samples(MAX_SAMPLES - 200, 200));
+/// ```
+#[must_use]
+pub const fn may_keep_samples(kept: usize, more: usize) -> bool {
+    let reserve = if more <= SMALL_JOB { 0 } else { SMALL_JOBS_RESERVE };
+    kept.saturating_add(more) <= MAX_SAMPLES - reserve
+}
+
 /// A request that scores a finished sample.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Scorer {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -66,6 +66,9 @@
     /// The operation failed without effect because the store is full; with the
     /// retry delay in milliseconds.
     StoreFull(u64),
+    /// The job was rejected without effect because the accepted jobs have too many
+    /// samples; with the retry delay in milliseconds.
+    TooManySamples(u64),
     /// The job was rejected without effect because it would be late; with the
     /// retry delay in milliseconds.
     Late(u64),
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -66,6 +66,8 @@
     pub store_used_bytes: IntGauge,
     /// Jobs rejected because the store was full.
     pub jobs_without_space: IntGauge,
+    /// Jobs rejected because too many samples are kept.
+    pub jobs_without_memory: IntCounter,
     /// Jobs rejected because they could not be complete in time.
     pub late_jobs: IntCounter,
     /// Jobs accepted by this instance that had not started in time, by reason.
@@ -226,6 +228,10 @@
                 "hollywell_entry_jobs_without_room",
                 "Jobs rejected for room.",
             )?,
+            jobs_without_memory: count(
+                "hollywell_entry_jobs_without_memory_total",
+                "Jobs rejected, as too many samples are kept.",
+            )?,
             late_jobs: count(
                 "hollywell_entry_jobs_late_total",
                 "Jobs rejected, as they would be late.",
--- a/crates/hollywell/src/entry/submission.rs
+++ b/crates/hollywell/src/entry/submission.rs
@@ -32,6 +32,9 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Delay between these polls.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(150);
+/// Retry delay for a job that was rejected because too many samples are kept, in
+/// milliseconds: ended jobs are deleted each second.
+const SAMPLES_RETRY_MS: u64 = 2_000;
 /// Retry delay for a job that the store rejected because it was full, in
 /// milliseconds: records are deleted and logs trimmed each second.
 const STORE_FULL_RETRY_MS: u64 = 2_000;
@@ -49,7 +52,13 @@
     submission: &Submission,
 ) -> JobReply {
     let reply = store_job(shared, caller, job, host, path, submission).await;
-    let rejects = matches!(reply, JobReply::Rejected | JobReply::StoreFull(_) | JobReply::Late(_));
+    let rejects = matches!(
+        reply,
+        JobReply::Rejected
+            | JobReply::StoreFull(_)
+            | JobReply::TooManySamples(_)
+            | JobReply::Late(_)
+    );
     if rejects && shared.orphans.borrow().may_be_accepted(shared.now(), job) {
         log::info!("job {job}: {reply:?}, but an earlier submission may still be accepted");
         return JobReply::OutcomeUnknown;
@@ -90,6 +99,9 @@
     {
         return JobReply::Late(retry_after_ms);
     }
+    if let Err(retry_after_ms) = admit_samples(shared, job, submission.samples.len()) {
+        return JobReply::TooManySamples(retry_after_ms);
+    }
     if let Err(retry_after_ms) = capacity::admit(shared, submission) {
         return store_full(shared, job, retry_after_ms);
     }
@@ -137,6 +149,26 @@
     reply
 }
 
+/// Decides whether the samples of a job may be accepted beside those that all
+/// instances keep.
+///
+/// # Errors
+///
+/// When the caller may come back, in milliseconds.
+fn admit_samples(shared: &Shared, job: &str, more: usize) -> Result<(), u64> {
+    let kept: usize = {
+        let control = shared.control.borrow();
+        let jobs = control.partitions.iter().flat_map(|partition| partition.index.jobs.values());
+        jobs.map(|job| job.done.len()).sum()
+    };
+    if batch::may_keep_samples(kept, more) {
+        return Ok(());
+    }
+    log::info!("job {job} refused: {kept} samples are kept, it has {more}");
+    shared.meters.jobs_without_memory.inc();
+    Err(SAMPLES_RETRY_MS)
+}
+
 fn store_full(shared: &Shared, job: &str, retry_after_ms: u64) -> JobReply {
     log::info!("job {job} refused: no room in the store, come back in {retry_after_ms} ms");
     shared.meters.jobs_without_space.inc();
