Account for request bodies in serve, and limit its connections

Callers saw: an instance of `hollywell serve` ran out of memory under callers that send bodies within the limit and stop before their end; 96 of 4 MB made it use 361 MB.

Cause: as in `enter`, each body had a limit and a time, and all of them together had none; nor had connections.

Bodies are now charged to one account, 48 MB by default, with a quarter more for those of up to 64 KB, by the code that `enter` uses, which moves to a module of its own. A body that finds no room gets 503. Beyond 1,024 connections, callers wait until one has ended; each has a timeout for what it receives. Both are settings.

--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -36,8 +36,8 @@
 };
 
 use crate::{
+    account::{Account, Charge},
     clock::since_boot,
-    entry::account::{Account, Charge},
 };
 
 /// Timeout for opening a connection. Round trips take milliseconds, but a lost
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    account::Charge,
     core::{
         batch::Submission,
         configuration::{Configuration, Route, RouteKind},
@@ -26,7 +27,6 @@
         time::Time,
     },
     entry::{
-        account::Charge,
         caller::{self, Caller},
         codec::{Operation, SubmissionError},
         connection::Connection,
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -13,7 +13,6 @@
 //! core a second thread only adds a wake-up to every decision, and wake-ups
 //! dominate the cost there.
 
-pub mod account;
 pub mod backlog;
 pub mod caller;
 pub mod capacity;
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    account::Account,
     clock::Clock,
     core::{
         capacity,
@@ -35,7 +36,6 @@
     },
     entry::{
         self,
-        account::Account,
         codec::Codec,
         configuration, confirm,
         connection::{self, Connections, OpenConnections},
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    account::Account,
     clock::Clock,
     core::{
         batch::{self, Bundle, Change, Index, Manifest, Orphans, Record, Written},
@@ -35,7 +36,6 @@
         weight_loading::Models,
     },
     entry::{
-        account::Account,
         codec::Codec,
         confirm,
         connection::Connections,
--- a/crates/hollywell/src/lib.rs
+++ b/crates/hollywell/src/lib.rs
@@ -64,6 +64,8 @@
 //! assert!(matches!(outcome, Outcome::Conflict { revision: None, .. }));
 //! ```
 
+pub mod account;
+pub(crate) mod body;
 pub mod cli;
 pub mod clock;
 pub mod control;
--- a/crates/hollywell/src/serve.rs
+++ b/crates/hollywell/src/serve.rs
@@ -7,9 +7,10 @@
 };
 
 use crate::{
+    account::Account,
     clock::Clock,
     control::{self, Handle, Options, TICK},
-    core::event::Event,
+    core::{event::Event, memory::Memory},
     metrics::Metrics,
     peer, platform,
     settings::Settings,
@@ -81,6 +82,10 @@
         registry,
         watchdog,
         limits: settings.limits,
+        request_memory: Account::new(Memory::with_reserve(
+            settings.limits.request_bytes,
+            settings.limits.request_bytes / 4,
+        )),
         metrics,
     };
     let callers = tokio::spawn(server.serve(listener, stopping));
--- a/crates/hollywell/src/settings.rs
+++ b/crates/hollywell/src/settings.rs
@@ -45,6 +45,11 @@
     pub queue: usize,
     /// Maximum size of the body of a request or response, in bytes.
     pub body_bytes: usize,
+    /// Memory for the bodies of all requests, in bytes. Bodies of up to 64 KB may
+    /// take a quarter more.
+    pub request_bytes: usize,
+    /// Number of callers' connections.
+    pub connections: usize,
     /// Total size of targets' responses that are retained for repeated idempotency
     /// keys, in bytes.
     pub answer_bytes: usize,
@@ -269,6 +274,8 @@
     Limits {
         queue: reader.size(section, "queue", 4_096, 16..=1_000_000),
         body_bytes: reader.size(section, "body_bytes", 4 << 20, 1_024..=1 << 30),
+        request_bytes: reader.size(section, "request_bytes", 48 << 20, 1_024..=1 << 34),
+        connections: reader.size(section, "connections", 1_024, 1..=1_000_000),
         answer_bytes: reader.size(section, "answer_bytes", 32 << 20, 1_024..=1 << 34),
         header_bytes: reader.size(section, "header_bytes", 32 << 10, 8_192..=1 << 20),
         receive_ms: reader.number(section, "receive_ms", 10_000, 10..=600_000),
--- a/crates/hollywell/src/traffic/server.rs
+++ b/crates/hollywell/src/traffic/server.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -21,7 +21,13 @@
 
 use super::{admin, calls, registry::Registry, steps};
 use crate::{
-    clock::Clock, control::Handle, error::Kind, metrics::Metrics, settings::Limits,
+    account::{Account, Charge},
+    body,
+    clock::Clock,
+    control::Handle,
+    error::Kind,
+    metrics::Metrics,
+    settings::Limits,
     watchdog::Watchdog,
 };
 
@@ -49,6 +55,8 @@
     pub watchdog: Watchdog,
     /// Limits on the resources of one caller.
     pub limits: Limits,
+    /// Memory of the bodies of all requests.
+    pub request_memory: Arc<Account>,
     /// Metrics of the process.
     pub metrics: Metrics,
 }
@@ -61,7 +69,9 @@
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
-                accepted = listener.accept() => {
+                // Beyond the limit, callers wait until a connection has ended: each
+                // has a timeout for what it receives.
+                accepted = listener.accept(), if connections.len() < server.limits.connections => {
                     server.accept(accepted, &mut connections, &stop);
                 }
                 Some(_) = connections.join_next(), if !connections.is_empty() => {}
@@ -172,13 +182,14 @@
 
     /// Reads the complete body of a request within the limits of size and time.
     pub(super) async fn read_body(&self, body: Incoming) -> Result<Bytes, Kind> {
-        let collected = Limited::new(body, self.limits.body_bytes).collect();
+        let take = async |charge: &mut Charge, more| match charge.try_grow(more) {
+            true => Ok(()),
+            false => Err(Kind::NoMemory),
+        };
+        let charge = Charge::new(&self.request_memory);
+        let collected = body::collect(body, self.limits.body_bytes, charge, take);
         let receive = Duration::from_millis(self.limits.receive_ms);
-        match tokio::time::timeout(receive, collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::TooLarge),
-            Ok(Err(_)) | Err(_) => Err(Kind::Malformed),
-        }
+        timeout(receive, collected).await.unwrap_or(Err(Kind::Malformed))
     }
 
     /// Returns the caller's timeout from its header, or the default.
--- a/crates/hollywell/tests/server.rs
+++ b/crates/hollywell/tests/server.rs
@@ -4,12 +4,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use hollywell::{
+    account::Account,
     clock::Clock,
     control::{self, Options},
     core::{
         event::Event,
         id::Instance,
         member::{Kind, Listed},
+        memory::Memory,
         reducer::Config,
     },
     metrics::Metrics,
@@ -48,6 +50,8 @@
     let limits = Limits {
         queue: 64,
         body_bytes: 2_000,
+        request_bytes: 8_000,
+        connections: 64,
         answer_bytes: 100_000,
         header_bytes: 8_192,
         receive_ms: 300,
@@ -62,7 +66,17 @@
     let (stop, stopping) = watch::channel(false);
     let watchdog = Watchdog::new(clock.now());
     tokio::spawn(watchdog.clone().run(clock));
-    let server = Server { control: control.clone(), clock, registry, watchdog, limits, metrics };
+    let request_memory = Account::new(Memory::with_reserve(8_000, 2_000));
+    let control_of_server = control.clone();
+    let server = Server {
+        control: control_of_server,
+        clock,
+        registry,
+        watchdog,
+        limits,
+        request_memory,
+        metrics,
+    };
     tokio::spawn(server.serve(listener, stopping));
     control.send(Event::Listed(targets().await)).await;
     Running { address, stop }
