Refuse a job whose metadata is too large before its requests are stored

Callers saw: nothing themselves; but each job with too much metadata for one record was written to the store, up to 24 MB of it, and then refused, so that a few such callers fill the store and all other jobs are refused until the records are deleted.

Cause: the size of the manifest was checked after the requests had been appended, because it holds references to them.

A lower bound of its size, from the ids and groups alone, is checked first.

--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -154,6 +154,16 @@
     }
 }
 
+/// Lower bound of the bytes that the metadata of a submission's samples takes in
+/// its manifest.
+#[must_use]
+pub fn min_metadata_bytes(submission: &Submission) -> usize {
+    /// A field's tag and length.
+    const PREFIX: usize = 2;
+    let field = |text: &str| if text.is_empty() { 0 } else { PREFIX + text.len() };
+    submission.samples.iter().map(|sample| PREFIX + field(&sample.id) + field(&sample.group)).sum()
+}
+
 /// Result of a sample, as stored.
 ///
 /// Every instance folds all results, so the encoding is compact: as JSON, the
--- a/crates/hollywell/src/entry/submission.rs
+++ b/crates/hollywell/src/entry/submission.rs
@@ -84,6 +84,11 @@
             batch::MAX_ID_LEN
         ));
     }
+    let max_bytes = shared.settings.store.record_bytes;
+    let metadata_bytes = batch::min_metadata_bytes(submission);
+    if metadata_bytes >= max_bytes {
+        return metadata_too_large(metadata_bytes, max_bytes);
+    }
     // Another instance may just have accepted the job. If the partition cannot
     // be read, the job may get two metadata records, which name the same
     // samples.
@@ -128,12 +133,8 @@
         organisation: caller.organisation().to_owned(),
     };
     let (key, value) = batch::manifest_record(job, &manifest);
-    let max_bytes = shared.settings.store.record_bytes;
     if key.len() + value.len() >= max_bytes {
-        return JobReply::Malformed(format!(
-            "the job's metadata has {} bytes, the limit is {max_bytes}",
-            value.len()
-        ));
+        return metadata_too_large(value.len(), max_bytes);
     }
     let what = format!("job {job} of {} samples", submission.samples.len());
     let is_stored = |shared: &Shared| is_known(shared, part, job);
@@ -149,6 +150,10 @@
     reply
 }
 
+fn metadata_too_large(bytes: usize, max_bytes: usize) -> JobReply {
+    JobReply::Malformed(format!("the job's metadata has {bytes} bytes, the limit is {max_bytes}"))
+}
+
 /// Decides whether the samples of a job may be accepted beside those that all
 /// instances keep.
 ///
--- a/crates/hollywell/tests/batch.rs
+++ b/crates/hollywell/tests/batch.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use hollywell::core::batch::{
     Change, Index, Manifest, Outcome, Partial, Record, Sample, Submission, TextRef, bundle,
-    end_record, is_id, manifest_record, outcome_record, partial_record, retention_left_ms,
+    end_record, is_id, manifest_record, min_metadata_bytes, outcome_record, partial_record,
+    retention_left_ms,
 };
 use prost::Message as _;
 
@@ -253,3 +254,15 @@
     }
     assert!(!is_id("a|b") && !is_id("") && !is_id(&"x".repeat(101)) && is_id("7c41e09b"));
 }
+
+// A bound above the real size would refuse jobs that fit.
+#[test]
+fn jobs_that_fit_are_refused_for_their_metadata() {
+    for samples in [0, 1, 7, 500, 20_000] {
+        let submission = submission(samples);
+        let (_, manifest) = &manifest_records(samples)[0];
+        let bound = min_metadata_bytes(&submission);
+        assert!(bound <= manifest.len(), "{bound} for {} bytes", manifest.len());
+        assert!(2 * bound >= manifest.len(), "{bound} for {} bytes", manifest.len());
+    }
+}
