Limit heads by the configuration, not by the buffer of a connection

Callers would have seen 431, which they do not retry, for heads that the configuration allows, where it allows more than 32 KB; and 503 again and again for a body larger than all requests may have, on a machine whose memory is that small.

Cause: hyper's limit on the buffer also limits the head, and the limit on a body did not regard the account.

The buffer is at least as large as the configured head, and a body over the account's limit gets 413.

The limit on bodies was found by reading and has no test.";

--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -35,7 +35,7 @@
 /// milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 /// Limit on the head of a request where the configuration sets none, in bytes.
-const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
+const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
 /// How long a connection is read after an answer to a request whose body was
 /// not read: closing it with unread bytes could reset it before the answer has
 /// arrived.
@@ -115,10 +115,10 @@
         self.state.borrow().len()
     }
 
-    /// Gives up the body of a stalled connection other than `presser`. Returns
-    /// false if there is none.
-    pub(super) fn give_up_body(&self, now: Time, presser: &Connection) -> bool {
-        let Some(id) = self.state.borrow_mut().give_up_body(now, presser.id) else {
+    /// Gives up the body of a stalled connection other than `other`. Returns false
+    /// if there is none.
+    pub(super) fn give_up_body(&self, now: Time, other: &Connection) -> bool {
+        let Some(id) = self.state.borrow_mut().give_up_body(now, other.id) else {
             return false;
         };
         if let Some(signals) = self.signals.borrow().get(&id) {
@@ -319,7 +319,7 @@
     let served = serve_to_end(&connection, stream, &open);
     tokio::select! {
         () = served => {}
-        () = connection.signals.close.notified() => log::debug!("a connection was closed to make room"),
+        () = connection.signals.close.notified() => log::debug!("a connection was closed: it was overdue or made room"),
     }
 }
 
@@ -369,7 +369,8 @@
             let idle_ms = configuration.idle_timeout_ms.max(configuration.header_timeout_ms);
             (idle_ms, configuration.max_head_bytes)
         });
-        limits.unwrap_or((DEFAULT_IDLE_MS, DEFAULT_MAX_HEAD_BYTES))
+        let (idle_ms, max_head_bytes) = limits.unwrap_or((DEFAULT_IDLE_MS, 0));
+        (idle_ms, if max_head_bytes == 0 { DEFAULT_MAX_HEAD_BYTES } else { max_head_bytes })
     };
     let service = service_fn(|request| {
         on_request();
@@ -389,10 +390,8 @@
     // hyper's timeout for reading a head starts when the previous response
     // ends, so it has to cover the connection's idle time as well.
     builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(idle_ms.max(1)));
-    builder.keep_alive(true).max_buf_size(BUFFER_BYTES);
-    if max_head_bytes > 0 {
-        builder.max_header_size(max_head_bytes);
-    }
+    builder.keep_alive(true);
+    builder.max_header_size(max_head_bytes).max_buf_size(max_head_bytes.max(BUFFER_BYTES));
     let stream = Stream { tcp: stream, connection };
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
--- a/crates/hollywell/src/entry/intake.rs
+++ b/crates/hollywell/src/entry/intake.rs
@@ -41,6 +41,8 @@
         return Ok(Bytes::new());
     }
     connection.enter(Phase::Body);
+    // What never has room is too large.
+    let limit = limit.min(shared.request_memory.limit());
     let left = Duration::from_millis(deadline.since(shared.now()));
     let charge = Charge::new(&shared.request_memory);
     let take = async |charge: &mut Charge, more| take(shared, connection, charge, more).await;
