Give up unread answers only when another answer has found no room

Callers saw: an answer of more than half of the memory for answers was cut as soon as its caller paused for a second, although nobody needed the room; a caller that reads again within the grace period of a stop got no more.

The account now tells whether a body has found no room since the last look.

--- a/crates/hollywell/src/account.rs
+++ b/crates/hollywell/src/account.rs
@@ -3,7 +3,10 @@
 
 use std::{
     fmt,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -16,13 +19,19 @@
 pub struct Account {
     memory: Mutex<Memory>,
     released: Notify,
+    /// A body found no room since this was last asked.
+    was_short: AtomicBool,
 }
 
 impl Account {
     /// Creates an account of unused memory.
     #[must_use]
     pub fn new(memory: Memory) -> Arc<Account> {
-        Arc::new(Account { memory: Mutex::new(memory), released: Notify::new() })
+        Arc::new(Account {
+            memory: Mutex::new(memory),
+            released: Notify::new(),
+            was_short: AtomicBool::new(false),
+        })
     }
 
     /// Bytes in use.
@@ -37,6 +46,11 @@
         self.memory().limit()
     }
 
+    /// Whether a body has found no room since the last call.
+    pub fn take_shortage(&self) -> bool {
+        self.was_short.swap(false, Ordering::Relaxed)
+    }
+
     /// Completes once some of the memory that is in use now is released.
     pub fn released(&self) -> Notified<'_> {
         self.released.notified()
@@ -78,7 +92,11 @@
     #[must_use]
     pub fn try_grow(&mut self, more: usize) -> bool {
         let admits = self.account.memory().try_grow(self.held, more);
-        self.held += if admits { more } else { 0 };
+        if admits {
+            self.held += more;
+        } else {
+            self.account.was_short.store(true, Ordering::Relaxed);
+        }
         admits
     }
 
--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -40,8 +40,8 @@
 /// not read: closing it with unread bytes could reset it before the answer has
 /// arrived.
 const LINGER_TIME: Duration = Duration::from_secs(1);
-/// Time without progress after which an answer is given up while the memory for
-/// answers is half full, in milliseconds.
+/// Time without progress after which an answer is given up when another has found
+/// no room, in milliseconds.
 const BLOCKED_MS: u64 = 1_000;
 /// Delay after a failed accept.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -140,8 +140,8 @@
             })
         };
         // Answers that are not read hold the memory that others need.
-        let is_pressed = shared.response_memory.used() > shared.response_memory.limit() / 2;
-        let blocked_ms = if is_pressed { BLOCKED_MS } else { blocked_ms };
+        let is_short = shared.response_memory.take_shortage();
+        let blocked_ms = if is_short { BLOCKED_MS } else { blocked_ms };
         let overdue = self.state.borrow_mut().overdue(shared.now(), head_ms, blocked_ms);
         for id in overdue {
             self.close(shared, id, "overdue");
