--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -119,6 +119,25 @@
     pub max_tokens: u32,
 }
 
+impl Sample {
+    /// Memory that the sample takes, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        /// Overhead of the allocation of a string or a body.
+        const ALLOCATION: usize = 32;
+        const HEADER: usize = size_of::<Header>() + 2 * ALLOCATION;
+        let Sample { id, path, headers, body, group, scorer, .. } = self;
+        let header = |header: &Header| HEADER + header.name.len() + header.value.len();
+        let scorer = scorer.as_ref().map_or(0, |scorer| {
+            scorer.id.len() + scorer.host.len() + scorer.path.len() + scorer.body.len()
+        });
+        let texts = id.len() + path.len() + group.len() + scorer;
+        // Four allocations of the sample and four of its scorer.
+        let overhead = size_of::<Sample>() + 8 * ALLOCATION;
+        overhead + texts + body.len() + headers.iter().map(header).sum::<usize>()
+    }
+}
+
 /// Samples that are stored in one record.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Bundle {
--- a/crates/hollywell/src/core/callers.rs
+++ b/crates/hollywell/src/core/callers.rs
@@ -2,8 +2,9 @@
 //!
 //! A caller may stop in the middle of a request and stay connected. Without a
 //! limit such connections use up the descriptors, and the memory that their
-//! bodies hold is never released. The one that makes room is always one that
-//! has not moved, or hardly, never the newest.
+//! bodies hold is never released. Where there is no room, a connection that is
+//! stalled makes it before one that is idle, and one that is idle before one that
+//! moves; one whose request is being served never does.
 //!
 //! Not part of this module: how much memory there is ([`crate::core::memory`]),
 //! and how a connection is closed.
