Account for each instance before a starting one runs jobs

Callers saw samples of jobs that they had ended: an instance that restarted while the store was away, and was the first to rejoin the group, logged "0 of 0 peers answered" and ran what the store showed as open, although two others held the end.

The members that the store's group lists were taken for all instances that exist. After an outage of the store the group lists only those whose heartbeat has arrived since; REJOIN_MS bounded how late that may be, which a busy machine does not keep.

Instances are recorded in a topic of the store now, which outlives an outage of the group, and a starting instance asks those that the record or the group names. It runs jobs once an informed one has answered, or once each of them has answered that it starts too, or refuses connections. Starting instances tell each other whom they have accounted for, so that hundreds need a few rounds. An instance that stays silent is named in the log after 3 s.

tests/inquiry.rs: a round that meets only starting peers was enough if repeated; now all that exist have to be accounted for, which is stricter.

--- a/crates/hollywell/src/core/capacity.rs
+++ b/crates/hollywell/src/core/capacity.rs
@@ -72,6 +72,8 @@
     Hint,
     /// A record of a request suspected of ending its targets.
     Suspect,
+    /// The record of an instance.
+    Instance,
     /// Usage that an instance counted, or a decision on usage.
     Usage,
     /// A sample's result, without its text.
@@ -106,6 +108,7 @@
             Purpose::Claim => "claim",
             Purpose::Hint => "news",
             Purpose::Suspect => "suspect",
+            Purpose::Instance => "instance",
             Purpose::Usage => "usage",
             Purpose::Outcome => "outcome",
             Purpose::Text => "text",
@@ -121,7 +124,11 @@
     const fn share(self) -> f64 {
         match self {
             Purpose::End | Purpose::Delete => f64::INFINITY,
-            Purpose::Claim | Purpose::Hint | Purpose::Suspect | Purpose::Usage => 0.97,
+            Purpose::Claim
+            | Purpose::Hint
+            | Purpose::Suspect
+            | Purpose::Instance
+            | Purpose::Usage => 0.97,
             Purpose::Outcome | Purpose::Text => 0.94,
             Purpose::PartialText => 0.8,
             Purpose::Manifest | Purpose::Requests => 0.75,
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -18,6 +18,8 @@
 //! | [`pace`] | when weights may be fetched |
 //! | [`rollout`] | which samples run next and which are delivered |
 //! | [`ending`] | how a job's end is kept until it is in the platform's store |
+//! | [`inquiry`] | when a starting instance knows what its peers hold |
+//! | [`instances`] | which instances exist, whether or not the group shows them |
 //! | [`share`] | which waiting sample takes the next place |
 //! | [`backlog`] | whether a job is rejected because it would be late |
 //! | [`admission`] | whether a request that no target can take is held or rejected |
@@ -55,6 +57,7 @@
 pub mod host;
 pub mod id;
 pub mod inquiry;
+pub mod instances;
 pub mod lease;
 pub mod machine;
 mod malformed;
--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use prost::Message as _;
+use rand::seq::IndexedRandom as _;
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -15,7 +16,8 @@
         batch,
         capacity::Purpose,
         ending::{Effect, Event, Notice},
-        inquiry::Round,
+        inquiry::{Answer, Round},
+        roster,
     },
     entry::{
         jobs::JobReply,
@@ -33,15 +35,14 @@
 /// Timeout of a peer's response.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between rounds in which a starting instance asks, and between checks
-/// whether the members are read. No sample starts meanwhile.
+/// whether the members were read. No sample starts meanwhile.
 const ROUND_INTERVAL: Duration = Duration::from_millis(25);
-/// The same after a round in which a peer did not answer.
+/// The same after a round in which an instance did not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The same once samples start although no informed peer has answered.
 const SLOW_ROUND_INTERVAL: Duration = Duration::from_secs(1);
-/// Time within which all members have rejoined after an outage of the store, in
-/// milliseconds: two heartbeats and a reading.
-const REJOIN_MS: u64 = 1_000;
+/// Maximum number of instances in one line of the log.
+const MAX_LOGGED: usize = 5;
 /// Limit on a peer's response, in bytes: far more than all ends that an instance
 /// holds.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
@@ -82,6 +83,9 @@
     /// How long ago each end was requested, in milliseconds.
     #[prost(uint64, repeated, tag = "4")]
     ages_ms: Vec<u64>,
+    /// The instances that the sender has accounted for, if it is not informed.
+    #[prost(fixed64, repeated, tag = "5")]
+    accounted: Vec<u64>,
 }
 
 fn notices(jobs: Vec<String>, ages_ms: &[u64]) -> Vec<Notice> {
@@ -230,26 +234,18 @@
 pub async fn learn(shared: Rc<Shared>) {
     loop {
         let mut interval = ROUND_INTERVAL;
-        if are_members_known(&shared) {
+        // Before the group was read the store may be unavailable.
+        if !shared.control.borrow().roster.members().is_empty() {
             let round = ask_peers(&shared).await;
-            let now = shared.now();
-            let inquiry = &mut shared.control.borrow_mut().inquiry;
-            let was_complete = inquiry.is_complete();
-            inquiry.step(now, round);
-            if inquiry.is_complete() && !was_complete || inquiry.is_informed() {
-                log::info!(
-                    "ends of jobs: {} of {} peers answered, {} of them informed",
-                    round.answered,
-                    round.asked,
-                    round.informed
-                );
-            }
-            if inquiry.is_informed() {
+            let is_silent = round.answers.iter().any(|(_, answer)| *answer == Answer::Silent);
+            record_round(&shared, &round);
+            let control = shared.control.borrow();
+            if control.inquiry.is_informed() {
                 return;
             }
-            if inquiry.is_complete() {
+            if control.inquiry.is_complete() {
                 interval = SLOW_ROUND_INTERVAL;
-            } else if round.answered < round.asked {
+            } else if is_silent {
                 interval = RETRY_INTERVAL;
             }
         }
@@ -257,58 +253,95 @@
     }
 }
 
-/// Whether the members were read and may be all. Right after an outage of the
-/// store the others are missing until their next heartbeat.
-fn are_members_known(shared: &Shared) -> bool {
+/// Applies a round, and says once on what grounds jobs run here.
+fn record_round(shared: &Shared, round: &Round) {
     let now = shared.now();
-    let control = shared.control.borrow();
-    let recovered_at = control.fleet.store_recovered_at;
-    let is_settled = recovered_at.is_none_or(|at| now.since(at) > REJOIN_MS);
-    match control.roster.members() {
-        [] => false,
-        [own] if *own == shared.instance_id => is_settled,
-        _ => true,
-    }
+    let inquiry = &mut shared.control.borrow_mut().inquiry;
+    let before = inquiry.grounds();
+    inquiry.step(now, round);
+    let Some(grounds) = inquiry.grounds().filter(|grounds| Some(*grounds) != before) else {
+        return;
+    };
+    shared.meters.inquiries.with_label_values(&[grounds.as_str()]).inc();
+    let known = round.known.as_ref();
+    let open: Vec<&String> =
+        known.into_iter().flatten().filter(|member| inquiry.is_open(member)).collect();
+    let first: Vec<&str> = open.iter().take(MAX_LOGGED).map(|member| member.as_str()).collect();
+    log::info!(
+        "ends of jobs: {}; {} other instances known, {} of them not accounted for: {}",
+        grounds.as_str(),
+        known.map_or_else(|| String::from("no"), |known| known.len().to_string()),
+        open.len(),
+        first.join(" ")
+    );
 }
 
-/// Asks some peers at the same time, and holds the ends that they report.
+/// Asks some instances that were not accounted for at the same time, and holds
+/// the ends that they report.
 async fn ask_peers(shared: &Rc<Shared>) -> Round {
-    let peers = peers::random_peers(shared, PEERS_PER_ROUND);
-    let mut round = Round { asked: peers.len(), ..Round::default() };
-    let ask = |peer| {
-        let shared = shared.clone();
-        tokio::task::spawn_local(async move { ask_peer(&shared, peer).await })
+    let (known, peers) = {
+        let control = shared.control.borrow();
+        let members = control.roster.members();
+        let known = control.instances.others(members, &shared.instance_id);
+        let own = roster::instance(&shared.instance_id);
+        let members = members.iter().map(|member| roster::instance(member));
+        let mut open: BTreeSet<&str> = members.filter(|member| *member != own).collect();
+        open.extend(known.iter().flatten().map(String::as_str));
+        open.retain(|member| control.inquiry.is_open(member));
+        let open: Vec<&str> = open.into_iter().collect();
+        let peers = open.choose_multiple(&mut rand::rng(), PEERS_PER_ROUND);
+        (known.clone(), peers.map(|peer| (*peer).to_owned()).collect::<Vec<_>>())
+    };
+    let ask = |peer: String| {
+        let (shared, asked) = (shared.clone(), peer.clone());
+        (peer, tokio::task::spawn_local(async move { ask_peer(&shared, &asked).await }))
     };
-    let answers: Vec<_> = peers.into_iter().map(ask).collect();
-    for answer in answers {
-        match answer.await {
-            Ok(Some(EndList { by, jobs, is_informed, ages_ms })) => {
-                round.answered += 1;
-                round.informed += usize::from(is_informed);
-                hold_reported(shared, by, notices(jobs, &ages_ms));
+    let tasks: Vec<_> = peers.into_iter().map(ask).collect();
+    let mut answers = Vec::new();
+    for (peer, task) in tasks {
+        let answer = task.await.unwrap_or_else(|error| {
+            log::error!("a task that asks a peer for ends failed: {error}");
+            Answer::Silent
+        });
+        answers.push((peer, answer));
+    }
+    Round { known, answers }
+}
+
+/// Asks a peer for the ends that it holds, and holds them too.
+async fn ask_peer(shared: &Rc<Shared>, peer: &str) -> Answer {
+    match fetch_ends(shared, peer).await {
+        Ok(EndList { by, jobs, is_informed, ages_ms, accounted }) => {
+            hold_reported(shared, by, notices(jobs, &ages_ms));
+            if is_informed {
+                Answer::Informed
+            } else {
+                Answer::Starting(accounted.into_iter().collect())
             }
-            Ok(None) => {}
-            Err(error) => log::error!("a task that asks a peer for ends failed: {error}"),
+        }
+        Err(why) => {
+            let address = roster::address(peer);
+            let has_exited = match address {
+                Some(address) => shared.pool.has_exited(address).await,
+                None => false,
+            };
+            log::info!("asking {peer} for ends of jobs: {why}; has exited: {has_exited}");
+            if has_exited { Answer::Exited } else { Answer::Silent }
         }
     }
-    round
 }
 
-/// Asks a peer for the ends that it holds; `None` if it does not answer.
-async fn ask_peer(shared: &Shared, peer: String) -> Option<EndList> {
-    let request = async {
-        let response = peers::get(shared, &peer, PATH, ASK_TIMEOUT).await?;
-        let status = response.head.status;
-        let body = response
-            .read_body(MAX_RESPONSE_BYTES, ASK_TIMEOUT)
-            .await
-            .map_err(|error| error.to_string())?;
-        if status != StatusCode::OK {
-            return Err(status.to_string());
-        }
-        EndList::decode(body).map_err(|error| error.to_string())
-    };
-    request.await.inspect_err(|why| log::info!("asking {peer} for ends of jobs: {why}")).ok()
+async fn fetch_ends(shared: &Shared, peer: &str) -> Result<EndList, String> {
+    let response = peers::get(shared, peer, PATH, ASK_TIMEOUT).await?;
+    let status = response.head.status;
+    let body = response
+        .read_body(MAX_RESPONSE_BYTES, ASK_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
+    if status != StatusCode::OK {
+        return Err(status.to_string());
+    }
+    EndList::decode(body).map_err(|error| error.to_string())
 }
 
 /// Responds to a peer with the ends that are held here.
@@ -316,7 +349,9 @@
     let control = shared.control.borrow();
     let (jobs, ages_ms) = jobs_and_ages(control.ending.notices(shared.now()));
     let (by, is_informed) = (shared.instance_id.clone(), control.inquiry.is_informed());
-    let list = EndList { by, jobs, is_informed, ages_ms };
+    let accounted = control.inquiry.accounted();
+    let accounted = if is_informed { vec![] } else { accounted.iter().copied().collect() };
+    let list = EndList { by, jobs, is_informed, ages_ms, accounted };
     Response::new(Full::new(list.encode_to_vec().into()))
 }
 
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -74,6 +74,8 @@
     pub unstarted_jobs: IntCounterVec,
     /// Request bodies that were refused, by reason.
     pub bodies_refused: IntCounterVec,
+    /// Grounds on which jobs run here after a start.
+    pub inquiries: IntCounterVec,
     /// Connections of callers that were closed, by reason.
     pub connections_closed: IntCounterVec,
     /// Open connections of callers.
@@ -246,6 +248,11 @@
                 "Jobs accepted here that had not begun in time.",
                 &["why"],
             )?,
+            inquiries: counter(
+                "hollywell_entry_inquiries_total",
+                "Grounds on which jobs run after a start.",
+                &["grounds"],
+            )?,
             bodies_refused: counter(
                 "hollywell_entry_bodies_refused_total",
                 "Request bodies refused.",
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -31,6 +31,7 @@
 pub mod garbage;
 pub mod hints;
 pub mod ingress;
+pub mod instances;
 mod intake;
 pub mod jobs;
 pub mod lease;
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -29,6 +29,7 @@
         group::GroupSize,
         hedge,
         inquiry::Inquiry,
+        instances::Instances,
         machine::{Limits, Machine},
         memory::Memory,
         poison,
@@ -42,7 +43,7 @@
         departures, duties, ends,
         exchange::Pool,
         feed::Feed,
-        follow, garbage, hints, ingress, member,
+        follow, garbage, hints, ingress, instances, member,
         meters::Meters,
         orders, outbox, peers,
         reader::Reader,
@@ -124,6 +125,7 @@
         dispatch: dispatch::State::new(&instance_id).in_domain(&settings.domain),
         ending: ending::State::new(&instance_id),
         inquiry: Inquiry::default(),
+        instances: Instances::default(),
         poison: poison::State::default(),
         poison_loaded: false,
         capacity: capacity::State::new(settings.store.room_bytes),
@@ -219,6 +221,7 @@
     spawn(Box::pin(configuration::serve(shared.clone())));
     spawn(Box::pin(follow::targets(shared.clone())));
     spawn(Box::pin(departures::serve(shared.clone())));
+    spawn(Box::pin(instances::follow_record(shared.clone())));
     spawn(Box::pin(hints::serve(shared.clone())));
     spawn(Box::pin(suspects::serve(shared.clone())));
     spawn(Box::pin(suspects::save(shared.clone())));
@@ -227,6 +230,7 @@
     }
     spawn(Box::pin(member::heartbeat(shared.clone())));
     spawn(Box::pin(member::follow_members(shared.clone())));
+    spawn(Box::pin(instances::keep_record(shared.clone())));
     spawn(Box::pin(orders::serve(shared.clone())));
     spawn(Box::pin(usage::store_counts(shared.clone())));
     spawn(Box::pin(duties::serve(shared.clone())));
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -29,6 +29,7 @@
         group::GroupSize,
         hedge,
         inquiry::Inquiry,
+        instances::Instances,
         permit::Permits,
         poison,
         roster::Roster,
@@ -140,6 +141,8 @@
     pub ending: ending::State,
     /// Whether peers have told this instance which ends they hold.
     pub inquiry: Inquiry,
+    /// The instances that exist, as recorded in the store.
+    pub instances: Instances,
     /// Requests suspected of ending their targets.
     pub poison: poison::State,
     /// The suspects recorded by other instances were read.
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -43,6 +43,8 @@
 const POOLS: &str = "crates/hollywell/src/core/dispatch/pools.rs";
 const CALLERS: &str = "crates/hollywell/src/core/callers.rs";
 const MEMORY: &str = "crates/hollywell/src/core/memory.rs";
+const INQUIRY: &str = "crates/hollywell/src/core/inquiry.rs";
+const INSTANCES: &str = "crates/hollywell/src/core/instances.rs";
 
 const GUARDS: &[Guard] = &[
     Guard {
@@ -444,6 +446,20 @@
         replace: "Phase::Serving => Some(1),",
         proof: "callers",
     },
+    Guard {
+        name: "every instance is accounted for",
+        file: INQUIRY,
+        find: "known.iter().all(|member| !self.is_open(member))",
+        replace: "known.iter().any(|member| !self.is_open(member))",
+        proof: "inquiry",
+    },
+    Guard {
+        name: "instances that the group does not show",
+        file: INSTANCES,
+        find: "let is_missing = |name: &&String| is_settled &&",
+        replace: "let is_missing = |name: &&String|",
+        proof: "instances",
+    },
 ];
 
 /// Removes the guards whose names contain `only`, one by one.
