Show that places are kept for instances that run nothing

Where the memory of targets is stated, an instance starts no more of a job than its share of the places, by the open samples that all instances own.

Trials beyond the share were weighed and not built: in an overload all instances that wait would make them, and queue at the targets.

--- a/crates/hollywell/tests/waiting.rs
+++ b/crates/hollywell/tests/waiting.rs
@@ -9,7 +9,7 @@
     dispatch::{
         Cause, Demand, Effect, End, Event, JobSpec, Run, SampleSpec, Size, State, Texts, owner,
     },
-    fleet::{Announcement, Fleet},
+    fleet::{Announcement, Fleet, Memory},
     time::Time,
 };
 
@@ -297,3 +297,26 @@
     let chosen = world.observations.choose(now, [&service].into_iter(), need);
     assert!(chosen.is_some(), "a service without a request seems full");
 }
+
+/// Places were kept for instances that ran nothing: each sample beyond the share
+/// of this instance waited until one of its runs ended.
+#[test]
+fn share_of_instances_that_run_nothing_is_used() {
+    let mut all: Vec<String> = (0..11).map(|n| format!("i{n}")).collect();
+    all.push("me".into());
+    let mut world = World::new(&all, 4);
+    let memory = Memory { tokens: 10_000_000, event_tokens: 50 };
+    world.fleet.set_memory([("llm".to_owned(), memory)].into_iter());
+    world.now = 1_000;
+    let mut spec = job_spec("j", 240);
+    for (at, sample) in spec.samples.iter_mut().enumerate() {
+        sample.group = format!("g{at}");
+    }
+    let is_own = |at: &usize| owner(&all, "j", &format!("g{at}")) == Some("me");
+    let own: Vec<usize> = (0..240).filter(is_own).collect();
+    assert!((10..=24).contains(&own.len()), "{} samples of half of the places", own.len());
+    let started = world.step(&Event::Opened(spec));
+    world.serve(&started);
+    world.run_for(MAX_WAIT_MS);
+    assert_eq!(world.runs.len(), own.len(), "samples at targets after 5 s, of those to run");
+}
