Hand ends over to peers that were heard of, and ask for a new confirmation

Callers saw samples of jobs that they had ended, after planned restarts had gone through all instances twice while the store was away: nobody held the end any more.

A stopping instance waits until a peer has confirmed the ends that it holds. A confirmation from before counted, although that peer's process had been restarted since. And an instance that was started while the store was away knows no members, which was taken for having no peers: it exited at once.

Confirmations count from the stop on now, and instances that have reported ends are peers like members of the group.

Evidence: end_that_is_not_stored_outlives_two_restarts_of_all_instances_in_turn failed before (the end never came to the store) and passes; a_stopping_instance_that_knows_no_members_tells_those_it_has_heard_of is new. a_stopping_instance_tells_all_peers_what_it_holds took a report from before the stop for a confirmation; it asks for one after the stop now, which is stricter.

--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -23,7 +23,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::time::Time;
+use crate::core::{roster, time::Time};
 
 /// Back-off between appends of an end by the instance that received the
 /// request, in milliseconds; multiplied by the number of failures, up to
@@ -198,6 +198,9 @@
     pending: BTreeMap<String, Pending>,
     /// When each peer was last notified of something that it has not confirmed.
     notified_at: BTreeMap<String, Time>,
+    /// Peers that have reported ends, by their names without the run. While the
+    /// store is unavailable, a restarted instance knows no other members.
+    heard_of: BTreeMap<String, String>,
 }
 
 impl State {
@@ -225,7 +228,15 @@
         self.pending.get(job).is_some_and(|pending| pending.refused)
     }
 
-    /// Whether all pending ends are stored or known to a peer.
+    /// Whether any other instance is known, given the live instances.
+    #[must_use]
+    pub fn has_peers(&self, members: &[String]) -> bool {
+        !self.ring(members).is_empty()
+    }
+
+    /// Whether all pending ends are stored or known to a peer. Once this instance
+    /// stops, only a peer that has confirmed them since counts: another may have
+    /// been restarted meanwhile.
     #[must_use]
     pub fn is_shared(&self) -> bool {
         self.pending.values().all(|pending| pending.stored || !pending.confirmed.is_empty())
@@ -250,7 +261,9 @@
             Event::Stopping => {
                 for pending in self.pending.values_mut().filter(|pending| !pending.stored) {
                     (pending.is_origin, pending.notify_peers) = (true, true);
+                    pending.confirmed.clear();
                 }
+                self.notified_at.clear();
                 vec![]
             }
             Event::Settled(job) => {
@@ -290,6 +303,9 @@
     }
 
     fn reported(&mut self, now: Time, by: &str, ends: &[Notice]) -> Vec<Effect> {
+        if roster::address(by).is_some() {
+            self.heard_of.insert(roster::instance(by).to_owned(), by.to_owned());
+        }
         let mut effects = Vec::new();
         for Notice { job, age_ms } in ends {
             let since = Time(now.0.saturating_sub(*age_ms));
@@ -371,7 +387,8 @@
             pending.may_exist = known.contains(job) || unread.contains(job);
             pending.may_exist || now.since(pending.since) < UNKNOWN_MS
         });
-        self.notified_at.retain(|member, _| members.contains(member));
+        let ring = self.ring(members);
+        self.notified_at.retain(|member, _| ring.contains(member));
         let mut effects = Vec::new();
         for (job, pending) in &mut self.pending {
             let wait_ms = if pending.is_origin {
@@ -388,9 +405,10 @@
             }
         }
         if self.pending.is_empty() {
+            self.heard_of.clear();
             return effects;
         }
-        for (distance, member) in self.ring(members).into_iter().enumerate() {
+        for (distance, member) in ring.iter().enumerate() {
             let due = self.notified_at.get(member).is_none_or(|at| now.since(*at) >= NOTIFY_MS);
             let ends = self.unconfirmed(now, member, distance);
             if due && !ends.is_empty() {
@@ -401,11 +419,18 @@
         effects
     }
 
-    /// The other live instances, in ring order after this one.
-    fn ring<'a>(&self, members: &'a [String]) -> Vec<&'a String> {
-        let after = members.iter().filter(|member| **member > self.own_id);
-        let before = members.iter().filter(|member| **member < self.own_id);
-        after.chain(before).collect()
+    /// The other live instances, and others that have reported ends, in ring order
+    /// after this one.
+    fn ring(&self, members: &[String]) -> Vec<String> {
+        let own = roster::instance(&self.own_id);
+        let listed: BTreeSet<&str> =
+            members.iter().map(|member| roster::instance(member)).collect();
+        let is_unlisted = |(name, _): &(&String, &String)| !listed.contains(name.as_str());
+        let unlisted = self.heard_of.iter().filter(is_unlisted).map(|(_, member)| member);
+        let all: BTreeSet<&String> = members.iter().chain(unlisted).collect();
+        let others = all.into_iter().filter(|member| roster::instance(member) != own);
+        let (after, before): (Vec<&String>, _) = others.partition(|member| **member > self.own_id);
+        after.into_iter().chain(before).cloned().collect()
     }
 
     /// Ends that a peer may not know of. An end whose first append is in flight
--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -389,6 +389,5 @@
 #[must_use]
 pub fn are_handed_over(shared: &Shared) -> bool {
     let control = shared.control.borrow();
-    let mut members = control.roster.members().iter();
-    control.ending.is_shared() || members.all(|member| *member == shared.instance_id)
+    control.ending.is_shared() || !control.ending.has_peers(control.roster.members())
 }
--- a/crates/hollywell/tests/ending.rs
+++ b/crates/hollywell/tests/ending.rs
@@ -311,5 +311,24 @@
     };
     assert_eq!(told(state.step(Time(50), &tick(&all, &["j", "k"]))), 5);
     state.step(Time(60), &Event::Confirmed { member: all[2].clone(), jobs: vec!["k".into()] });
+    // The peer that reported the first end may have been restarted since.
+    assert!(!state.is_shared(), "nobody has confirmed the first end since the stop");
+    state.step(Time(70), &Event::Confirmed { member: all[2].clone(), jobs: vec!["j".into()] });
     assert!(state.is_shared());
 }
+
+// An instance that was restarted while the store was away knew no members, and
+// handed its ends over to nobody.
+#[test]
+fn a_stopping_instance_that_knows_no_members_tells_those_it_has_heard_of() {
+    let mut state = State::new(&name(0));
+    assert!(!state.has_peers(&[]));
+    let ends = vec![Notice { job: "j".into(), age_ms: 0 }];
+    state.step(Time(0), &Event::Reported { by: name(1), ends });
+    assert!(state.has_peers(&[]) && state.has_peers(&[name(0)]));
+    state.step(Time(10), &Event::Stopping);
+    let effects = state.step(Time(50), &tick(&[], &["j"]));
+    let is_told =
+        |effect: &Effect| matches!(effect, Effect::Notify { member, .. } if *member == name(1));
+    assert!(effects.iter().any(is_told), "{effects:?}");
+}
