Keep the end of a job while its partition is not current

Callers saw samples of a job that they had ended: its end was asked at an instance that was cut off from the store, of a job that another instance had accepted meanwhile and that was lost then. The end expired after 30 s, and once the store was back the instance read the job and ran it.

An end expires if its job does not exist. That a job is not known was taken for that as soon as its partition had ever been read; it says nothing about what was accepted since the last read.

--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -213,12 +213,13 @@
             for job in control.ending.jobs() {
                 if partition(job).index.jobs.contains_key(job) {
                     known.insert(job.to_owned());
-                } else if !partition(job).loaded {
+                } else if !partition(job).is_current(now) {
                     unread.insert(job.to_owned());
                 }
             }
             if control.ending.jobs().next().is_none() {
                 continue;
+        let now = shared.now();
             }
             (control.roster.members().to_vec(), known, unread)
         };
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Whether the partition was read a moment ago, so that a job which is not
+    /// known here was not accepted before that.
+    pub fn is_current(&self, now: Time) -> bool {
+        self.read_at.is_some_and(|read_at| now.since(read_at) <= STALE_MS)
+    }
+
     /// Adds what was written since the last call to the sizes of the logs.
     fn update_logs(&mut self, now: Time) {
         let written = self.index.written;
