Answer every request before a stopping instance exits

Callers whose requests were still unanswered at nine tenths of the grace period lost their connections without an answer: the process exited over them. Requests that arrived seconds before were passed on nonetheless, those that may not be repeated too, whatever time they needed.

Seen on the code before, with platform/tests/stopping.rs: - requests_late_...: "lost: once-4, sent 84 ms after SIGTERM, connection ended 7.1 s later, answer: None", and it had reached its target; - bodies_that_end_late_...: the same for a request whose body ended 0.3 s after SIGTERM; - job_requests_late_...: 54 long polls ended without an answer.

A stopping instance now begins a request only in the first 2.3 s, while the load balancer still sends some, or if its deadline comes before the last answers. Others get 503 with Not-Run, Retry-After and Connection: close, and reach no target. A job is refused as not run only if it is not known, and no earlier submission here may be accepted.

The three tests pass after the change.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -30,6 +30,7 @@
 //! | [`departure`] | which targets leave, and up to when that is known |
 //! | [`permit`] | which instance may do what only one may do at a time |
 //! | [`memory`] | whether one more part of a response is read |
+//! | [`shutdown`] | what a stopping instance may still begin |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
 //!
 //! Not part of this module: bodies, sockets and threads, which are in
@@ -73,6 +74,7 @@
 pub mod roster;
 pub mod route;
 pub mod share;
+pub mod shutdown;
 pub mod store_lease;
 pub mod stream;
 pub mod table;
--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -185,6 +185,8 @@
     shared: Rc<Shared>,
     /// The body of the last request was not read to its end.
     pub(super) has_unread_body: Cell<bool>,
+    /// The request that is being served may have run.
+    pub(super) may_have_run: Rc<Cell<bool>>,
 }
 
 impl Drop for Connection {
@@ -200,7 +202,8 @@
         let signals = Rc::new(Signals::default());
         shared.callers.signals.borrow_mut().insert(id, signals.clone());
         let shared = shared.clone();
-        Rc::new(Connection { id, signals, shared, has_unread_body: Cell::new(false) })
+        let (has_unread_body, may_have_run) = (Cell::new(false), Rc::default());
+        Rc::new(Connection { id, signals, shared, has_unread_body, may_have_run })
     }
 
     /// Records what the connection does from now on.
@@ -379,7 +382,7 @@
             connection.enter(Phase::Serving);
             let mut response = ingress::answer(&connection.shared, &connection, request).await;
             connection.enter(Phase::Idle);
-            if connection.shared.control.borrow().stopping {
+            if connection.shared.control.borrow().is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/hollywell/src/entry/duties.rs
+++ b/crates/hollywell/src/entry/duties.rs
@@ -79,7 +79,7 @@
         holder.from.get_or_insert(duties.usage.window(now_ms));
         let is_due_soon = now_ms + ANNOUNCE_AHEAD_MS >= holder.due_ms;
         holder.lease.set_wanted(is_due_soon);
-        if now_ms >= holder.due_ms && !shared.control.borrow().stopping {
+        if now_ms >= holder.due_ms && !shared.control.borrow().is_stopping() {
             holder.step(&shared, now_ms).await;
         }
     }
@@ -89,7 +89,7 @@
 /// do; all instances derive the same ones from the members.
 fn is_candidate(shared: &Shared) -> bool {
     let control = shared.control.borrow();
-    if control.stopping {
+    if control.is_stopping() {
         return false;
     }
     let domain = roster::domain(&shared.instance_id);
--- a/crates/hollywell/src/entry/forward/attempt.rs
+++ b/crates/hollywell/src/entry/forward/attempt.rs
@@ -78,6 +78,7 @@
         let may_send_to = shared.may_send_to(target);
         if may_send_to {
             plain.count_usage(shared);
+            plain.may_have_run.set(true);
             shared.log_send(target, &plain.id);
         }
         may_send_to
--- a/crates/hollywell/src/entry/forward/mod.rs
+++ b/crates/hollywell/src/entry/forward/mod.rs
@@ -83,6 +83,8 @@
     pub usage_window: Cell<Option<u64>>,
     /// It scores an accepted sample, so that nobody retries it if it is given up.
     pub is_owed: bool,
+    /// A target may have run the request.
+    pub may_have_run: Rc<Cell<bool>>,
     /// The digest, computed on first use because a body may have many MB.
     pub digest: OnceCell<Digest>,
 }
@@ -270,7 +272,7 @@
             }
         };
         let Some(target) = target else {
-            if shared.control.borrow().stopping {
+            if shared.control.borrow().is_stopping() {
                 break;
             }
             if let admission::Decision::Reject(ms) =
@@ -308,6 +310,7 @@
                 return ForwardResult::Answered(response);
             }
         }
+        plain.may_have_run.set(state.may_have_run);
     }
     if let Some(response) = state.failure {
         return ForwardResult::Answered(response);
--- a/crates/hollywell/src/entry/forward/race.rs
+++ b/crates/hollywell/src/entry/forward/race.rs
@@ -145,7 +145,7 @@
         left_ms: plain.deadline.since(now).saturating_sub(MARGIN_MS),
         is_suspected,
         is_broken: first.is_checking.get(),
-        is_stopping: control.stopping,
+        is_stopping: control.is_stopping(),
         has_target: target.is_some(),
     };
     control.hedges.take(now, &first.target.pool, &due)?;
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -52,6 +52,10 @@
 /// Deadline if neither the caller nor the route sets one, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 
+/// Time in which a change of a job is stored unless the store is slow, in
+/// milliseconds.
+const JOB_MS: u64 = 1_000;
+
 type HttpResponse = Response<Full<Bytes>>;
 
 /// Serves one request.
@@ -70,13 +74,33 @@
         Operation::EndJob { .. } => "end_job",
         Operation::Routed => "routed",
     };
-    let response = dispatch(shared, connection, request, operation, arrived).await;
+    connection.may_have_run.set(false);
+    let response = tokio::select! {
+        biased;
+        response = dispatch(shared, connection, request, operation, arrived) => response,
+        () = shared.last_answer_due() => last_answer(shared, connection),
+    };
     let seconds = shared.now().since(arrived) as f64 / 1_000.0;
     shared.meters.answer_seconds.with_label_values(&[label]).observe(seconds);
     shared.meters.answers.with_label_values(&[label, response.status().as_str()]).inc();
     response
 }
 
+/// The answer to a request that has none when the instance is about to exit.
+fn last_answer(shared: &Shared, connection: &Connection) -> HttpResponse {
+    match connection.may_have_run.get() {
+        true => refuse(shared, Kind::OutcomeUnknown),
+        false => refuse(shared, Kind::Draining),
+    }
+}
+
+/// Whether a request that is answered at `answered_by` at the latest may be
+/// begun.
+fn may_begin(shared: &Shared, answered_by: Time) -> bool {
+    let shutdown = shared.control.borrow().shutdown;
+    shutdown.is_none_or(|shutdown| shutdown.may_begin(shared.now(), answered_by))
+}
+
 /// The authority that a request is for. One in the request target takes
 /// precedence over `Host` (RFC 9112, section 3.2.2). Empty if there is none.
 fn authority<T>(request: &Request<T>) -> &str {
@@ -107,7 +131,11 @@
             let read = async |caller: &_| jobs::sample_body(shared, caller, &job, &sample).await;
             with_caller(shared, &request, read).await
         }
+        Operation::EndJob { .. } if !may_begin(shared, arrived.after(JOB_MS)) => {
+            refuse(shared, Kind::Draining)
+        }
         Operation::EndJob { job } => {
+            connection.may_have_run.set(true);
             with_caller(shared, &request, async |caller| jobs::end(shared, caller, &job).await)
                 .await
         }
@@ -132,7 +160,7 @@
 pub fn is_ready(shared: &Shared) -> bool {
     let control = shared.control.borrow();
     let loaded = control.partitions.iter().all(|partition| partition.loaded);
-    !control.stopping
+    !control.is_stopping()
         && loaded
         && control.configuration.is_some()
         && control.poison_loaded
@@ -232,6 +260,10 @@
         RouteKind::Batch => timeout_ms.max(DEFAULT_DEADLINE_MS),
         _ => deadline_ms,
     };
+    let answered_by = arrived.after(deadline_ms);
+    if route.kind != RouteKind::Batch && !may_begin(shared, answered_by) {
+        return refuse(shared, Kind::Draining);
+    }
     let body = intake::read(shared, connection, body, limit, arrived.after(receive_ms)).await;
     let body = match body {
         Ok(body) => body,
@@ -244,6 +276,17 @@
     let Some(id) = id.map(str::to_owned) else {
         return refuse(shared, Kind::Malformed);
     };
+    // The body may have taken long.
+    let answered_by = match route.kind {
+        RouteKind::Batch => shared.now().after(JOB_MS),
+        _ => answered_by,
+    };
+    if !may_begin(shared, answered_by) {
+        return match route.kind {
+            RouteKind::Batch => refuse_job(shared, &id),
+            _ => refuse(shared, Kind::Draining),
+        };
+    }
     if route.kind == RouteKind::Batch {
         let submitted = Submitted { caller, id, host, path: head.uri.path().to_owned(), body };
         return submit(shared, connection, submitted).await;
@@ -261,11 +304,21 @@
         deadline: arrived.after(deadline_ms),
         usage_window: Cell::new(None),
         is_owed: false,
+        may_have_run: connection.may_have_run.clone(),
         digest: OnceCell::new(),
     };
     forwarded(shared, &configuration, &route, &request).await
 }
 
+/// Refuses a job that may not be stored in time. A promise that it does not run
+/// is only given if it has not been accepted, and cannot be any more.
+fn refuse_job(shared: &Shared, job: &str) -> HttpResponse {
+    let part = shared.partition_of(job);
+    let may_run = jobs::is_known(shared, part, job)
+        || shared.orphans.borrow().may_be_accepted(shared.now(), job);
+    refuse(shared, if may_run { Kind::OutcomeUnknown } else { Kind::Draining })
+}
+
 /// Whether a request is for a target whose entry names no target to use here.
 /// Then another instance sent it, which takes this one for that target.
 fn is_misdirected(shared: &Shared, headers: &http::HeaderMap) -> bool {
@@ -334,6 +387,7 @@
         let reserved = [header::AUTHORIZATION.as_str(), shared.codec.headers.organisation.as_str()];
         submission.remove_headers(&reserved);
     }
+    connection.may_have_run.set(true);
     let job_reply = submission::submit(shared, &caller, &id, &host, &path, &submission).await;
     let accepted = job_reply == JobReply::Done;
     let mut response = reply(shared, job_reply);
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -386,6 +386,7 @@
             deadline: shared.now().after(SCORE_TIMEOUT_MS),
             usage_window: Cell::new(None),
             is_owed: true,
+            may_have_run: Rc::default(),
             digest: OnceCell::new(),
         };
         // Reading the request may have taken a while.
--- a/crates/hollywell/src/entry/orders.rs
+++ b/crates/hollywell/src/entry/orders.rs
@@ -67,7 +67,7 @@
     loop {
         sleep(interval).await;
         let started = Instant::now();
-        if !shared.control.borrow().stopping {
+        if !shared.control.borrow().is_stopping() {
             issue_orders(&shared, &issuer, &domain);
         }
         interval = TICK_INTERVAL.max(started.elapsed() * CHECK_SHARE);
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -33,6 +33,7 @@
         memory::Memory,
         poison,
         roster::Roster,
+        shutdown::Shutdown,
     },
     entry::{
         self,
@@ -69,9 +70,6 @@
 const SAVE_EVENTS: u64 = 10;
 /// Time between sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Fraction of the grace period after which a stopping instance exits even if
-/// answers have not arrived whole.
-const GRACE_FRACTION: f64 = 0.9;
 /// Time for the load balancer to see that a stopping instance is not ready: two
 /// health checks, one per second, and the requests that overlap with them.
 const DRAIN_TIME: Duration = Duration::from_millis(2_300);
@@ -138,7 +136,7 @@
         group_size: GroupSize::default(),
         store_failing_since: None,
         fleet_loaded: false,
-        stopping: false,
+        shutdown: None,
     };
     let limits = limits(settings.machine);
     let codec = (adapter.codec)();
@@ -248,11 +246,11 @@
 
 async fn stop(shared: &Rc<Shared>, open: &OpenConnections) {
     log::info!("stopping");
-    let deadline =
-        tokio::time::Instant::now() + shared.settings.times.grace.mul_f64(GRACE_FRACTION);
+    let grace_ms = u64::try_from(shared.settings.times.grace.as_millis()).unwrap_or(u64::MAX);
+    let shutdown = Shutdown::new(shared.now(), grace_ms);
     {
         let mut control = shared.control.borrow_mut();
-        control.stopping = true;
+        control.shutdown = Some(shutdown);
         control.roster.leave();
     }
     shared.stop.send_replace(true);
@@ -262,7 +260,7 @@
         log::warn!("failed to leave the group: {fault}");
     }
     let drain_deadline = tokio::time::Instant::now() + DRAIN_TIME;
-    while tokio::time::Instant::now() < deadline {
+    while shared.now() < shutdown.exit_by() {
         // Doesn't wait for samples in flight: other instances resume them from
         // their saved texts.
         let is_done = open.count() == 0 && ends::are_handed_over(shared);
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -32,6 +32,7 @@
         permit::Permits,
         poison,
         roster::Roster,
+        shutdown::Shutdown,
         time::Time,
         weight_loading::Models,
     },
@@ -170,11 +171,17 @@
     pub store_failing_since: Option<Time>,
     /// The targets' topic was read to its end.
     pub fleet_loaded: bool,
-    /// The instance is stopping.
-    pub stopping: bool,
+    /// The planned stop that is under way.
+    pub shutdown: Option<Shutdown>,
 }
 
 impl Control {
+    /// Whether the instance is stopping.
+    #[must_use]
+    pub const fn is_stopping(&self) -> bool {
+        self.shutdown.is_some()
+    }
+
     /// Whether a sample still needs a result: its job exists in the partition
     /// `part`, lists no result of the sample, and its end was neither read nor
     /// requested.
@@ -291,6 +298,20 @@
         self.clock.now()
     }
 
+    /// Completes when a stopping instance has to answer what is unanswered.
+    pub(super) async fn last_answer_due(&self) {
+        let mut stop = self.stop.subscribe();
+        let _stopping = stop.wait_for(|stop| *stop).await;
+        let shutdown = self.control.borrow().shutdown;
+        match shutdown {
+            Some(shutdown) => {
+                let left_ms = shutdown.answer_by().since(self.now());
+                tokio::time::sleep(Duration::from_millis(left_ms)).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
     /// The partition number of a job, by a hash of its id.
     #[must_use]
     pub fn partition_of(&self, job: &str) -> usize {
