Serve the first request of a connection made during a stop

A caller that connected to a stopping instance, and whose request came a moment after its connection, was closed without an answer. If the request came with it, that was left to chance: hyper closes a connection without a request when it is told to shut down, and the two were polled in random order.

The shutdown of such a connection now follows its first request, and what has arrived is read before a connection is shut down. Connections that are unused when the stop begins are still closed at once, and unused ones don't delay the exit (cut_answers.rs, idle_connections_delay_a_stop).

--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -375,8 +375,10 @@
         let (idle_ms, max_head_bytes) = limits.unwrap_or((DEFAULT_IDLE_MS, 0));
         (idle_ms, if max_head_bytes == 0 { DEFAULT_MAX_HEAD_BYTES } else { max_head_bytes })
     };
+    let first_request = Notify::new();
     let service = service_fn(|request| {
         on_request();
+        first_request.notify_one();
         let connection = connection.clone();
         async move {
             connection.enter(Phase::Serving);
@@ -399,9 +401,19 @@
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let mut stop = shared.stop.subscribe();
+    let is_late = *stop.borrow();
+    let may_close = async {
+        let _stopping = stop.wait_for(|stop| *stop).await;
+        // The caller of a connection that was made during the stop is about to
+        // send a request; closing it would leave that without an answer.
+        if is_late {
+            first_request.notified().await;
+        }
+    };
     tokio::select! {
-        ended = served.as_mut() => return ended.map(|()| false),
-        _ = stop.wait_for(|stop| *stop) => served.as_mut().graceful_shutdown(),
+        biased;
+        ended = served.as_mut() => return ended.map(|()| is_late),
+        () = may_close => served.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         biased;
