--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -185,6 +185,8 @@
     shared: Rc<Shared>,
     /// The body of the last request was not read to its end.
     pub(super) has_unread_body: Cell<bool>,
+    /// The request that is being served may have run.
+    pub(super) may_have_run: Rc<Cell<bool>>,
 }
 
 impl Drop for Connection {
@@ -200,7 +202,8 @@
         let signals = Rc::new(Signals::default());
         shared.callers.signals.borrow_mut().insert(id, signals.clone());
         let shared = shared.clone();
-        Rc::new(Connection { id, signals, shared, has_unread_body: Cell::new(false) })
+        let (has_unread_body, may_have_run) = (Cell::new(false), Rc::default());
+        Rc::new(Connection { id, signals, shared, has_unread_body, may_have_run })
     }
 
     /// Records what the connection does from now on.
@@ -372,14 +375,16 @@
         let (idle_ms, max_head_bytes) = limits.unwrap_or((DEFAULT_IDLE_MS, 0));
         (idle_ms, if max_head_bytes == 0 { DEFAULT_MAX_HEAD_BYTES } else { max_head_bytes })
     };
+    let first_request = Notify::new();
     let service = service_fn(|request| {
         on_request();
+        first_request.notify_one();
         let connection = connection.clone();
         async move {
             connection.enter(Phase::Serving);
             let mut response = ingress::answer(&connection.shared, &connection, request).await;
             connection.enter(Phase::Idle);
-            if connection.shared.control.borrow().stopping {
+            if connection.shared.control.borrow().is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -396,9 +401,19 @@
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let mut stop = shared.stop.subscribe();
+    let is_late = *stop.borrow();
+    let may_close = async {
+        let _stopping = stop.wait_for(|stop| *stop).await;
+        // The caller of a connection that was made during the stop is about to
+        // send a request; closing it would leave that without an answer.
+        if is_late {
+            first_request.notified().await;
+        }
+    };
     tokio::select! {
-        ended = served.as_mut() => return ended.map(|()| false),
-        _ = stop.wait_for(|stop| *stop) => served.as_mut().graceful_shutdown(),
+        biased;
+        ended = served.as_mut() => return ended.map(|()| is_late),
+        () = may_close => served.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         biased;
