Bound all that callers take of a machine together

Callers of several kinds at once, each within its own share, took more memory than the smallest machine has: the shares for requests, answers, connections and samples added up to 181 MB of 130, and those for answers and samples were the same on any machine.

Requests, answers and kept samples share one account beside their own limits, so that their sum is bounded and a single job at the limit still has room on 88 MB. Samples are accepted by other instances too, so that this account sets aside what is kept, counted from what is stored of the jobs. Small answers, which were admitted without end, share a reserve with small bodies.

--- a/crates/hollywell/src/account.rs
+++ b/crates/hollywell/src/account.rs
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 pub struct Account {
     memory: Mutex<Memory>,
+    /// The account that this one is a part of.
+    whole: Option<Arc<Account>>,
     released: Notify,
     /// A body found no room since this was last asked.
     was_short: AtomicBool,
@@ -27,8 +29,20 @@
     /// Creates an account of unused memory.
     #[must_use]
     pub fn new(memory: Memory) -> Arc<Account> {
+        Account::create(memory, None)
+    }
+
+    /// Creates an account of unused memory whose bytes are also charged to
+    /// `whole`.
+    #[must_use]
+    pub fn within(whole: &Arc<Account>, memory: Memory) -> Arc<Account> {
+        Account::create(memory, Some(whole.clone()))
+    }
+
+    fn create(memory: Memory, whole: Option<Arc<Account>>) -> Arc<Account> {
         Arc::new(Account {
             memory: Mutex::new(memory),
+            whole,
             released: Notify::new(),
             was_short: AtomicBool::new(false),
         })
@@ -56,6 +70,31 @@
         self.released.notified()
     }
 
+    /// Sets how much is in use for something that is not charged, in bytes.
+    pub fn set_aside(&self, bytes: usize) {
+        self.memory().set_aside(bytes);
+    }
+
+    fn try_grow(&self, held: usize, more: usize) -> bool {
+        if !self.memory().try_grow(held, more) {
+            self.was_short.store(true, Ordering::Relaxed);
+            return false;
+        }
+        let admits = self.whole.as_ref().is_none_or(|whole| whole.try_grow(held, more));
+        if !admits {
+            self.memory().release(more);
+        }
+        admits
+    }
+
+    fn release(&self, bytes: usize) {
+        self.memory().release(bytes);
+        self.released.notify_waiters();
+        if let Some(whole) = &self.whole {
+            whole.release(bytes);
+        }
+    }
+
     fn memory(&self) -> MutexGuard<'_, Memory> {
         // The memory is consistent between any two statements.
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
@@ -91,11 +130,9 @@
     /// Takes `more` bytes, unless the account has no room for them.
     #[must_use]
     pub fn try_grow(&mut self, more: usize) -> bool {
-        let admits = self.account.memory().try_grow(self.held, more);
+        let admits = self.account.try_grow(self.held, more);
         if admits {
             self.held += more;
-        } else {
-            self.account.was_short.store(true, Ordering::Relaxed);
         }
         admits
     }
@@ -105,8 +142,7 @@
         let excess = self.held.saturating_sub(held);
         if excess > 0 {
             self.held -= excess;
-            self.account.memory().release(excess);
-            self.account.released.notify_waiters();
+            self.account.release(excess);
         }
     }
 
--- a/crates/hollywell/src/core/batch/index.rs
+++ b/crates/hollywell/src/core/batch/index.rs
@@ -11,7 +11,8 @@
 use prost::Message as _;
 
 use super::{
-    Manifest, Outcome, Partial, Record, SEPARATOR, TextRef, manifest_record, partial_text_prefix,
+    Manifest, Outcome, Partial, Record, SEPARATOR, TextRef, kept_bytes, manifest_record,
+    partial_text_prefix,
 };
 use crate::core::capacity::{LIVE_OVERHEAD, LOG_OVERHEAD};
 
@@ -293,6 +294,12 @@
 }
 
 impl Job {
+    /// Memory that the job takes at each instance, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        kept_bytes(self.done.len(), usize::try_from(self.live).unwrap_or(usize::MAX))
+    }
+
     /// Bytes that the job's records occupy in the store once its garbage is
     /// deleted.
     #[must_use]
--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -32,28 +32,36 @@
 pub use text::TextRef;
 
 /// Samples of all jobs that are kept. Every instance keeps the metadata of all
-/// of them, about 500 bytes each.
+/// of them.
 pub const MAX_SAMPLES: usize = 100_000;
-/// Samples of a small job, and the part of [`MAX_SAMPLES`] that only small jobs
-/// may use.
+/// Memory that a kept sample takes beside what is stored of it, in bytes.
+const KEPT_BYTES: usize = 450;
+/// Samples of a small job.
 const SMALL_JOB: usize = 1_000;
-const SMALL_JOBS_RESERVE: usize = MAX_SAMPLES / 10;
 
-/// Whether a job with `more` samples may be accepted while there are `kept`.
+/// Whether a job with `more` samples may be accepted while there are `kept` of at
+/// most `max`. A tenth is for small jobs only.
 ///
 /// # Example
 ///
 /// ```
 /// use hollywell::core::batch::{MAX_SAMPLES, may_keep_samples};
 ///
-/// assert!(may_keep_samples(0, 20_000));
-/// assert!(!may_keep_samples(MAX_SAMPLES - 200, 20_000));
-/// assert!(may_keep_samples(MAX_SAMPLES - 200, 200));
+/// assert!(may_keep_samples(0, 20_000, MAX_SAMPLES));
+/// assert!(!may_keep_samples(MAX_SAMPLES - 200, 20_000, MAX_SAMPLES));
+/// assert!(may_keep_samples(MAX_SAMPLES - 200, 200, MAX_SAMPLES));
 /// ```
 #[must_use]
-pub const fn may_keep_samples(kept: usize, more: usize) -> bool {
-    let reserve = if more <= SMALL_JOB { 0 } else { SMALL_JOBS_RESERVE };
-    kept.saturating_add(more) <= MAX_SAMPLES - reserve
+pub const fn may_keep_samples(kept: usize, more: usize, max: usize) -> bool {
+    let reserve = if more <= SMALL_JOB { 0 } else { max / 10 };
+    kept.saturating_add(more) <= max - reserve
+}
+
+/// Memory that an instance takes to keep samples of which this much is stored,
+/// in bytes: the ids are held twice.
+#[must_use]
+pub const fn kept_bytes(samples: usize, stored: usize) -> usize {
+    samples.saturating_mul(KEPT_BYTES).saturating_add(stored.saturating_mul(2))
 }
 
 /// A request that scores a finished sample.
--- a/crates/hollywell/src/core/memory.rs
+++ b/crates/hollywell/src/core/memory.rs
@@ -30,6 +30,8 @@
     /// Memory for small bodies beyond the limit.
     reserve: usize,
     used: usize,
+    /// Part of the limit that is in use for something else.
+    set_aside: usize,
 }
 
 impl Memory {
@@ -44,7 +46,7 @@
     /// bodies.
     #[must_use]
     pub const fn with_reserve(limit: usize, reserve: usize) -> Memory {
-        Memory { limit, reserve, used: 0 }
+        Memory { limit, reserve, used: 0, set_aside: 0 }
     }
 
     /// The limit, in bytes.
@@ -53,10 +55,15 @@
         self.limit
     }
 
-    /// Bytes in use.
+    /// Bytes in use, with those set aside.
     #[must_use]
     pub const fn used(&self) -> usize {
-        self.used
+        self.used.saturating_add(self.set_aside)
+    }
+
+    /// Sets how much of the limit is in use for something else, in bytes.
+    pub const fn set_aside(&mut self, bytes: usize) {
+        self.set_aside = bytes;
     }
 
     /// Admits `more` bytes of a body that has `held` so far. Returns false if
@@ -64,7 +71,8 @@
     #[must_use]
     pub fn try_grow(&mut self, held: usize, more: usize) -> bool {
         let is_small = held.saturating_add(more) <= SMALL;
-        let limit = self.limit.saturating_add(if is_small { self.reserve } else { 0 });
+        let limit = self.limit.saturating_sub(self.set_aside);
+        let limit = limit.saturating_add(if is_small { self.reserve } else { 0 });
         let admits = self.used.saturating_add(more) <= limit;
         if admits {
             self.used = self.used.saturating_add(more);
--- a/crates/hollywell/src/entry/connection.rs
+++ b/crates/hollywell/src/entry/connection.rs
@@ -140,7 +140,8 @@
             })
         };
         // Answers that are not read hold the memory that others need.
-        let is_short = shared.response_memory.take_shortage();
+        let is_short =
+            shared.response_memory.take_shortage() | shared.caller_memory.take_shortage();
         let blocked_ms = if is_short { BLOCKED_MS } else { blocked_ms };
         let overdue = self.state.borrow_mut().overdue(shared.now(), head_ms, blocked_ms);
         for id in overdue {
--- a/crates/hollywell/src/entry/intake.rs
+++ b/crates/hollywell/src/entry/intake.rs
@@ -79,9 +79,12 @@
         }
         if !shared.callers.give_up_body(shared.now(), connection) {
             log::info!(
-                "no room for {more} bytes of a request: {} of {} bytes are in use",
+                "no room for {more} bytes of a request: {} of {} bytes are in use by requests, {} of \
+                 {} by all",
                 shared.request_memory.used(),
-                shared.request_memory.limit()
+                shared.request_memory.limit(),
+                shared.caller_memory.used(),
+                shared.caller_memory.limit()
             );
             return Err(Kind::NoMemory);
         }
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -51,7 +51,7 @@
         settings::{Settings, Store},
         shared::{Control, JOB_PARTITIONS, JobPartition, Shared},
         store::Client,
-        suspects,
+        submission, suspects,
         texts::TextCache,
         usage,
     },
@@ -76,10 +76,6 @@
 /// health checks, one per second, and the requests that overlap with them.
 const DRAIN_TIME: Duration = Duration::from_millis(2_300);
 
-/// Memory for responses of plain services that are being read, in bytes; also the
-/// limit on one of them.
-const MAX_RESPONSE_MEMORY: usize = 32 << 20;
-
 /// What an adapter provides for its platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Adapter {
@@ -141,6 +137,7 @@
         stopping: false,
     };
     let limits = limits(settings.machine);
+    let caller_memory = Account::new(limits.caller_memory());
     let codec = (adapter.codec)();
     let pool = Pool::checking(codec.headers.request_id.clone());
     let store = (adapter.store)(pool.clone(), &settings.store);
@@ -152,11 +149,10 @@
         relay: Relay::default(),
         store,
         pool,
-        request_memory: Account::new(Memory::with_reserve(
-            limits.request_bytes,
-            limits.small_request_bytes,
-        )),
-        response_memory: Account::new(Memory::new(MAX_RESPONSE_MEMORY)),
+        request_memory: Account::within(&caller_memory, Memory::new(limits.request_bytes)),
+        response_memory: Account::within(&caller_memory, Memory::new(limits.response_bytes)),
+        caller_memory,
+        max_samples: limits.samples,
         callers: Connections::new(limits.connections),
         clock: Clock::start(),
         instance_id,
@@ -291,6 +287,7 @@
         if last_sweep.elapsed() > SWEEP_INTERVAL {
             last_sweep = tokio::time::Instant::now();
             shared.pool.sweep();
+            submission::set_aside_kept(&shared);
             shared.callers.close_overdue(&shared);
             shared.relay.expire(now);
             suspects::expire(&shared);
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -233,10 +233,14 @@
     pub relay: Relay,
     /// Connections to targets and peers.
     pub pool: Rc<Pool>,
+    /// Memory of callers' requests, of answers and of kept samples together.
+    pub caller_memory: Arc<Account>,
     /// Memory of callers' requests.
     pub request_memory: Arc<Account>,
     /// Memory of the plain services' responses.
     pub response_memory: Arc<Account>,
+    /// Maximum number of samples of all jobs that are kept.
+    pub max_samples: usize,
     /// Callers' connections.
     pub callers: Connections,
     /// The process's clock.
--- a/crates/hollywell/src/entry/submission.rs
+++ b/crates/hollywell/src/entry/submission.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    account::Charge,
     core::{
         batch::{self, Manifest, MayArrive, Submission},
         capacity::Purpose,
@@ -104,9 +105,10 @@
     {
         return JobReply::Late(retry_after_ms);
     }
-    if let Err(retry_after_ms) = admit_samples(shared, job, submission.samples.len()) {
-        return JobReply::TooManySamples(retry_after_ms);
-    }
+    let _charge = match admit_samples(shared, job, submission.samples.len(), metadata_bytes) {
+        Ok(charge) => charge,
+        Err(retry_after_ms) => return JobReply::TooManySamples(retry_after_ms),
+    };
     if let Err(retry_after_ms) = capacity::admit(shared, submission) {
         return store_full(shared, job, retry_after_ms);
     }
@@ -154,20 +156,41 @@
     JobReply::Malformed(format!("the job's metadata has {bytes} bytes, the limit is {max_bytes}"))
 }
 
+/// The samples that all instances keep, and the memory that they take here, in
+/// bytes.
+fn kept(shared: &Shared) -> (usize, usize) {
+    let control = shared.control.borrow();
+    let jobs = control.partitions.iter().flat_map(|partition| partition.index.jobs.values());
+    jobs.fold((0, 0), |(samples, bytes), job| {
+        (samples + job.done.len(), bytes + job.memory_bytes())
+    })
+}
+
+/// Sets the memory of kept samples aside. They are accepted by all instances, so
+/// that this one can't refuse them.
+pub(super) fn set_aside_kept(shared: &Shared) {
+    shared.caller_memory.set_aside(kept(shared).1);
+}
+
 /// Decides whether the samples of a job may be accepted beside those that all
-/// instances keep.
+/// instances keep, and takes memory for them until they are among those.
 ///
 /// # Errors
 ///
 /// When the caller may come back, in milliseconds.
-fn admit_samples(shared: &Shared, job: &str, more: usize) -> Result<(), u64> {
-    let kept: usize = {
-        let control = shared.control.borrow();
-        let jobs = control.partitions.iter().flat_map(|partition| partition.index.jobs.values());
-        jobs.map(|job| job.done.len()).sum()
-    };
-    if batch::may_keep_samples(kept, more) {
-        return Ok(());
+fn admit_samples(
+    shared: &Shared,
+    job: &str,
+    more: usize,
+    metadata_bytes: usize,
+) -> Result<Charge, u64> {
+    let (kept, kept_bytes) = kept(shared);
+    shared.caller_memory.set_aside(kept_bytes);
+    let mut charge = Charge::new(&shared.caller_memory);
+    if batch::may_keep_samples(kept, more, shared.max_samples)
+        && charge.try_grow(batch::kept_bytes(more, metadata_bytes))
+    {
+        return Ok(charge);
     }
     log::info!("job {job} refused: {kept} samples are kept, it has {more}");
     shared.meters.jobs_without_memory.inc();
--- a/crates/hollywell/tests/memory.rs
+++ b/crates/hollywell/tests/memory.rs
@@ -7,7 +7,10 @@
     arbitrary::{self, Unstructured},
     arbtest,
 };
-use hollywell::core::memory::Memory;
+use hollywell::{
+    account::{Account, Charge},
+    core::memory::Memory,
+};
 
 /// Number of generated schedules, with fixed seeds.
 const SCHEDULES: u64 = 500;
@@ -80,3 +83,23 @@
     }
     Ok(())
 }
+
+#[test]
+fn parts_of_an_account_take_more_than_the_whole() {
+    let whole = Account::new(Memory::with_reserve(LIMIT, SMALL));
+    let parts = [LIMIT, LIMIT / 2].map(|limit| Account::within(&whole, Memory::new(limit)));
+    let mut charges = parts.each_ref().map(Charge::new);
+    assert!(charges[0].try_grow(LIMIT / 4));
+    assert!(!charges[1].try_grow(LIMIT * 3 / 4), "over its own limit");
+    assert!(charges[1].try_grow(LIMIT / 2));
+    assert!(!charges[0].try_grow(LIMIT / 2), "over the limit of both");
+    assert!(whole.take_shortage() && !parts[0].take_shortage());
+    assert_eq!((parts[0].used(), parts[1].used()), (LIMIT / 4, LIMIT / 2));
+    whole.set_aside(LIMIT / 4);
+    assert!(!charges[0].try_grow(1), "the rest is set aside");
+    assert!(Charge::new(&parts[0]).try_grow(SMALL), "a small body is refused");
+    drop(charges);
+    assert_eq!(whole.used(), LIMIT / 4);
+    whole.set_aside(0);
+    assert_eq!((whole.used(), parts[0].used(), parts[1].used()), (0, 0, 0));
+}
