Limit connections of monitors and peers

600 connections to the listener of readiness, metrics or peers used up the descriptors: with 456 allowed an ordinary caller got no answer within 10 s. A peer's message that stopped before its end kept its connection for good.

Each of these listeners has a limit from core/machine.rs, and the connection that has been without a request for longest makes room. A message has to arrive within the time after which its sender gives up.

--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -35,6 +35,7 @@
 pub mod jobs;
 pub mod lease;
 pub mod lines;
+mod listener;
 pub mod member;
 pub mod meters;
 pub mod orders;
--- a/crates/hollywell/src/entry/peers.rs
+++ b/crates/hollywell/src/entry/peers.rs
@@ -4,38 +4,28 @@
 //! that exists anyway. gRPC, which is used between `serve` instances, would add
 //! a second server to a process whose memory is priced.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use rand::seq::IndexedRandom as _;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::{net::TcpListener, time::timeout};
 
 use crate::{
     core::roster,
     entry::{
-        configuration, departures, ends, exchange::IncomingResponse, feed, member, relay,
+        configuration, departures, ends, exchange::IncomingResponse, feed, listener, member, relay,
         shared::Shared, suspects, usage,
     },
 };
 
-/// Idle timeout of a peer's connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Timeout of a message to a peer. An unconfirmed message is sent again
 /// by the modules that need the confirmation.
 const POST_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a peer's message, and of the response to one, in bytes: some
 /// hundred ids.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
-/// Delay after a failed accept.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// Sends a message to a member of the group.
 ///
@@ -113,29 +103,8 @@
 
 /// Serves peers until the process ends.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(shared.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!("accepting a peer's connection: {error}");
-                sleep(ACCEPT_RETRY).await;
-            }
-        }
-    }
-}
-
-async fn connection(shared: Rc<Shared>, stream: TcpStream) {
-    let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(respond(&shared, request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
-        log::debug!("a peer's connection ended: {error}");
-    }
+    let limit = shared.limits.peer_connections;
+    listener::serve(shared, listener, limit, respond).await;
 }
 
 async fn respond(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -176,11 +145,17 @@
     T: prost::Message + Default,
 {
     let path = request.uri().path().to_owned();
+    // The sender gives up after that.
     let body =
-        Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await.map_err(|error| {
-            log::info!("a peer's message on {path} was cut short: {error}");
-            StatusCode::BAD_REQUEST
-        })?;
+        timeout(POST_TIMEOUT, Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect());
+    let body = body.await.map_err(|_| {
+        log::info!("a peer's message on {path} did not arrive in time");
+        StatusCode::REQUEST_TIMEOUT
+    })?;
+    let body = body.map_err(|error| {
+        log::info!("a peer's message on {path} was cut short: {error}");
+        StatusCode::BAD_REQUEST
+    })?;
     T::decode(body.to_bytes()).map_err(|error| {
         log::warn!("a peer's message on {path} cannot be decoded: {error}");
         StatusCode::BAD_REQUEST
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -9,8 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use nix::sys::resource::{Resource, getrlimit};
 use tokio::{
     net::TcpListener,
@@ -42,7 +41,7 @@
         departures, duties, ends,
         exchange::Pool,
         feed::Feed,
-        follow, garbage, hints, ingress, member,
+        follow, garbage, hints, ingress, listener, member,
         meters::Meters,
         orders, outbox, peers,
         reader::Reader,
@@ -152,7 +151,7 @@
         request_memory: Account::within(&caller_memory, Memory::new(limits.request_bytes)),
         response_memory: Account::within(&caller_memory, Memory::new(limits.response_bytes)),
         caller_memory,
-        max_samples: limits.samples,
+        limits,
         callers: Connections::new(limits.connections),
         clock: Clock::start(),
         instance_id,
@@ -311,25 +310,7 @@
     listener: TcpListener,
     answer: fn(&Shared) -> hyper::Response<Full<Bytes>>,
 ) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("failed to accept a connection: {error}");
-                tokio::time::sleep(TICK).await;
-                continue;
-            }
-        };
-        let shared = shared.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_: hyper::Request<Incoming>| {
-                let response = answer(&shared);
-                async move { Ok::<_, std::convert::Infallible>(response) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("a connection failed: {error}");
-            }
-        });
-    }
+    let limit = shared.limits.monitor_connections;
+    let respond = async move |shared: &Rc<Shared>, _: hyper::Request<Incoming>| answer(shared);
+    listener::serve(shared, listener, limit, respond).await;
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -29,6 +29,7 @@
         group::GroupSize,
         hedge,
         inquiry::Inquiry,
+        machine::Limits,
         permit::Permits,
         poison,
         roster::Roster,
@@ -239,8 +240,8 @@
     pub request_memory: Arc<Account>,
     /// Memory of the plain services' responses.
     pub response_memory: Arc<Account>,
-    /// Maximum number of samples of all jobs that are kept.
-    pub max_samples: usize,
+    /// What others may take of the machine.
+    pub limits: Limits,
     /// Callers' connections.
     pub callers: Connections,
     /// The process's clock.
--- a/crates/hollywell/src/entry/submission.rs
+++ b/crates/hollywell/src/entry/submission.rs
@@ -187,7 +187,7 @@
     let (kept, kept_bytes) = kept(shared);
     shared.caller_memory.set_aside(kept_bytes);
     let mut charge = Charge::new(&shared.caller_memory);
-    if batch::may_keep_samples(kept, more, shared.max_samples)
+    if batch::may_keep_samples(kept, more, shared.limits.samples)
         && charge.try_grow(batch::kept_bytes(more, metadata_bytes))
     {
         return Ok(charge);
