--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -9,8 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use nix::sys::resource::{Resource, getrlimit};
 use tokio::{
     net::TcpListener,
@@ -44,7 +43,7 @@
         departures, duties, ends,
         exchange::Pool,
         feed::Feed,
-        follow, garbage, hints, ingress, instances, member,
+        follow, garbage, hints, ingress, instances, listener, member,
         meters::Meters,
         orders, outbox, peers,
         reader::Reader,
@@ -53,7 +52,7 @@
         settings::{Settings, Store},
         shared::{Control, JOB_PARTITIONS, JobPartition, Shared},
         store::Client,
-        suspects,
+        submission, suspects,
         texts::TextCache,
         usage,
     },
@@ -75,10 +74,6 @@
 /// health checks, one per second, and the requests that overlap with them.
 const DRAIN_TIME: Duration = Duration::from_millis(2_300);
 
-/// Memory for responses of plain services that are being read, in bytes; also the
-/// limit on one of them.
-const MAX_RESPONSE_MEMORY: usize = 32 << 20;
-
 /// What an adapter provides for its platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Adapter {
@@ -141,6 +136,7 @@
         shutdown: None,
     };
     let limits = limits(settings.machine);
+    let caller_memory = Account::new(limits.caller_memory());
     let codec = (adapter.codec)();
     let pool = Pool::checking(codec.headers.request_id.clone());
     let store = (adapter.store)(pool.clone(), &settings.store);
@@ -152,11 +148,10 @@
         relay: Relay::default(),
         store,
         pool,
-        request_memory: Account::new(Memory::with_reserve(
-            limits.request_bytes,
-            limits.small_request_bytes,
-        )),
-        response_memory: Account::new(Memory::new(MAX_RESPONSE_MEMORY)),
+        request_memory: Account::within(&caller_memory, Memory::new(limits.request_bytes)),
+        response_memory: Account::within(&caller_memory, Memory::new(limits.response_bytes)),
+        caller_memory,
+        limits,
         callers: Connections::new(limits.connections),
         clock: Clock::start(),
         instance_id,
@@ -292,6 +287,7 @@
         if last_sweep.elapsed() > SWEEP_INTERVAL {
             last_sweep = tokio::time::Instant::now();
             shared.pool.sweep();
+            submission::set_aside_kept(&shared);
             shared.callers.close_overdue(&shared);
             shared.relay.expire(now);
             suspects::expire(&shared);
@@ -315,25 +311,7 @@
     listener: TcpListener,
     answer: fn(&Shared) -> hyper::Response<Full<Bytes>>,
 ) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("failed to accept a connection: {error}");
-                tokio::time::sleep(TICK).await;
-                continue;
-            }
-        };
-        let shared = shared.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_: hyper::Request<Incoming>| {
-                let response = answer(&shared);
-                async move { Ok::<_, std::convert::Infallible>(response) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("a connection failed: {error}");
-            }
-        });
-    }
+    let limit = shared.limits.monitor_connections;
+    let respond = async move |shared: &Rc<Shared>, _: hyper::Request<Incoming>| answer(shared);
+    listener::serve(shared, listener, limit, respond).await;
 }
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -30,6 +30,7 @@
         hedge,
         inquiry::Inquiry,
         instances::Instances,
+        machine::Limits,
         permit::Permits,
         poison,
         roster::Roster,
@@ -249,10 +250,14 @@
     pub relay: Relay,
     /// Connections to targets and peers.
     pub pool: Rc<Pool>,
+    /// Memory of callers' requests, of answers and of kept samples together.
+    pub caller_memory: Arc<Account>,
     /// Memory of callers' requests.
     pub request_memory: Arc<Account>,
     /// Memory of the plain services' responses.
     pub response_memory: Arc<Account>,
+    /// What others may take of the machine.
+    pub limits: Limits,
     /// Callers' connections.
     pub callers: Connections,
     /// The process's clock.
