Limit the load reports that serve reads of engines

A faulty engine that answered the poll of its load with bytes without end could take the memory of an instance of `serve`: a report was read like a page of the platform's log, of up to 64 MB, and again at each interval while earlier reads went on.

--- a/crates/hollywell/src/platform.rs
+++ b/crates/hollywell/src/platform.rs
@@ -33,6 +33,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Maximum size of a response of the platform, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Maximum size of an engine's load report, in bytes.
+const MAX_LOAD_BYTES: usize = 64 << 10;
 /// Maximum number of records per read.
 const PAGE_RECORDS: usize = 1_000;
 
@@ -185,6 +187,6 @@
 }
 
 async fn read_load(client: &Client, address: &str) -> Result<Load, Error> {
-    let response = client.get(address, "/load", MAX_RESPONSE_BYTES, EXCHANGE_TIMEOUT).await?;
+    let response = client.get(address, "/load", MAX_LOAD_BYTES, EXCHANGE_TIMEOUT).await?;
     serde_json::from_slice(response.body()).map_err(|error| Error::Broken(error.to_string()))
 }
