Share the memory of what serve reads of its targets

Endless answers of faulty targets could take the memory of an instance of `serve`: each body and each stream had a limit (4 MB; 16 MB of text and 1 MB of a line), but all of them together had none.

Seen with crates/hollywell/tests/endless.rs on the code before, each test in a process of its own with 128 exchanges: bodies 556 MB, sound events 2,081 MB, lines without end 212 MB, where the smallest machine has 130.

All that a client reads at once now shares 32 MB, or the limit on one body if that is more; the first 64 KB of each are always admitted, as in `enter`. A stream is charged for its text, its versions and the incomplete line. What finds no room is treated as a broken exchange. Bodies grow by an eighth, so that they take what is charged. Heads are limited to 64 KB too; their test passed before. Clients of the platform and the command line, which read one response at a time, keep their 64 MB.

--- a/crates/hollywell/src/body.rs
+++ b/crates/hollywell/src/body.rs
@@ -1,4 +1,4 @@
-//! Reads the body of a request into memory that is accounted for.
+//! Reads bodies into memory that is accounted for.
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -10,6 +10,19 @@
 /// doubled as the body grows.
 const INITIAL_CAPACITY: usize = 8 << 10;
 
+/// Part of its length by which a body that is collected grows at least, as a
+/// divisor.
+const GROWTH_DIVISOR: usize = 8;
+
+/// Appends to a body that is collected. A vector that doubles would take up to
+/// three times the bytes that are accounted for while it grows.
+pub(crate) fn append(body: &mut Vec<u8>, data: &[u8]) {
+    if body.capacity() - body.len() < data.len() {
+        body.reserve_exact(data.len().max(body.len() / GROWTH_DIVISOR));
+    }
+    body.extend_from_slice(data);
+}
+
 /// Reads a body of at most `limit` bytes. `take` charges memory before it is
 /// used: for the announced length if there is one, else as the body grows. The
 /// charge is released with the last copy of the bytes.
--- a/crates/hollywell/src/cli/ask.rs
+++ b/crates/hollywell/src/cli/ask.rs
@@ -37,7 +37,7 @@
             .build()
             .map_err(Failure::run)?;
         let address = args.get_one::<String>("at").cloned().unwrap_or_default();
-        Ok(AdminClient { runtime, client: Client::new(), address })
+        Ok(AdminClient { runtime, client: Client::with_memory(MAX_RESPONSE_BYTES), address })
     }
 
     pub(super) fn get(&self, path: &str) -> Result<Response<Bytes>, Failure> {
--- a/crates/hollywell/src/engine.rs
+++ b/crates/hollywell/src/engine.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use crate::{
+    account::Charge,
     core::{effect::Order, id::Dispatch, rollout::End, time::Time},
     http::{Client, Error, build, uri},
     traffic::registry::Prompt,
@@ -92,12 +93,12 @@
         if !response.status().is_success() {
             return Err(End::Refused);
         }
-        read_stream(response.into_body()).await
+        read_stream(response.into_body(), client.charge()).await
     };
     tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(End::Broken))
 }
 
-async fn read_stream(mut body: Incoming) -> Result<Sample, End> {
+async fn read_stream(mut body: Incoming, mut charge: Charge) -> Result<Sample, End> {
     let mut reader = Reader::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| End::Broken)?;
@@ -105,6 +106,12 @@
             continue;
         };
         reader.push(data)?;
+        let held = reader.held();
+        charge.shrink_to(held);
+        if !charge.try_grow(held - charge.held()) {
+            log::info!("no memory for a stream of an engine after {held} bytes");
+            return Err(End::Broken);
+        }
         if reader.done {
             return reader.finish();
         }
@@ -153,6 +160,12 @@
         }
     }
 
+    /// Memory that it takes, in bytes.
+    fn held(&self) -> usize {
+        let versions = self.sample.versions.capacity() * size_of::<u64>();
+        self.pending.capacity() + self.sample.text.capacity() + versions
+    }
+
     fn parse_line(&mut self, line: &str) -> Result<(), End> {
         let Some(data) = line.strip_prefix("data:").map(str::trim) else {
             return Ok(());
--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -37,6 +37,7 @@
 
 use crate::{
     account::{Account, Charge},
+    body,
     clock::since_boot,
 };
 
@@ -51,9 +52,6 @@
 /// Fraction of the peer's idle timeout after which a pooled connection is no
 /// longer used, so that a request does not race with the peer's close.
 const IDLE_FRACTION: f64 = 0.7;
-/// Part of its length by which a body that is collected grows at least, as a
-/// divisor.
-const GROWTH_DIVISOR: usize = 8;
 /// How long a connection is pooled that was opened but not used.
 const UNUSED_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a byte from an address after which a pooled connection that is
@@ -510,15 +508,6 @@
     }
 }
 
-/// Appends to a body that is collected. A vector that doubles would take up to
-/// three times the bytes that are accounted for while it grows.
-fn append(body: &mut Vec<u8>, data: &[u8]) {
-    if body.capacity() - body.len() < data.len() {
-        body.reserve_exact(data.len().max(body.len() / GROWTH_DIVISOR));
-    }
-    body.extend_from_slice(data);
-}
-
 impl IncomingResponse {
     /// The value of a header, if it is present and text.
     #[must_use]
@@ -615,9 +604,9 @@
                 None => first = Some(data),
                 Some(start) => {
                     if rest.is_empty() {
-                        append(&mut rest, start);
+                        body::append(&mut rest, start);
                     }
-                    append(&mut rest, &data);
+                    body::append(&mut rest, &data);
                 }
             }
         }
--- a/crates/hollywell/src/http.rs
+++ b/crates/hollywell/src/http.rs
@@ -5,16 +5,28 @@
 //! new connection fails, the request was certainly not sent. The cost is one
 //! round trip per exchange.
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::{
     client::legacy::{Client as HyperClient, connect::HttpConnector},
     rt::TokioExecutor,
 };
 
+use crate::{
+    account::{Account, Charge},
+    body,
+    core::memory::Memory,
+};
+
+/// Memory for the responses that a client reads at once unless it is set, in
+/// bytes: a quarter of the smallest machine.
+pub const RESPONSE_BYTES: usize = 32 << 20;
+/// Maximum size of a response's head, and of what is read of a body at a time,
+/// in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Timeout of connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -48,6 +60,8 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: HyperClient<HttpConnector, Full<Bytes>>,
+    /// Memory of all responses that are being read; clones share it.
+    memory: Arc<Account>,
 }
 
 impl Default for Client {
@@ -60,14 +74,27 @@
     /// Creates a client. It must be used within a tokio runtime.
     #[must_use]
     pub fn new() -> Client {
+        Client::with_memory(RESPONSE_BYTES)
+    }
+
+    /// Creates a client with this many bytes of memory for all responses that it
+    /// reads at once. It must be used within a tokio runtime.
+    #[must_use]
+    pub fn with_memory(bytes: usize) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let inner = HyperClient::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_BUFFER_BYTES)
             .build(connector);
-        Client { inner }
+        Client { inner, memory: Account::new(Memory::new(bytes)) }
+    }
+
+    /// A part of the memory for responses that are being read.
+    pub(crate) fn charge(&self) -> Charge {
+        Charge::new(&self.memory)
     }
 
     /// Sends a request and returns the response with its body unread.
@@ -99,16 +126,30 @@
     ) -> Result<Response<Bytes>, Error> {
         let exchange = async {
             let (head, body) = self.open(request).await?.into_parts();
-            let collected = Limited::new(body, limit).collect().await;
-            let bytes = collected.map_err(|error| match error.is::<LengthLimitError>() {
-                true => Error::TooLarge(limit),
-                false => Error::Broken(error.to_string()),
-            })?;
-            Ok(Response::from_parts(head, bytes.to_bytes()))
+            Ok(Response::from_parts(head, self.read(body, limit).await?))
         };
         tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(Error::TimedOut))
     }
 
+    async fn read(&self, mut body: Incoming, limit: usize) -> Result<Bytes, Error> {
+        let (mut bytes, mut charge) = (Vec::new(), self.charge());
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if bytes.len() + data.len() > limit {
+                return Err(Error::TooLarge(limit));
+            }
+            if !charge.try_grow(data.len()) {
+                let why = format!("no memory after {} bytes of the body", bytes.len());
+                return Err(Error::Broken(why));
+            }
+            body::append(&mut bytes, &data);
+        }
+        Ok(bytes.into())
+    }
+
     /// Sends a GET request for `path` to `address`.
     ///
     /// # Errors
--- a/crates/hollywell/src/platform.rs
+++ b/crates/hollywell/src/platform.rs
@@ -63,7 +63,7 @@
 
 /// Follows the log from its oldest record for as long as the process runs.
 pub async fn follow_log(platform: Platform, control: Handle, clock: Clock) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     let mut from = 0;
     loop {
         let sent = clock.now();
@@ -140,7 +140,7 @@
 
 /// Polls the list of instances and targets for as long as the process runs.
 pub async fn follow_list(platform: Platform, control: Handle) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     loop {
         match get::<ListPage>(&client, platform.list, "/list", EXCHANGE_TIMEOUT).await {
             Ok(page) => control.send(Event::Listed(page.entries)).await,
@@ -153,7 +153,7 @@
 /// Polls the newest version of each trainer in the table for as long as the process
 /// runs.
 pub async fn follow_versions(platform: Platform, control: Handle) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     loop {
         let view = control.view();
         for trainer in view.versions.keys() {
@@ -170,7 +170,7 @@
 
 /// Polls the load of all engines for as long as the process runs.
 pub async fn follow_load(platform: Platform, control: Handle) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     loop {
         let view = control.view();
         let engines = view.targets.iter().filter(|target| target.kind == Kind::Engine);
--- a/crates/hollywell/tests/endless.rs
+++ b/crates/hollywell/tests/endless.rs
@@ -15,23 +15,32 @@
     control::{self, Options},
     core::{
         event::Event,
-        id::Instance,
+        id::{Dispatch, Instance},
         member::{Kind, Listed},
         reducer::Config,
+        time::Time,
     },
+    engine::{self, GenerateRequest},
+    http::Client,
     metrics::Metrics,
-    platform,
+    platform, service,
     settings::Platform,
+    traffic::registry::{BufferedRequest, Prompt},
 };
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
+    task::JoinSet,
     time::sleep,
 };
 
 /// Memory of the smallest machines, in MB.
 const MACHINE_MB: u64 = 130;
+/// Exchanges with the endless target at once.
+const EXCHANGES: usize = 128;
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// Limit on the body of one response, in bytes.
+const BODY_BYTES: usize = 4 << 20;
 /// Most bytes that are sent on one connection.
 const MAX_SENT: usize = 128 << 20;
 
@@ -89,6 +98,74 @@
     assert!(peak < MACHINE_MB, "the process has used {peak} MB");
 }
 
+async fn call_all(start_of: &'static str, part: &str) {
+    let address = start(start_of, part.repeat(64)).await;
+    let client = Client::new();
+    let mut calls = JoinSet::new();
+    for _ in 0..EXCHANGES {
+        let (client, address) = (client.clone(), address.clone());
+        calls.spawn(async move {
+            let request = BufferedRequest {
+                method: http::Method::GET,
+                path: String::from("/x"),
+                headers: http::HeaderMap::new(),
+                body: bytes::Bytes::new(),
+            };
+            let sent = service::send(&client, &address, &request, BODY_BYTES, TIMEOUT).await;
+            sent.response.is_none()
+        });
+    }
+    assert!(calls.join_all().await.into_iter().all(|is_failed| is_failed));
+}
+
+// Each response had a limit, but all of them together had none.
+#[test]
+fn endless_bodies_of_services_take_the_memory() {
+    alone(
+        "endless_bodies_of_services_take_the_memory",
+        call_all("HTTP/1.1 200 OK\r\n\r\n", &"x".repeat(1_024)),
+    );
+}
+
+// What is buffered of each connection is limited, in a head too.
+#[test]
+fn endless_heads_of_services_take_the_memory() {
+    alone(
+        "endless_heads_of_services_take_the_memory",
+        call_all("HTTP/1.1 200 OK\r\nx-more: ", &"x".repeat(1_024)),
+    );
+}
+
+async fn generate_all(part: &str) {
+    let address = start("HTTP/1.1 200 OK\r\n\r\n", part.repeat(64)).await;
+    let client = Client::new();
+    let mut streams = JoinSet::new();
+    for n in 0..EXCHANGES {
+        let (client, address) = (client.clone(), address.clone());
+        streams.spawn(async move {
+            let dispatch = Dispatch(n as u64);
+            let request = GenerateRequest { dispatch, address, priority: 0, deadline: Time(0) };
+            let prompt = Prompt { text: String::from("x"), max_tokens: 10 };
+            engine::generate(&client, &request, "t", &prompt, TIMEOUT).await.is_err()
+        });
+    }
+    assert!(streams.join_all().await.into_iter().all(|is_failed| is_failed));
+}
+
+// Each event is sound, but there is no end of them.
+#[test]
+fn endless_events_of_engines_take_the_memory() {
+    let text = "x".repeat(1_000);
+    let event = format!(r#"{{"choices":[{{"text":"{text}"}}],"weight_version":4}}"#);
+    let part = format!("data: {event}\n\n");
+    alone("endless_events_of_engines_take_the_memory", generate_all(&part));
+}
+
+#[test]
+fn endless_lines_of_engines_take_the_memory() {
+    alone("endless_lines_of_engines_take_the_memory", generate_all(&"x".repeat(1_024)));
+}
+
 // The load of an engine was read like a page of the log, of up to 64 MB, and
 // again each interval while earlier reads went on.
 #[test]
