--- a/crates/hollywell/src/platform.rs
+++ b/crates/hollywell/src/platform.rs
@@ -33,6 +33,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Maximum size of a response of the platform, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Maximum size of an engine's load report, in bytes.
+const MAX_LOAD_BYTES: usize = 64 << 10;
 /// Maximum number of records per read.
 const PAGE_RECORDS: usize = 1_000;
 
@@ -61,7 +63,7 @@
 
 /// Follows the log from its oldest record for as long as the process runs.
 pub async fn follow_log(platform: Platform, control: Handle, clock: Clock) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     let mut from = 0;
     loop {
         let sent = clock.now();
@@ -138,7 +140,7 @@
 
 /// Polls the list of instances and targets for as long as the process runs.
 pub async fn follow_list(platform: Platform, control: Handle) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     loop {
         match get::<ListPage>(&client, platform.list, "/list", EXCHANGE_TIMEOUT).await {
             Ok(page) => control.send(Event::Listed(page.entries)).await,
@@ -151,7 +153,7 @@
 /// Polls the newest version of each trainer in the table for as long as the process
 /// runs.
 pub async fn follow_versions(platform: Platform, control: Handle) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     loop {
         let view = control.view();
         for trainer in view.versions.keys() {
@@ -168,7 +170,7 @@
 
 /// Polls the load of all engines for as long as the process runs.
 pub async fn follow_load(platform: Platform, control: Handle) {
-    let client = Client::new();
+    let client = Client::with_memory(MAX_RESPONSE_BYTES);
     loop {
         let view = control.view();
         let engines = view.targets.iter().filter(|target| target.kind == Kind::Engine);
@@ -185,6 +187,6 @@
 }
 
 async fn read_load(client: &Client, address: &str) -> Result<Load, Error> {
-    let response = client.get(address, "/load", MAX_RESPONSE_BYTES, EXCHANGE_TIMEOUT).await?;
+    let response = client.get(address, "/load", MAX_LOAD_BYTES, EXCHANGE_TIMEOUT).await?;
     serde_json::from_slice(response.body()).map_err(|error| Error::Broken(error.to_string()))
 }
