Tell why the end of a job is not stored, and for how long

Neither the log nor the metrics of an instance told whether the store had no room, refused calls for its rate or for a partition's queue, did not answer, or was not asked at all: 429 and 503 were one error, and an end that cannot be appended, as its job is unread or unknown, left no line.

429 and 503 are errors of their own, the reducer keeps the history of each end, and reports an end that is not stored after 2 s, then at each doubling of its age. Two gauges give the number of such ends and the age of the oldest by reason, one the requests that still read whether their job exists.

In tests/ending.rs, Event::Failed carries the cause in place of whether the append was refused; the expectations are the same.

--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -19,7 +19,10 @@
 //! The calls themselves, and what the end of a job means to others, are handled
 //! elsewhere ([`crate::core::dispatch`], [`crate::core::batch`]).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +63,126 @@
 /// the store accepts nothing.
 const MAX_PENDING: usize = 4_096;
 
+/// Age in milliseconds from which an end that is not stored is reported, by the
+/// instance that received the request: an end may take seconds, and most take
+/// milliseconds. It is reported again each time its age has doubled.
+const OVERDUE_MS: u64 = 2_000;
+/// The same for an instance that was notified: if the one that received the
+/// request is lost, some other has to report it.
+const NOTIFIED_OVERDUE_MS: u64 = 16_000;
+
+/// Why an append of an end failed. The names in logs and metrics are given by
+/// [`Failure::as_str`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Failure {
+    /// The store has no capacity left.
+    Full,
+    /// All callers together made too many calls.
+    RateLimited,
+    /// The store, or the partition, was down or had too many calls waiting.
+    Unavailable,
+    /// The store was not reached.
+    NotSent,
+    /// No response arrived; the store may have appended the end.
+    NoResponse,
+    /// The response cannot be decoded.
+    Malformed,
+}
+
+impl Failure {
+    /// The name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Failure::Full => "full",
+            Failure::RateLimited => "rate",
+            Failure::Unavailable => "unavailable",
+            Failure::NotSent => "not_sent",
+            Failure::NoResponse => "no_response",
+            Failure::Malformed => "malformed",
+        }
+    }
+
+    /// Whether the store certainly did nothing; if not, it may have appended
+    /// the end.
+    const fn is_refusal(self) -> bool {
+        !matches!(self, Failure::NoResponse)
+    }
+}
+
+/// Why an end is not stored. The names in logs and metrics are given by
+/// [`Reason::as_str`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Reason {
+    /// The last append failed.
+    Failed(Failure),
+    /// The first append is in flight.
+    InFlight,
+    /// No append was made yet: instances that were notified append later.
+    Waiting,
+    /// No append is made: the partition has not been read here.
+    Unread,
+    /// No append is made: the job is not known here.
+    Unknown,
+}
+
+impl Reason {
+    /// The name in logs and metrics.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hollywell::core::ending::{Failure, Reason};
+    ///
+    /// assert_eq!(Reason::Failed(Failure::RateLimited).as_str(), "rate");
+    /// ```
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Reason::Failed(failure) => failure.as_str(),
+            Reason::InFlight => "in_flight",
+            Reason::Waiting => "waiting",
+            Reason::Unread => "unread",
+            Reason::Unknown => "unknown",
+        }
+    }
+}
+
+/// Pending ends that are not stored for the same reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Unstored {
+    /// How many there are.
+    pub count: usize,
+    /// How long ago the oldest was requested, in milliseconds.
+    pub oldest_ms: u64,
+}
+
+/// What became of an end that is not stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// How long ago it was requested, in milliseconds.
+    pub age_ms: u64,
+    /// Why it is not stored.
+    pub reason: Reason,
+    /// Number of appends made here.
+    pub appends: u32,
+    /// Number of failed ones, by cause.
+    pub failed: BTreeMap<Failure, u32>,
+    /// Number of peers that have confirmed the end.
+    pub peers: usize,
+}
+
+impl fmt::Display for History {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let History { age_ms, reason, appends, failed, peers } = self;
+        write!(f, "{age_ms} ms: {}, {appends} appends", reason.as_str())?;
+        for (failure, count) in failed {
+            write!(f, ", {}: {count}", failure.as_str())?;
+        }
+        write!(f, ", known to {peers} peers")
+    }
+}
+
 /// A requested end, as told to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
@@ -102,9 +225,8 @@
     Failed {
         /// The job.
         job: String,
-        /// Whether the store certainly did nothing; if not, it may have
-        /// appended the end.
-        refused: bool,
+        /// Why it failed.
+        why: Failure,
     },
     /// A peer has confirmed ends.
     Confirmed {
@@ -140,6 +262,13 @@
         /// The ends.
         ends: Vec<Notice>,
     },
+    /// Report that an end is not stored yet.
+    Overdue {
+        /// The job.
+        job: String,
+        /// What became of the end.
+        history: History,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -148,23 +277,63 @@
     since: Time,
     /// Whether the job may exist, as far as was known at the last tick.
     may_exist: bool,
+    /// Whether the job was known here at the last tick.
+    known: bool,
     /// Whether a caller requested the end at this instance.
     is_origin: bool,
     /// Whether an append is in flight.
     append_in_flight: bool,
     append_at: Time,
+    /// Number of appends made.
+    appends: u32,
+    /// Number of failed ones, and by cause.
     failures: u32,
+    failed: BTreeMap<Failure, u32>,
     /// Whether peers have to be notified, since the store may not distribute
     /// the end: an append failed, or none was possible yet.
     notify_peers: bool,
-    /// Whether the last append was refused.
-    refused: bool,
+    /// Why the last append failed.
+    last_failure: Option<Failure>,
+    /// The age at which the end is reported next, in milliseconds.
+    report_at_ms: u64,
     /// Whether it was appended, and not yet read back.
     stored: bool,
     /// The members that have confirmed the end, and when.
     confirmed: BTreeMap<String, Time>,
 }
 
+impl Pending {
+    fn reason(&self) -> Reason {
+        match (self.known, self.last_failure) {
+            (false, _) if self.may_exist => Reason::Unread,
+            (false, _) => Reason::Unknown,
+            (true, Some(failure)) => Reason::Failed(failure),
+            (true, None) if self.append_in_flight => Reason::InFlight,
+            (true, None) => Reason::Waiting,
+        }
+    }
+
+    /// The history of the end if it is due to be reported.
+    fn report(&mut self, now: Time) -> Option<History> {
+        let age_ms = now.since(self.since);
+        let min_ms = if self.is_origin { OVERDUE_MS } else { NOTIFIED_OVERDUE_MS };
+        let is_due = age_ms >= self.report_at_ms.max(min_ms);
+        // Every instance holds the end of a job that does not exist.
+        let is_reported = self.is_origin || self.may_exist;
+        if self.stored || !is_due || !is_reported {
+            return None;
+        }
+        self.report_at_ms = 2 * age_ms;
+        Some(History {
+            age_ms,
+            reason: self.reason(),
+            appends: self.appends,
+            failed: self.failed.clone(),
+            peers: self.confirmed.len(),
+        })
+    }
+}
+
 /// Number of tens of live instances that append a job's end before this one.
 fn rank(members: &[String], own_id: &str, job: &str) -> u64 {
     const AT_ONCE: usize = 10;
@@ -222,7 +391,20 @@
     /// Whether the last append of a pending end was refused.
     #[must_use]
     pub fn is_refused(&self, job: &str) -> bool {
-        self.pending.get(job).is_some_and(|pending| pending.refused)
+        let last_failure = self.pending.get(job).and_then(|pending| pending.last_failure);
+        last_failure.is_some_and(Failure::is_refusal)
+    }
+
+    /// The pending ends that are not stored, by the names of the reasons.
+    #[must_use]
+    pub fn unstored(&self, now: Time) -> BTreeMap<&'static str, Unstored> {
+        let mut by_reason = BTreeMap::<_, Unstored>::new();
+        for pending in self.pending.values().filter(|pending| !pending.stored) {
+            let unstored = by_reason.entry(pending.reason().as_str()).or_default();
+            unstored.count += 1;
+            unstored.oldest_ms = unstored.oldest_ms.max(now.since(pending.since));
+        }
+        by_reason
     }
 
     /// Whether all pending ends are stored or known to a peer.
@@ -261,8 +443,8 @@
                 self.stored(now, job);
                 vec![]
             }
-            Event::Failed { job, refused } => {
-                self.failed(now, job, *refused);
+            Event::Failed { job, why } => {
+                self.failed(now, job, *why);
                 vec![]
             }
             Event::Confirmed { member, jobs } => {
@@ -280,10 +462,12 @@
         };
         pending.is_origin = true;
         pending.may_exist |= known;
+        pending.known |= known;
         // An end that cannot be appended yet is distributed by notifying peers.
         pending.notify_peers |= !known;
         if known && !pending.append_in_flight {
             pending.append_in_flight = true;
+            pending.appends += 1;
             effects.push(Effect::Append(job.to_owned()));
         }
         effects
@@ -317,12 +501,16 @@
         let pending = Pending {
             since,
             may_exist: false,
+            known: false,
             is_origin,
             append_in_flight: false,
             append_at: if is_origin { now } else { now.after(NOTIFIED_RETRY_MS) },
+            appends: 0,
             failures: 0,
+            failed: BTreeMap::new(),
             notify_peers: false,
-            refused: false,
+            last_failure: None,
+            report_at_ms: 0,
             stored: false,
             confirmed: BTreeMap::new(),
         };
@@ -339,12 +527,13 @@
         }
     }
 
-    fn failed(&mut self, now: Time, job: &str, refused: bool) {
+    fn failed(&mut self, now: Time, job: &str, why: Failure) {
         if let Some(pending) = self.pending.get_mut(job) {
             pending.append_in_flight = false;
             pending.notify_peers = true;
-            pending.refused = refused;
+            pending.last_failure = Some(why);
             pending.failures += 1;
+            *pending.failed.entry(why).or_default() += 1;
             let max_ms = if pending.is_origin { RETRY_MAX_MS } else { u64::MAX };
             let step_ms = if pending.is_origin { RETRY_MS } else { NOTIFIED_RETRY_MS };
             pending.append_at = now.after((step_ms * u64::from(pending.failures)).min(max_ms));
@@ -368,7 +557,8 @@
         unread: &BTreeSet<String>,
     ) -> Vec<Effect> {
         self.pending.retain(|job, pending| {
-            pending.may_exist = known.contains(job) || unread.contains(job);
+            pending.known = known.contains(job);
+            pending.may_exist = pending.known || unread.contains(job);
             pending.may_exist || now.since(pending.since) < UNKNOWN_MS
         });
         self.notified_at.retain(|member, _| members.contains(member));
@@ -379,13 +569,15 @@
             } else {
                 NOTIFIED_RETRY_MS * rank(members, &self.own_id, job)
             };
-            if !pending.append_in_flight
-                && known.contains(job)
-                && now >= pending.append_at.after(wait_ms)
+            if !pending.append_in_flight && pending.known && now >= pending.append_at.after(wait_ms)
             {
                 pending.append_in_flight = true;
+                pending.appends += 1;
                 effects.push(Effect::Append(job.clone()));
             }
+            if let Some(history) = pending.report(now) {
+                effects.push(Effect::Overdue { job: job.clone(), history });
+            }
         }
         if self.pending.is_empty() {
             return effects;
--- a/crates/hollywell/src/entry/ends.rs
+++ b/crates/hollywell/src/entry/ends.rs
@@ -14,7 +14,7 @@
     core::{
         batch,
         capacity::Purpose,
-        ending::{Effect, Event, Notice},
+        ending::{Effect, Event, Failure, Notice},
         inquiry::Round,
     },
     entry::{
@@ -109,6 +109,9 @@
             Effect::Notify { member, ends } => {
                 tokio::task::spawn_local(notify_peer(shared.clone(), member, ends));
             }
+            Effect::Overdue { job, history } => {
+                log::warn!("end of job {job} is not stored after {history}");
+            }
         }
     }
 }
@@ -182,13 +185,25 @@
         }
         Err(error) => {
             log::info!("end of job {job} is kept for another append: {error}");
-            let refused = error.is_not_applied() || matches!(error, StoreError::Malformed(_));
-            Event::Failed { job, refused }
+            Event::Failed { job, why: failure(&error) }
         }
     };
     handle_event(&shared, &event);
 }
 
+fn failure(error: &StoreError) -> Failure {
+    match error {
+        StoreError::Full => Failure::Full,
+        StoreError::RateLimited => Failure::RateLimited,
+        StoreError::Unavailable => Failure::Unavailable,
+        StoreError::Refused(_) => Failure::NotSent,
+        StoreError::TimedOut | StoreError::OutcomeUnknown(_) => Failure::NoResponse,
+        StoreError::EndMismatch(_) | StoreError::Trimmed(_) | StoreError::Malformed(_) => {
+            Failure::Malformed
+        }
+    }
+}
+
 async fn notify_peer(shared: Rc<Shared>, member: String, ends: Vec<Notice>) {
     let (jobs, ages_ms) = jobs_and_ages(ends);
     let notice = EndNotice { by: shared.instance_id.clone(), jobs, ages_ms };
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -155,6 +155,14 @@
         meters.members.set(gauge(control.roster.members().len()));
         meters.late_samples.set(gauge(control.dispatch.late_samples()));
         meters.in_flight.set(gauge(control.dispatch.in_flight()));
+        // Reasons that no longer apply are left out.
+        meters.ends_unstored.reset();
+        meters.end_unstored_ms.reset();
+        for (why, unstored) in control.ending.unstored(shared.now()) {
+            let oldest_ms = i64::try_from(unstored.oldest_ms).unwrap_or(i64::MAX);
+            meters.ends_unstored.with_label_values(&[why]).set(gauge(unstored.count));
+            meters.end_unstored_ms.with_label_values(&[why]).set(oldest_ms);
+        }
         let free =
             control.dispatch.free_tokens(shared.now(), &control.fleet, &control.observations);
         for (pool, tokens) in free {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -325,7 +325,10 @@
     }
     let part = shared.partition_of(job);
     let is_current = || async {
-        timeout(END_READ_TIMEOUT, catch_up(shared, part)).await.is_ok_and(|is_current| is_current)
+        shared.meters.ends_reading.inc();
+        let read = timeout(END_READ_TIMEOUT, catch_up(shared, part)).await;
+        shared.meters.ends_reading.dec();
+        read.is_ok_and(|is_current| is_current)
     };
     let current = is_known(shared, part, job) || is_current().await;
     if is_known(shared, part, job) && !is_visible(shared, caller, part, job) {
@@ -340,8 +343,12 @@
             ends::store_early_end(shared, job);
             JobReply::NotFound
         }
+        None => {
+            log::info!("end of job {job} is not appended yet: the job is not known here");
+            ends::end_job(shared, job, false).await
+        }
         Some(true) => JobReply::Done,
-        state => ends::end_job(shared, job, state.is_some()).await,
+        Some(false) => ends::end_job(shared, job, true).await,
     }
 }
 
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -34,6 +34,12 @@
     pub appended_bytes: IntCounterVec,
     /// Failed appends, by purpose and reason.
     pub failed_appends: IntCounterVec,
+    /// Requested ends of jobs that are not stored, by reason.
+    pub ends_unstored: IntGaugeVec,
+    /// Age of the oldest of them in milliseconds, by reason.
+    pub end_unstored_ms: IntGaugeVec,
+    /// Requests to end a job that are reading whether the job exists.
+    pub ends_reading: IntGauge,
     /// Attempts at plain requests that got no response, by reason.
     pub unanswered: IntCounterVec,
     /// Plain requests sent to a second target while the first had them, by what
@@ -128,14 +134,11 @@
         );
         let answer_seconds = HistogramVec::new(seconds.buckets(ANSWER_SECONDS.to_vec()), &["ask"])?;
         registry.register(Box::new(answer_seconds.clone()))?;
-        let free_tokens = IntGaugeVec::new(
-            Opts::new(
-                "hollywell_entry_free_tokens",
-                "Memory of targets expected to stay free, in tokens.",
-            ),
-            &["pool"],
-        )?;
-        registry.register(Box::new(free_tokens.clone()))?;
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
         Ok(Meters {
             answers: counter(
                 "hollywell_entry_answers_total",
@@ -155,7 +158,11 @@
                 "Samples at no target for a second or more, counted each second.",
                 &["why"],
             )?,
-            free_tokens,
+            free_tokens: gauges(
+                "hollywell_entry_free_tokens",
+                "Memory of targets expected to stay free, in tokens.",
+                "pool",
+            )?,
             store_calls: counter("hollywell_entry_store_total", "Calls of the store.", &["well"])?,
             appended_bytes: counter(
                 "hollywell_entry_appended_bytes_total",
@@ -167,6 +174,20 @@
                 "Appends that failed.",
                 &["use", "why"],
             )?,
+            ends_unstored: gauges(
+                "hollywell_entry_ends_unstored",
+                "Requested ends of jobs that are not in the store.",
+                "why",
+            )?,
+            end_unstored_ms: gauges(
+                "hollywell_entry_end_unstored_ms",
+                "Age of the oldest end that is not in the store, in milliseconds.",
+                "why",
+            )?,
+            ends_reading: gauge(
+                "hollywell_entry_ends_reading",
+                "Requests to end a job that read whether it exists.",
+            )?,
             unanswered: counter(
                 "hollywell_entry_unanswered_total",
                 "Sends of plain requests without an answer.",
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -19,8 +19,14 @@
 /// Why a call of the store failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
-    /// The call had no effect: the store refused it, or was not reached.
+    /// The call had no effect: it is invalid, or the store was not reached.
     Refused(String),
+    /// The call had no effect: all callers together made more calls than the
+    /// store serves in a second.
+    RateLimited,
+    /// The call had no effect: the store, or the partition, was down or had too
+    /// many calls waiting.
+    Unavailable,
     /// The store has no capacity left for the append, which had no effect.
     Full,
     /// The response to a read did not begin, or stalled, for longer than the
@@ -40,6 +46,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StoreError::Refused(why) => write!(f, "the store refused: {why}"),
+            StoreError::RateLimited => f.write_str("the store refused: too many calls (429)"),
+            StoreError::Unavailable => f.write_str("the store refused: unavailable (503)"),
             StoreError::Full => f.write_str("the store is full"),
             StoreError::TimedOut => {
                 f.write_str("the store made no progress within the idle timeout")
@@ -62,6 +70,8 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             StoreError::Refused(_) => "refused",
+            StoreError::RateLimited => "rate",
+            StoreError::Unavailable => "unavailable",
             StoreError::Full => "full",
             StoreError::TimedOut => "silent",
             StoreError::OutcomeUnknown(_) => "unknown",
@@ -74,7 +84,14 @@
     /// Whether it is certain that the call had no effect.
     #[must_use]
     pub const fn is_not_applied(&self) -> bool {
-        matches!(self, StoreError::Refused(_) | StoreError::Full | StoreError::EndMismatch(_))
+        matches!(
+            self,
+            StoreError::Refused(_)
+                | StoreError::RateLimited
+                | StoreError::Unavailable
+                | StoreError::Full
+                | StoreError::EndMismatch(_)
+        )
     }
 }
 
--- a/crates/hollywell/tests/ending.rs
+++ b/crates/hollywell/tests/ending.rs
@@ -7,7 +7,7 @@
 
 use arbtest::{arbitrary::Unstructured, arbtest};
 use hollywell::core::{
-    ending::{Effect, Event, Notice, State},
+    ending::{Effect, Event, Failure, History, Notice, Reason, State, Unstored},
     time::Time,
 };
 
@@ -60,7 +60,7 @@
 #[test]
 fn a_refused_end_goes_from_its_receiver_to_all_and_from_others_to_two() {
     let all = members(6);
-    let refused = Event::Failed { job: "j".into(), refused: true };
+    let refused = Event::Failed { job: "j".into(), why: Failure::Unavailable };
     let mut first = State::new(&all[0]);
     first.step(Time(0), &requested("j"));
     first.step(Time(5), &refused);
@@ -136,12 +136,12 @@
 
     fn apply_effect(&mut self, now: Time, at: usize, effect: Effect, accepts: bool) {
         match effect {
-            Effect::Close(_) => {}
+            Effect::Close(_) | Effect::Overdue { .. } => {}
             Effect::Append(job) => {
                 self.stored |= accepts;
                 let event = match accepts {
                     true => Event::Stored(job),
-                    false => Event::Failed { job, refused: true },
+                    false => Event::Failed { job, why: Failure::Unavailable },
                 };
                 self.states[at].step(now, &event);
             }
@@ -313,3 +313,59 @@
     state.step(Time(60), &Event::Confirmed { member: all[2].clone(), jobs: vec!["k".into()] });
     assert!(state.is_shared());
 }
+
+fn reports(effects: &[Effect]) -> Vec<&History> {
+    fn history(effect: &Effect) -> Option<&History> {
+        match effect {
+            Effect::Overdue { history, .. } => Some(history),
+            _ => None,
+        }
+    }
+    effects.iter().filter_map(history).collect()
+}
+
+// Nothing said why an end was not stored, and for how long.
+#[test]
+fn an_end_that_is_not_stored_is_reported_with_its_history() {
+    let all = members(2);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    assert_eq!(state.unstored(Time(10))["in_flight"], Unstored { count: 1, oldest_ms: 10 });
+    state.step(Time(5), &Event::Failed { job: "j".into(), why: Failure::RateLimited });
+    let mut seen = Vec::new();
+    for at in (50..20_000).step_by(50) {
+        let effects = state.step(Time(at), &tick(&all, &["j"]));
+        if effects.contains(&Effect::Append("j".into())) {
+            state.step(Time(at), &Event::Failed { job: "j".into(), why: Failure::Full });
+        }
+        seen.extend(reports(&effects).into_iter().cloned());
+    }
+    let ages: Vec<u64> = seen.iter().map(|history| history.age_ms).collect();
+    assert_eq!(ages, [2_000, 4_000, 8_000, 16_000], "reports get rarer");
+    assert_eq!(seen[0].reason, Reason::Failed(Failure::Full));
+    assert_eq!(seen[0].failed[&Failure::RateLimited], 1);
+    assert_eq!(state.unstored(Time(20_000))["full"], Unstored { count: 1, oldest_ms: 20_000 });
+    state.step(Time(20_000), &Event::Stored("j".into()));
+    assert_eq!(state.unstored(Time(20_000)).len(), 0);
+}
+
+// An end that was not appended left no line.
+#[test]
+fn an_end_that_is_not_appended_is_reported() {
+    let all = members(2);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &Event::Requested { job: "j".into(), known: false });
+    let unread = Event::Tick {
+        members: all.clone(),
+        known: BTreeSet::new(),
+        unread: BTreeSet::from([String::from("j")]),
+    };
+    for (at, event, reason) in
+        [(2_000, unread, Reason::Unread), (4_000, tick(&all, &[]), Reason::Unknown)]
+    {
+        let effects = state.step(Time(at), &event);
+        let [history] = reports(&effects)[..] else { panic!("{effects:?}") };
+        assert_eq!((history.reason, history.appends), (reason, 0));
+        assert_eq!(state.unstored(Time(at))[reason.as_str()].oldest_ms, at);
+    }
+}
