Don't let an append without response hold up the end of a job

An end whose append got no response was not appended again before the call's timeout (1.5 s for the head, as much for the body), and no peer was notified meanwhile: if the instance was lost, so was the end.

An append that has taken 400 ms counts as slow: peers are notified, and the instance that received the request makes another append on a further connection, at most three in flight. The record of an end is the same each time; a late response is still taken, and a late failure does not undo it. Instances that were notified have one append in flight as before.

In the reducer no other append was made within a second: an_append_without_response_holds_up_neither_peers_nor_the_next_append.

--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -38,6 +38,14 @@
 /// The same for instances that were notified, multiplied by their rank in tens:
 /// all of them together make a few calls a second, and the first ones try soon.
 const NOTIFIED_RETRY_MS: u64 = 1_500;
+/// Time without a response after which an append counts as slow, in
+/// milliseconds: peers are notified, and the instance that received the request
+/// makes another append. The record is the same each time, so that it does not
+/// matter which of them arrive. A store that is slow answers in some hundreds of
+/// milliseconds, a connection that is broken only after the call's timeout.
+const SLOW_APPEND_MS: u64 = 400;
+/// Maximum number of appends of an end that are in flight.
+const MAX_IN_FLIGHT: u32 = 3;
 /// How long an appended end may take to be read back before it is appended
 /// again, in milliseconds.
 const READ_BACK_MS: u64 = 5_000;
@@ -281,8 +289,10 @@
     known: bool,
     /// Whether a caller requested the end at this instance.
     is_origin: bool,
-    /// Whether an append is in flight.
-    append_in_flight: bool,
+    /// Number of appends in flight, and when the last of them was started.
+    in_flight: u32,
+    started_at: Time,
+    /// When the next append is made if none is in flight.
     append_at: Time,
     /// Number of appends made.
     appends: u32,
@@ -290,7 +300,7 @@
     failures: u32,
     failed: BTreeMap<Failure, u32>,
     /// Whether peers have to be notified, since the store may not distribute
-    /// the end: an append failed, or none was possible yet.
+    /// the end: an append failed or is slow, or none was possible yet.
     notify_peers: bool,
     /// Why the last append failed.
     last_failure: Option<Failure>,
@@ -308,11 +318,29 @@
             (false, _) if self.may_exist => Reason::Unread,
             (false, _) => Reason::Unknown,
             (true, Some(failure)) => Reason::Failed(failure),
-            (true, None) if self.append_in_flight => Reason::InFlight,
+            (true, None) if self.in_flight > 0 => Reason::InFlight,
             (true, None) => Reason::Waiting,
         }
     }
 
+    /// Counts an append that is started.
+    fn start_append(&mut self, now: Time) {
+        self.in_flight += 1;
+        self.started_at = now;
+        self.appends += 1;
+    }
+
+    /// Whether the last append has been in flight for too long.
+    fn is_slow(&self, now: Time) -> bool {
+        self.in_flight > 0 && now.since(self.started_at) >= SLOW_APPEND_MS
+    }
+
+    /// Whether an append is due, for an instance that waits for others first.
+    fn is_append_due(&self, now: Time, wait_ms: u64) -> bool {
+        let is_repeated = self.is_origin && self.in_flight < MAX_IN_FLIGHT && self.is_slow(now);
+        self.known && now >= self.append_at.after(wait_ms) && (self.in_flight == 0 || is_repeated)
+    }
+
     /// The history of the end if it is due to be reported.
     fn report(&mut self, now: Time) -> Option<History> {
         let age_ms = now.since(self.since);
@@ -465,9 +493,8 @@
         pending.known |= known;
         // An end that cannot be appended yet is distributed by notifying peers.
         pending.notify_peers |= !known;
-        if known && !pending.append_in_flight {
-            pending.append_in_flight = true;
-            pending.appends += 1;
+        if known && pending.in_flight == 0 {
+            pending.start_append(now);
             effects.push(Effect::Append(job.to_owned()));
         }
         effects
@@ -503,7 +530,8 @@
             may_exist: false,
             known: false,
             is_origin,
-            append_in_flight: false,
+            in_flight: 0,
+            started_at: now,
             append_at: if is_origin { now } else { now.after(NOTIFIED_RETRY_MS) },
             appends: 0,
             failures: 0,
@@ -520,7 +548,7 @@
 
     fn stored(&mut self, now: Time, job: &str) {
         if let Some(pending) = self.pending.get_mut(job) {
-            pending.append_in_flight = false;
+            pending.in_flight = pending.in_flight.saturating_sub(1);
             pending.notify_peers = false;
             pending.stored = true;
             pending.append_at = now.after(READ_BACK_MS);
@@ -529,7 +557,11 @@
 
     fn failed(&mut self, now: Time, job: &str, why: Failure) {
         if let Some(pending) = self.pending.get_mut(job) {
-            pending.append_in_flight = false;
+            pending.in_flight = pending.in_flight.saturating_sub(1);
+            // Another append, made meanwhile, has stored the end.
+            if pending.stored && now < pending.append_at {
+                return;
+            }
             pending.notify_peers = true;
             pending.last_failure = Some(why);
             pending.failures += 1;
@@ -569,10 +601,9 @@
             } else {
                 NOTIFIED_RETRY_MS * rank(members, &self.own_id, job)
             };
-            if !pending.append_in_flight && pending.known && now >= pending.append_at.after(wait_ms)
-            {
-                pending.append_in_flight = true;
-                pending.appends += 1;
+            pending.notify_peers |= !pending.stored && pending.is_slow(now);
+            if pending.is_append_due(now, wait_ms) {
+                pending.start_append(now);
                 effects.push(Effect::Append(job.clone()));
             }
             if let Some(history) = pending.report(now) {
@@ -601,8 +632,8 @@
     }
 
     /// Ends that a peer may not know of. An end whose first append is in flight
-    /// is not included yet: the append usually succeeds, and then the store
-    /// distributes the end.
+    /// and not slow is not included yet: the append usually succeeds, and then
+    /// the store distributes the end.
     fn unconfirmed(&self, now: Time, member: &str, distance: usize) -> Vec<Notice> {
         let is_relay = distance < RELAYS;
         let is_unconfirmed = |pending: &Pending| {
--- a/crates/hollywell/tests/ending.rs
+++ b/crates/hollywell/tests/ending.rs
@@ -369,3 +369,61 @@
         assert_eq!(state.unstored(Time(at))[reason.as_str()].oldest_ms, at);
     }
 }
+
+// While the first append had no response, no peer knew of the end and no other
+// append was made.
+#[test]
+fn an_append_without_response_holds_up_neither_peers_nor_the_next_append() {
+    let all = members(3);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    let (mut appends, mut notified) = (0, BTreeSet::new());
+    for at in (50..=1_000).step_by(50) {
+        for effect in state.step(Time(at), &tick(&all, &["j"])) {
+            match effect {
+                Effect::Append(_) => appends += 1,
+                Effect::Notify { member, .. } => drop(notified.insert(member)),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!(appends > 0, "no other append was made within a second");
+    assert_eq!(notified.len(), 2, "peers that were notified");
+    // The response to the first append; the others fail after it.
+    state.step(Time(1_010), &Event::Stored("j".into()));
+    for at in 0..appends {
+        state.step(Time(1_500 + at), &Event::Failed { job: "j".into(), why: Failure::NoResponse });
+    }
+    for at in (1_550..4_000).step_by(50) {
+        assert_eq!(state.step(Time(at), &tick(&all, &["j"])), [], "at {at}");
+    }
+    assert!(state.is_stored("j"));
+}
+
+#[test]
+fn appends_without_response_are_bounded() {
+    const TIMEOUT_MS: u64 = 3_000;
+    const MAX_IN_FLIGHT: usize = 3;
+    let all = members(2);
+    let ends = vec![Notice { job: "j".into(), age_ms: 0 }];
+    let reported = Event::Reported { by: all[1].clone(), ends };
+    for (request, max_in_flight) in [(requested("j"), MAX_IN_FLIGHT), (reported, 1)] {
+        let mut state = State::new(&all[0]);
+        let mut started: Vec<u64> = Vec::new();
+        let mut appends = 0;
+        for at in (0..30_000).step_by(50) {
+            let timed_out = started.extract_if(.., |start| at >= *start + TIMEOUT_MS).count();
+            for _ in 0..timed_out {
+                let failed = Event::Failed { job: "j".into(), why: Failure::NoResponse };
+                state.step(Time(at), &failed);
+            }
+            let event = if at == 0 { request.clone() } else { tick(&all, &["j"]) };
+            let effects = state.step(Time(at), &event);
+            let new = effects.iter().filter(|effect| matches!(effect, Effect::Append(_))).count();
+            started.extend(std::iter::repeat_n(at, new));
+            appends += new;
+            assert!(started.len() <= max_in_flight, "{} in flight at {at}", started.len());
+        }
+        assert!(appends <= max_in_flight * 10, "{appends} appends in 30 s");
+    }
+}
