Spread the appends of ends that failed together

Ends that the store refused together were appended again at the same moments, and each of ten instances that had been notified together appended all of them at once: a herd for a store that had just refused calls for its rate. The pauses grew up to a second, so that an end had about seven appends in 4 s, and the caller of an end that was refused once was told 502 at once, although the next append was often accepted.

Each pause is now half of what it was to all of it, by a hash of the instance, the job and the number of failures. After a refusal for the rate (429) the pause of the instance that received the request is at most 400 ms, and its caller waits for the next append, within the limit that it has anyway.

--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -46,6 +46,10 @@
 const SLOW_APPEND_MS: u64 = 400;
 /// Maximum number of appends of an end that are in flight.
 const MAX_IN_FLIGHT: u32 = 3;
+/// Longest such interval after the store refused an end for its rate, in
+/// milliseconds: it serves calls all the time, and a second is a quarter of what
+/// an end may take.
+const RATE_RETRY_MAX_MS: u64 = 400;
 /// How long an appended end may take to be read back before it is appended
 /// again, in milliseconds.
 const READ_BACK_MS: u64 = 5_000;
@@ -362,6 +366,15 @@
     }
 }
 
+/// A part of a delay, from half to all of it, that differs between instances,
+/// ends and attempts: what failed together must not be repeated together.
+fn spread(delay_ms: u64, own_id: &str, job: &str, attempt: u32) -> u64 {
+    const STEPS: u64 = 1_000;
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(own_id.as_bytes(), u64::from(attempt));
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(job.as_bytes(), hash);
+    (delay_ms * (STEPS + hash % STEPS) / STEPS).div_ceil(2)
+}
+
 /// Number of tens of live instances that append a job's end before this one.
 fn rank(members: &[String], own_id: &str, job: &str) -> u64 {
     const AT_ONCE: usize = 10;
@@ -416,11 +429,12 @@
         self.pending.get(job).is_some_and(|pending| pending.stored)
     }
 
-    /// Whether the last append of a pending end was refused.
+    /// Whether the last append of a pending end was refused, and is not likely to
+    /// be accepted within moments.
     #[must_use]
     pub fn is_refused(&self, job: &str) -> bool {
         let last_failure = self.pending.get(job).and_then(|pending| pending.last_failure);
-        last_failure.is_some_and(Failure::is_refusal)
+        last_failure.is_some_and(|why| why.is_refusal() && why != Failure::RateLimited)
     }
 
     /// The pending ends that are not stored, by the names of the reasons.
@@ -525,6 +539,7 @@
                 self.pending.remove(&oldest);
             }
         }
+        let notified_ms = spread(NOTIFIED_RETRY_MS, &self.own_id, job, 0);
         let pending = Pending {
             since,
             may_exist: false,
@@ -532,7 +547,7 @@
             is_origin,
             in_flight: 0,
             started_at: now,
-            append_at: if is_origin { now } else { now.after(NOTIFIED_RETRY_MS) },
+            append_at: if is_origin { now } else { now.after(notified_ms) },
             appends: 0,
             failures: 0,
             failed: BTreeMap::new(),
@@ -566,9 +581,14 @@
             pending.last_failure = Some(why);
             pending.failures += 1;
             *pending.failed.entry(why).or_default() += 1;
-            let max_ms = if pending.is_origin { RETRY_MAX_MS } else { u64::MAX };
+            let max_ms = match (pending.is_origin, why) {
+                (true, Failure::RateLimited) => RATE_RETRY_MAX_MS,
+                (true, _) => RETRY_MAX_MS,
+                (false, _) => u64::MAX,
+            };
             let step_ms = if pending.is_origin { RETRY_MS } else { NOTIFIED_RETRY_MS };
-            pending.append_at = now.after((step_ms * u64::from(pending.failures)).min(max_ms));
+            let delay_ms = (step_ms * u64::from(pending.failures)).min(max_ms);
+            pending.append_at = now.after(spread(delay_ms, &self.own_id, job, pending.failures));
         }
     }
 
--- a/crates/hollywell/tests/ending.rs
+++ b/crates/hollywell/tests/ending.rs
@@ -427,3 +427,67 @@
         assert!(appends <= max_in_flight * 10, "{appends} appends in 30 s");
     }
 }
+
+// Ends that were refused together were appended again at the same moments, and
+// so were those of all instances that were notified together.
+#[test]
+fn appends_that_failed_together_are_not_repeated_together() {
+    const ENDS: usize = 20;
+    let jobs: Vec<String> = (0..ENDS).map(|number| format!("j{number}")).collect();
+    let known: Vec<&str> = jobs.iter().map(String::as_str).collect();
+    let all = members(10);
+    let ends: Vec<Notice> = jobs.iter().map(|job| Notice { job: job.clone(), age_ms: 0 }).collect();
+    let mut origin = State::new("origin@10.0.0.99:80/1");
+    let mut notified: Vec<State> = all.iter().map(|name| State::new(name)).collect();
+    for job in &jobs {
+        origin.step(Time(0), &requested(job));
+        origin.step(Time(5), &Event::Failed { job: job.clone(), why: Failure::RateLimited });
+    }
+    for state in &mut notified {
+        state.step(Time(5), &Event::Reported { by: "origin".into(), ends: ends.clone() });
+    }
+    let appends = |state: &mut State, at: u64| {
+        let effects = state.step(Time(at), &tick(&all, &known));
+        let mut count = 0;
+        for effect in effects {
+            if let Effect::Append(job) = effect {
+                count += 1;
+                state.step(Time(at), &Event::Failed { job, why: Failure::RateLimited });
+            }
+        }
+        count
+    };
+    let (mut most_of_origin, mut most_of_notified) = (0, 0);
+    for at in (50..3_000).step_by(50) {
+        most_of_origin = most_of_origin.max(appends(&mut origin, at));
+        let count = notified.iter_mut().map(|state| appends(state, at)).sum();
+        most_of_notified = most_of_notified.max(count);
+    }
+    assert!(most_of_origin <= ENDS / 2, "{most_of_origin} of {ENDS} ends at once");
+    let instances = all.len();
+    assert!(
+        most_of_notified <= ENDS * instances / 4,
+        "{most_of_notified} appends of {ENDS} ends at {instances} instances at once"
+    );
+}
+
+// The caller was told that the outcome is unknown, although the end was accepted
+// by the store moments later.
+#[test]
+fn an_end_that_was_refused_for_the_rate_is_not_given_up_for_its_caller() {
+    let all = members(1);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    state.step(Time(5), &Event::Failed { job: "j".into(), why: Failure::RateLimited });
+    assert!(!state.is_refused("j"));
+    let mut appends = 0;
+    for at in (50..4_000).step_by(50) {
+        if state.step(Time(at), &tick(&all, &["j"])).contains(&Effect::Append("j".into())) {
+            appends += 1;
+            state.step(Time(at), &Event::Failed { job: "j".into(), why: Failure::RateLimited });
+        }
+    }
+    assert!(appends >= 8, "{appends} appends within the time that an end may take");
+    state.step(Time(4_000), &Event::Failed { job: "j".into(), why: Failure::Full });
+    assert!(state.is_refused("j"));
+}
