Leave rate for ends when the store refuses calls

All instances share the calls that the store serves in a second. An end was one call among all: what was refused with 429 was repeated by every writer within 0.15 s and new jobs were tried as fast as callers came, so that the ends were refused as often as the rest and not stored for seconds, with a store that is sound.

The new reducer core::throttle limits an instance's less urgent appends once the store has refused one of its appends for the rate: they are sent one after the other at half the rate before, which each further refusal halves, which grows without refusals, and which ends after 5 s without any. Ends, deletions and claims never wait. What would wait too long is not sent, and jobs are refused at once (429) with the time until they may have their turns. Nothing is held back while the store refuses nothing.

Before, with a store that serves 20 appends a second, three instances and eight callers that submit all the time, an end was not stored within 20 s (bound 4 s): ends_are_stored_in_time_beside_more_writes_than_the_store_serves in platform/tests/ends.rs.

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -30,6 +30,7 @@
 //! | [`departure`] | which targets leave, and up to when that is known |
 //! | [`permit`] | which instance may do what only one may do at a time |
 //! | [`memory`] | whether one more part of a response is read |
+//! | [`throttle`] | how fast less urgent records are written while the store refuses calls |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
 //!
 //! Not part of this module: bodies, sockets and threads, which are in
@@ -76,6 +77,7 @@
 pub mod store_lease;
 pub mod stream;
 pub mod table;
+pub mod throttle;
 pub mod time;
 pub mod timeout;
 pub mod usage;
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -405,7 +405,9 @@
         JobReply::Rejected | JobReply::Unavailable => refuse(shared, Kind::StoreUnavailable),
         JobReply::StoreFull(ms) => set_retry_after(refuse(shared, Kind::StoreFull), ms),
         JobReply::TooManySamples(ms) => set_retry_after(refuse(shared, Kind::NoMemory), ms),
-        JobReply::Late(ms) => set_retry_after(refuse(shared, Kind::Overloaded), ms),
+        JobReply::Late(ms) | JobReply::RateLimited(ms) => {
+            set_retry_after(refuse(shared, Kind::Overloaded), ms)
+        }
         JobReply::OutcomeUnknown => refuse(shared, Kind::OutcomeUnknown),
         JobReply::NotFound => refuse(shared, Kind::NoRoute),
         JobReply::Malformed(why) => {
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -69,6 +69,9 @@
     /// The job was rejected without effect because the accepted jobs have too many
     /// samples; with the retry delay in milliseconds.
     TooManySamples(u64),
+    /// The operation failed without effect because the store serves no more calls
+    /// at present; with the retry delay in milliseconds.
+    RateLimited(u64),
     /// The job was rejected without effect because it would be late; with the
     /// retry delay in milliseconds.
     Late(u64),
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -74,6 +74,8 @@
     pub jobs_without_space: IntGauge,
     /// Jobs rejected because too many samples are kept.
     pub jobs_without_memory: IntCounter,
+    /// Jobs rejected because the store served no more calls.
+    pub jobs_without_rate: IntCounter,
     /// Jobs rejected because they could not be complete in time.
     pub late_jobs: IntCounter,
     /// Jobs accepted by this instance that had not started in time, by reason.
@@ -253,6 +255,10 @@
                 "hollywell_entry_jobs_without_memory_total",
                 "Jobs rejected, as too many samples are kept.",
             )?,
+            jobs_without_rate: count(
+                "hollywell_entry_jobs_without_rate_total",
+                "Jobs rejected, as the store serves no more calls.",
+            )?,
             late_jobs: count(
                 "hollywell_entry_jobs_late_total",
                 "Jobs rejected, as they would be late.",
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -33,6 +33,7 @@
         memory::Memory,
         poison,
         roster::Roster,
+        throttle::Throttle,
     },
     entry::{
         self,
@@ -127,6 +128,7 @@
         poison: poison::State::default(),
         poison_loaded: false,
         capacity: capacity::State::new(settings.store.room_bytes),
+        throttle: Throttle::default(),
         other_logs: std::collections::HashMap::new(),
         partitions: (0..parts).map(|_| JobPartition::default()).collect(),
         models: crate::core::weight_loading::Models::default(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -13,6 +13,7 @@
 use tokio::{
     sync::{Notify, watch},
     task::AbortHandle,
+    time::sleep,
 };
 
 use crate::{
@@ -20,7 +21,7 @@
     clock::Clock,
     core::{
         batch::{self, Bundle, Change, Index, Manifest, Orphans, Record, Written},
-        capacity,
+        capacity::{self, Purpose},
         choice::{Load, Observations},
         configuration::{Configuration, Route, RouteKind},
         dispatch::{self, Demand, Effect, Event, JobSpec, Run, SampleId, Texts},
@@ -32,6 +33,7 @@
         permit::Permits,
         poison,
         roster::Roster,
+        throttle::Throttle,
         time::Time,
         weight_loading::Models,
     },
@@ -146,6 +148,8 @@
     pub poison_loaded: bool,
     /// Estimated usage of the store's capacity.
     pub capacity: capacity::State,
+    /// Rate of less urgent appends while the store refuses calls for its rate.
+    pub throttle: Throttle,
     /// Sizes of the logs other than those of jobs and texts, which are written
     /// by the operator, the targets and all instances.
     pub other_logs: HashMap<Partition, capacity::Log>,
@@ -330,13 +334,17 @@
     }
 
     /// Appends records if the capacity left allows it, counts them, and
-    /// records whether the store is available. All appends go through here.
+    /// records whether the store is available. While the store refuses calls
+    /// for its rate, less urgent appends wait for their turn. All appends go
+    /// through here.
     ///
     /// # Errors
     ///
-    /// The store's error, or [`StoreError::Full`] without a call if what is
-    /// left is reserved for other purposes.
+    /// The store's error, or without a call: [`StoreError::Full`] if the
+    /// capacity left is reserved for other purposes, [`StoreError::RateLimited`]
+    /// if the turn would come too late.
     pub async fn append(&self, append: Append) -> Result<Appended, StoreError> {
+        self.wait_for_turn(append.purpose).await?;
         let (purpose, bytes) = (append.purpose.as_str(), append.payload_bytes());
         let stored = append.stored_bytes();
         let allowed = self.control.borrow().capacity.allows(self.now(), append.purpose, stored);
@@ -352,14 +360,22 @@
         ));
         match &appended {
             Ok(_) => {
-                self.control.borrow_mut().capacity.appended(stored);
+                let now = self.now();
+                let control = &mut *self.control.borrow_mut();
+                control.capacity.appended(stored);
+                control.throttle.record_success(now);
                 let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
                 self.meters.appended_bytes.with_label_values(&[purpose]).inc_by(bytes);
             }
             Err(error) => {
-                if *error == StoreError::Full {
-                    let now = self.now();
-                    self.control.borrow_mut().capacity.record_refusal(now);
+                let now = self.now();
+                match error {
+                    StoreError::Full => self.control.borrow_mut().capacity.record_refusal(now),
+                    StoreError::RateLimited => {
+                        let jitter = rand::random_range(0.0..=1.0);
+                        self.control.borrow_mut().throttle.record_refusal(now, jitter);
+                    }
+                    _ => {}
                 }
                 self.meters.failed_appends.with_label_values(&[purpose, error.as_str()]).inc();
             }
@@ -367,6 +383,25 @@
         appended
     }
 
+    /// Waits until an append may be sent by the rate that other callers leave.
+    async fn wait_for_turn(&self, purpose: Purpose) -> Result<(), StoreError> {
+        let now = self.now();
+        let turn = self.control.borrow_mut().throttle.reserve(now, purpose);
+        match turn {
+            Ok(at) => {
+                if at > now {
+                    sleep(Duration::from_millis(at.since(now))).await;
+                }
+                Ok(())
+            }
+            Err(_) => {
+                let labels = [purpose.as_str(), "held_back"];
+                self.meters.failed_appends.with_label_values(&labels).inc();
+                Err(StoreError::RateLimited)
+            }
+        }
+    }
+
     /// Records the load that came with a target's answer, and returns it.
     pub fn record_load(
         &self,
--- a/crates/hollywell/src/entry/submission.rs
+++ b/crates/hollywell/src/entry/submission.rs
@@ -57,6 +57,7 @@
         JobReply::Rejected
             | JobReply::StoreFull(_)
             | JobReply::TooManySamples(_)
+            | JobReply::RateLimited(_)
             | JobReply::Late(_)
     );
     if rejects && shared.orphans.borrow().may_be_accepted(shared.now(), job) {
@@ -110,11 +111,17 @@
     if let Err(retry_after_ms) = capacity::admit(shared, submission) {
         return store_full(shared, job, retry_after_ms);
     }
+    let now = shared.now();
+    let admitted = shared.control.borrow_mut().throttle.admit(now);
+    if admitted.is_err() {
+        return rate_limited(shared, &format!("job {job}"));
+    }
     // Samples are stored first. Whatever happens to this append, the job does
     // not exist, and nothing runs, until its metadata is stored.
     let stored = match samples::store_submission(shared, job, submission).await {
         Ok(stored) => stored,
         Err(StoreError::Full) => return store_full(shared, job, STORE_FULL_RETRY_MS),
+        Err(StoreError::RateLimited) => return rate_limited(shared, &format!("job {job}")),
         Err(error) => {
             log::info!("job {job} refused: its samples could not be stored: {error}");
             return JobReply::Rejected;
@@ -180,6 +187,13 @@
     JobReply::StoreFull(retry_after_ms)
 }
 
+fn rate_limited(shared: &Shared, what: &str) -> JobReply {
+    let retry_after_ms = shared.control.borrow().throttle.retry_after_ms(shared.now());
+    log::info!("{what} refused: the store serves no more calls, come back in {retry_after_ms} ms");
+    shared.meters.jobs_without_rate.inc();
+    JobReply::RateLimited(retry_after_ms)
+}
+
 /// Appends a job's metadata. If the outcome of the append is unknown, checks
 /// whether the record arrived.
 async fn append_metadata(
@@ -199,6 +213,7 @@
             JobReply::Done
         }
         Err(StoreError::Full) => JobReply::StoreFull(STORE_FULL_RETRY_MS),
+        Err(StoreError::RateLimited) => rate_limited(shared, what),
         Err(error) if error.is_not_applied() => {
             log::info!("{what} refused: {error}");
             JobReply::Rejected
