--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -33,6 +33,7 @@
 //! | [`permit`] | which instance may do what only one may do at a time |
 //! | [`memory`] | whether one more part of a response is read |
 //! | [`shutdown`] | what a stopping instance may still begin |
+//! | [`throttle`] | how fast less urgent records are written while the store refuses calls |
 //! | [`capacity`] | what the store's capacity is reserved for, and how far a log is trimmed |
 //!
 //! Not part of this module: bodies, sockets and threads, which are in
@@ -81,6 +82,7 @@
 pub mod store_lease;
 pub mod stream;
 pub mod table;
+pub mod throttle;
 pub mod time;
 pub mod timeout;
 pub mod usage;
--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -183,6 +183,14 @@
         meters.members.set(gauge(control.roster.members().len()));
         meters.late_samples.set(gauge(control.dispatch.late_samples()));
         meters.in_flight.set(gauge(control.dispatch.in_flight()));
+        // Reasons that no longer apply are left out.
+        meters.ends_unstored.reset();
+        meters.end_unstored_ms.reset();
+        for (why, unstored) in control.ending.unstored(shared.now()) {
+            let oldest_ms = i64::try_from(unstored.oldest_ms).unwrap_or(i64::MAX);
+            meters.ends_unstored.with_label_values(&[why]).set(gauge(unstored.count));
+            meters.end_unstored_ms.with_label_values(&[why]).set(oldest_ms);
+        }
         let free =
             control.dispatch.free_tokens(shared.now(), &control.fleet, &control.observations);
         for (pool, tokens) in free {
@@ -451,7 +459,9 @@
         JobReply::Rejected | JobReply::Unavailable => refuse(shared, Kind::StoreUnavailable),
         JobReply::StoreFull(ms) => set_retry_after(refuse(shared, Kind::StoreFull), ms),
         JobReply::TooManySamples(ms) => set_retry_after(refuse(shared, Kind::NoMemory), ms),
-        JobReply::Late(ms) => set_retry_after(refuse(shared, Kind::Overloaded), ms),
+        JobReply::Late(ms) | JobReply::RateLimited(ms) => {
+            set_retry_after(refuse(shared, Kind::Overloaded), ms)
+        }
         JobReply::OutcomeUnknown => refuse(shared, Kind::OutcomeUnknown),
         JobReply::NotFound => refuse(shared, Kind::NoRoute),
         JobReply::Malformed(why) => {
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -34,6 +34,7 @@
         poison,
         roster::Roster,
         shutdown::Shutdown,
+        throttle::Throttle,
     },
     entry::{
         self,
@@ -122,6 +123,7 @@
         poison: poison::State::default(),
         poison_loaded: false,
         capacity: capacity::State::new(settings.store.room_bytes),
+        throttle: Throttle::default(),
         other_logs: std::collections::HashMap::new(),
         partitions: (0..parts).map(|_| JobPartition::default()).collect(),
         models: crate::core::weight_loading::Models::default(),
--- a/crates/hollywell/tests/ending.rs
+++ b/crates/hollywell/tests/ending.rs
@@ -7,7 +7,7 @@
 
 use arbtest::{arbitrary::Unstructured, arbtest};
 use hollywell::core::{
-    ending::{Effect, Event, Notice, State},
+    ending::{Effect, Event, Failure, History, Notice, Reason, State, Unstored},
     time::Time,
 };
 
@@ -60,7 +60,7 @@
 #[test]
 fn a_refused_end_goes_from_its_receiver_to_all_and_from_others_to_two() {
     let all = members(6);
-    let refused = Event::Failed { job: "j".into(), refused: true };
+    let refused = Event::Failed { job: "j".into(), why: Failure::Unavailable };
     let mut first = State::new(&all[0]);
     first.step(Time(0), &requested("j"));
     first.step(Time(5), &refused);
@@ -136,12 +136,12 @@
 
     fn apply_effect(&mut self, now: Time, at: usize, effect: Effect, accepts: bool) {
         match effect {
-            Effect::Close(_) => {}
+            Effect::Close(_) | Effect::Overdue { .. } => {}
             Effect::Append(job) => {
                 self.stored |= accepts;
                 let event = match accepts {
                     true => Event::Stored(job),
-                    false => Event::Failed { job, refused: true },
+                    false => Event::Failed { job, why: Failure::Unavailable },
                 };
                 self.states[at].step(now, &event);
             }
@@ -332,3 +332,181 @@
         |effect: &Effect| matches!(effect, Effect::Notify { member, .. } if *member == name(1));
     assert!(effects.iter().any(is_told), "{effects:?}");
 }
+
+fn reports(effects: &[Effect]) -> Vec<&History> {
+    fn history(effect: &Effect) -> Option<&History> {
+        match effect {
+            Effect::Overdue { history, .. } => Some(history),
+            _ => None,
+        }
+    }
+    effects.iter().filter_map(history).collect()
+}
+
+// Nothing said why an end was not stored, and for how long.
+#[test]
+fn an_end_that_is_not_stored_is_reported_with_its_history() {
+    let all = members(2);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    assert_eq!(state.unstored(Time(10))["in_flight"], Unstored { count: 1, oldest_ms: 10 });
+    state.step(Time(5), &Event::Failed { job: "j".into(), why: Failure::RateLimited });
+    let mut seen = Vec::new();
+    for at in (50..20_000).step_by(50) {
+        let effects = state.step(Time(at), &tick(&all, &["j"]));
+        if effects.contains(&Effect::Append("j".into())) {
+            state.step(Time(at), &Event::Failed { job: "j".into(), why: Failure::Full });
+        }
+        seen.extend(reports(&effects).into_iter().cloned());
+    }
+    let ages: Vec<u64> = seen.iter().map(|history| history.age_ms).collect();
+    assert_eq!(ages, [2_000, 4_000, 8_000, 16_000], "reports get rarer");
+    assert_eq!(seen[0].reason, Reason::Failed(Failure::Full));
+    assert_eq!(seen[0].failed[&Failure::RateLimited], 1);
+    assert_eq!(state.unstored(Time(20_000))["full"], Unstored { count: 1, oldest_ms: 20_000 });
+    state.step(Time(20_000), &Event::Stored("j".into()));
+    assert_eq!(state.unstored(Time(20_000)).len(), 0);
+}
+
+// An end that was not appended left no line.
+#[test]
+fn an_end_that_is_not_appended_is_reported() {
+    let all = members(2);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &Event::Requested { job: "j".into(), known: false });
+    let unread = Event::Tick {
+        members: all.clone(),
+        known: BTreeSet::new(),
+        unread: BTreeSet::from([String::from("j")]),
+    };
+    for (at, event, reason) in
+        [(2_000, unread, Reason::Unread), (4_000, tick(&all, &[]), Reason::Unknown)]
+    {
+        let effects = state.step(Time(at), &event);
+        let [history] = reports(&effects)[..] else { panic!("{effects:?}") };
+        assert_eq!((history.reason, history.appends), (reason, 0));
+        assert_eq!(state.unstored(Time(at))[reason.as_str()].oldest_ms, at);
+    }
+}
+
+// While the first append had no response, no peer knew of the end and no other
+// append was made.
+#[test]
+fn an_append_without_response_holds_up_neither_peers_nor_the_next_append() {
+    let all = members(3);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    let (mut appends, mut notified) = (0, BTreeSet::new());
+    for at in (50..=1_000).step_by(50) {
+        for effect in state.step(Time(at), &tick(&all, &["j"])) {
+            match effect {
+                Effect::Append(_) => appends += 1,
+                Effect::Notify { member, .. } => drop(notified.insert(member)),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!(appends > 0, "no other append was made within a second");
+    assert_eq!(notified.len(), 2, "peers that were notified");
+    // The response to the first append; the others fail after it.
+    state.step(Time(1_010), &Event::Stored("j".into()));
+    for at in 0..appends {
+        state.step(Time(1_500 + at), &Event::Failed { job: "j".into(), why: Failure::NoResponse });
+    }
+    for at in (1_550..4_000).step_by(50) {
+        assert_eq!(state.step(Time(at), &tick(&all, &["j"])), [], "at {at}");
+    }
+    assert!(state.is_stored("j"));
+}
+
+#[test]
+fn appends_without_response_are_bounded() {
+    const TIMEOUT_MS: u64 = 3_000;
+    const MAX_IN_FLIGHT: usize = 3;
+    let all = members(2);
+    let ends = vec![Notice { job: "j".into(), age_ms: 0 }];
+    let reported = Event::Reported { by: all[1].clone(), ends };
+    for (request, max_in_flight) in [(requested("j"), MAX_IN_FLIGHT), (reported, 1)] {
+        let mut state = State::new(&all[0]);
+        let mut started: Vec<u64> = Vec::new();
+        let mut appends = 0;
+        for at in (0..30_000).step_by(50) {
+            let timed_out = started.extract_if(.., |start| at >= *start + TIMEOUT_MS).count();
+            for _ in 0..timed_out {
+                let failed = Event::Failed { job: "j".into(), why: Failure::NoResponse };
+                state.step(Time(at), &failed);
+            }
+            let event = if at == 0 { request.clone() } else { tick(&all, &["j"]) };
+            let effects = state.step(Time(at), &event);
+            let new = effects.iter().filter(|effect| matches!(effect, Effect::Append(_))).count();
+            started.extend(std::iter::repeat_n(at, new));
+            appends += new;
+            assert!(started.len() <= max_in_flight, "{} in flight at {at}", started.len());
+        }
+        assert!(appends <= max_in_flight * 10, "{appends} appends in 30 s");
+    }
+}
+
+// Ends that were refused together were appended again at the same moments, and
+// so were those of all instances that were notified together.
+#[test]
+fn appends_that_failed_together_are_not_repeated_together() {
+    const ENDS: usize = 20;
+    let jobs: Vec<String> = (0..ENDS).map(|number| format!("j{number}")).collect();
+    let known: Vec<&str> = jobs.iter().map(String::as_str).collect();
+    let all = members(10);
+    let ends: Vec<Notice> = jobs.iter().map(|job| Notice { job: job.clone(), age_ms: 0 }).collect();
+    let mut origin = State::new("origin@10.0.0.99:80/1");
+    let mut notified: Vec<State> = all.iter().map(|name| State::new(name)).collect();
+    for job in &jobs {
+        origin.step(Time(0), &requested(job));
+        origin.step(Time(5), &Event::Failed { job: job.clone(), why: Failure::RateLimited });
+    }
+    for state in &mut notified {
+        state.step(Time(5), &Event::Reported { by: "origin".into(), ends: ends.clone() });
+    }
+    let appends = |state: &mut State, at: u64| {
+        let effects = state.step(Time(at), &tick(&all, &known));
+        let mut count = 0;
+        for effect in effects {
+            if let Effect::Append(job) = effect {
+                count += 1;
+                state.step(Time(at), &Event::Failed { job, why: Failure::RateLimited });
+            }
+        }
+        count
+    };
+    let (mut most_of_origin, mut most_of_notified) = (0, 0);
+    for at in (50..3_000).step_by(50) {
+        most_of_origin = most_of_origin.max(appends(&mut origin, at));
+        let count = notified.iter_mut().map(|state| appends(state, at)).sum();
+        most_of_notified = most_of_notified.max(count);
+    }
+    assert!(most_of_origin <= ENDS / 2, "{most_of_origin} of {ENDS} ends at once");
+    let instances = all.len();
+    assert!(
+        most_of_notified <= ENDS * instances / 4,
+        "{most_of_notified} appends of {ENDS} ends at {instances} instances at once"
+    );
+}
+
+// The caller was told that the outcome is unknown, although the end was accepted
+// by the store moments later.
+#[test]
+fn an_end_that_was_refused_for_the_rate_is_not_given_up_for_its_caller() {
+    let all = members(1);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    state.step(Time(5), &Event::Failed { job: "j".into(), why: Failure::RateLimited });
+    assert!(!state.is_refused("j"));
+    let mut appends = 0;
+    for at in (50..4_000).step_by(50) {
+        if state.step(Time(at), &tick(&all, &["j"])).contains(&Effect::Append("j".into())) {
+            appends += 1;
+            state.step(Time(at), &Event::Failed { job: "j".into(), why: Failure::RateLimited });
+        }
+    }
+    assert!(appends >= 8, "{appends} appends within the time that an end may take");
+    state.step(Time(4_000), &Event::Failed { job: "j".into(), why: Failure::Full });
+    assert!(state.is_refused("j"));
+}
