Answer the oldest reads early when too many wait for results

As many reads that wait as there may be connections kept every other caller out until the first of them ended: an ordinary request was refused, and was answered after 5.0 s in the test. A request that is being served is never closed for another.

Only half as many reads as connections may wait; one more ends the wait of the oldest, which is answered with what there is.

--- a/crates/hollywell/src/core/machine.rs
+++ b/crates/hollywell/src/core/machine.rs
@@ -58,6 +58,8 @@
     pub samples: usize,
     /// Number of callers' connections.
     pub connections: usize,
+    /// Number of reads that wait for results.
+    pub waiting_reads: usize,
     /// Number of connections of peers.
     pub peer_connections: usize,
     /// Number of connections for readiness, and for metrics.
@@ -103,6 +105,7 @@
         let connections = |bytes: usize, sockets: usize| {
             (connection_bytes / bytes).min(sockets).max(MIN_CONNECTIONS)
         };
+        let callers = connections(BUFFER_BYTES, sockets / 2);
         Limits {
             base_bytes,
             shared_bytes,
@@ -110,7 +113,8 @@
             request_bytes: (memory_bytes / 2).max(LARGEST_JOB_BYTES).min(shared_bytes),
             response_bytes: (memory_bytes / 4).max(LARGEST_BODY_BYTES).min(shared_bytes),
             samples: (memory_bytes / BYTES_PER_SAMPLE).min(MAX_SAMPLES),
-            connections: connections(BUFFER_BYTES, sockets / 2),
+            connections: callers,
+            waiting_reads: callers / 2,
             peer_connections: connections(SHORT_BUFFER_BYTES, sockets / 8),
             monitor_connections: (sockets / 16).clamp(MIN_CONNECTIONS, MAX_MONITORS),
         }
--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -80,4 +80,5 @@
 pub mod timeout;
 pub mod usage;
 pub mod versions;
+pub mod waits;
 pub mod weight_loading;
--- a/crates/hollywell/src/entry/jobs.rs
+++ b/crates/hollywell/src/entry/jobs.rs
@@ -4,20 +4,25 @@
 //! Results are written to the store by [`crate::entry::outbox`].
 
 use std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use prost::Message as _;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout, timeout_at},
+};
 
 use crate::{
     core::{
         batch::{self, Outcome, Retention, Sample, TextRef},
         dispatch::{Event, SampleId},
         host,
+        waits::{self, Waits},
     },
     entry::{
         caller::Caller,
@@ -141,7 +146,7 @@
     max_wait: Duration,
 ) -> JobReply {
     let part = shared.partition_of(job);
-    let deadline = Instant::now() + max_wait;
+    let mut deadline = Instant::now() + max_wait;
     let listed = |shared: &Shared| {
         let control = shared.control.borrow();
         let job = control.partitions[part].index.jobs.get(job)?;
@@ -156,7 +161,7 @@
     if !is_visible(shared, caller, part, job) {
         return JobReply::NotFound;
     }
-    let _waiting = WaitingReader::new(shared, part);
+    let waiting = WaitingReader::new(shared, part);
     loop {
         let notified = shared.partition_changed[part].notified();
         let Some((len, due)) = listed(shared) else {
@@ -174,7 +179,25 @@
                 false => JobReply::Unavailable,
             };
         }
-        let _timed_out = timeout_at(deadline, notified).await;
+        tokio::select! {
+            _timed_out = timeout_at(deadline, notified) => {}
+            () = waiting.end.notified() => deadline = Instant::now(),
+        }
+    }
+}
+
+/// Reads that wait for results, of all partitions.
+#[derive(Debug)]
+pub struct WaitingReads {
+    state: RefCell<Waits>,
+    ends: RefCell<HashMap<waits::Id, Rc<Notify>>>,
+}
+
+impl WaitingReads {
+    /// Creates an empty set for at most `limit` reads.
+    #[must_use]
+    pub fn new(limit: usize) -> WaitingReads {
+        WaitingReads { state: RefCell::new(Waits::new(limit)), ends: RefCell::default() }
     }
 }
 
@@ -182,13 +205,25 @@
 struct WaitingReader {
     shared: Rc<Shared>,
     part: usize,
+    id: waits::Id,
+    /// Notified when the wait is to end for another one.
+    end: Rc<Notify>,
 }
 
 impl WaitingReader {
     fn new(shared: &Rc<Shared>, part: usize) -> WaitingReader {
         let readers = &shared.result_waiters[part];
         readers.set(readers.get() + 1);
-        WaitingReader { shared: shared.clone(), part }
+        let end = Rc::new(Notify::new());
+        let waiting = &shared.waiting_reads;
+        let (id, oldest) = waiting.state.borrow_mut().begin();
+        let mut ends = waiting.ends.borrow_mut();
+        ends.insert(id, end.clone());
+        if let Some(oldest) = oldest.and_then(|oldest| ends.get(&oldest)) {
+            oldest.notify_one();
+        }
+        drop(ends);
+        WaitingReader { shared: shared.clone(), part, id, end }
     }
 }
 
@@ -196,6 +231,9 @@
     fn drop(&mut self) {
         let readers = &self.shared.result_waiters[self.part];
         readers.set(readers.get() - 1);
+        let waiting = &self.shared.waiting_reads;
+        waiting.state.borrow_mut().end(self.id);
+        waiting.ends.borrow_mut().remove(&self.id);
     }
 }
 
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -43,7 +43,8 @@
         ends,
         exchange::{IncomingResponse, Pool},
         feed::Feed,
-        jobs, member,
+        jobs::{self, WaitingReads},
+        member,
         meters::Meters,
         outbox,
         reader::Reader,
@@ -266,6 +267,8 @@
     pub job_accepted: Vec<Notify>,
     /// Number of callers that wait here for results, by partition.
     pub result_waiters: Vec<Cell<usize>>,
+    /// Reads that wait for results.
+    pub waiting_reads: WaitingReads,
     /// Notified when records of a job partition were applied, by partition.
     pub partition_changed: Vec<Notify>,
     /// Results to be appended to the store, by partition.
