--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -419,8 +419,8 @@
     Guard {
         name: "limit of small bodies",
         file: MEMORY,
-        find: "Memory { limit, reserve, used: 0 }",
-        replace: "Memory { limit, reserve: usize::MAX.max(reserve), used: 0 }",
+        find: "Memory { limit, reserve, used: 0, set_aside: 0 }",
+        replace: "Memory { limit, reserve: usize::MAX.max(reserve), used: 0, set_aside: 0 }",
         proof: "memory",
     },
     Guard {
