--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -93,6 +93,8 @@
     reached: u64,
     /// Pages of the snapshot that were read so far.
     newest: Newest,
+    /// When the first of these pages was requested.
+    newest_at: Time,
     /// How long the next read waits for a record.
     wait: Duration,
     /// Number of failed reads in a row.
@@ -108,6 +110,7 @@
             next,
             reached: 0,
             newest: Newest::default(),
+            newest_at: Time(0),
             wait: READ_WAIT,
             failures: 0,
             is_current: false,
@@ -175,9 +178,13 @@
         part: &Partition,
         may_follow: bool,
     ) -> Result<Batch, StoreError> {
-        let requested_at = shared.now();
+        if self.newest.is_empty() {
+            self.newest_at = shared.now();
+        }
         shared.reader.resume_newest(part, &mut self.newest).await?;
         shared.record_store_result(true);
+        // Nothing after the first page is known, however late the last is read.
+        let requested_at = self.newest_at;
         let records = std::mem::take(&mut self.newest).into_records();
         if may_follow {
             feed::start(shared, part, &records);
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -255,6 +255,12 @@
         self.after = page.after;
     }
 
+    /// Whether no page was read yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.end.is_none()
+    }
+
     /// Whether all pages were read.
     #[must_use]
     pub fn is_done(&self) -> bool {
