--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -19,7 +19,7 @@
 //! ([`crate::core::choice`]).
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
 };
 
@@ -386,6 +386,19 @@
         }
     }
 
+    /// Begins at an offset of the targets' log, after a snapshot up to there.
+    /// Targets that are not `listed` expired or left while the log was not read.
+    /// Those whose newest entry lies beyond the snapshot must be listed: their
+    /// earlier entries hold until it is read.
+    pub fn restart(&mut self, now: Time, end: u64, listed: &HashSet<&str>) {
+        let is_missing = |id: &&String| !listed.contains(id.as_str());
+        let missing: Vec<String> = self.targets.keys().filter(is_missing).cloned().collect();
+        for id in missing {
+            self.record_end(now, end.saturating_sub(1), &id);
+        }
+        self.departures.restart(end);
+    }
+
     /// Records that an entry disappeared from the store.
     pub fn record_expiry(&mut self, now: Time, id: &str) {
         self.skipped.remove(id);
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -5,11 +5,7 @@
 //! before they were read, it is read as a snapshot again; the newest record of
 //! a key is never trimmed.
 
-use std::{
-    collections::{BTreeSet, HashSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use tokio::{
     sync::Notify,
@@ -345,15 +341,7 @@
             {
                 let control = &mut *shared.control.borrow_mut();
                 if origin.is_snapshot {
-                    // Targets without a record in the snapshot expired or left
-                    // while their topic was not read.
-                    let listed: HashSet<&str> =
-                        records.records.iter().map(|record| record.key.as_str()).collect();
-                    let ids: Vec<String> = control.fleet.targets.keys().cloned().collect();
-                    for id in ids.iter().filter(|id| !listed.contains(id.as_str())) {
-                        control.fleet.record_end(now, records.end.saturating_sub(1), id);
-                    }
-                    control.fleet.departures.restart(records.end);
+                    control.fleet.restart(now, records.end, &records.keys());
                 }
                 for record in &records.records {
                     apply_entry(shared, control, now, record);
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -498,8 +498,7 @@
     /// deleted while this instance could not read, and the tombstones were
     /// trimmed from the log.
     pub fn remove_missing_jobs(self: &Rc<Shared>, part: usize, newest: &Records) {
-        let read = newest.records.iter().map(|record| record.key.as_str());
-        let keys: HashSet<&str> = read.chain(newest.beyond.iter().map(String::as_str)).collect();
+        let keys = newest.keys();
         let deleted = {
             let partition = &mut self.control.borrow_mut().partitions[part];
             partition.index.retain(newest.end, |head| keys.contains(head))
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -3,7 +3,7 @@
 //!
 //! Retries and back-off differ by use and are left to the callers.
 
-use std::{fmt, future::Future, pin::Pin, rc::Rc, time::Duration};
+use std::{collections::HashSet, fmt, future::Future, pin::Pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 
@@ -181,6 +181,16 @@
     pub beyond: Vec<String>,
 }
 
+impl Records {
+    /// Keys of a snapshot: those of its records, and those whose newest record
+    /// is read after it.
+    #[must_use]
+    pub fn keys(&self) -> HashSet<&str> {
+        let read = self.records.iter().map(|record| record.key.as_str());
+        read.chain(self.beyond.iter().map(String::as_str)).collect()
+    }
+}
+
 /// A page of the newest records by key.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
--- a/crates/hollywell/tests/fleet.rs
+++ b/crates/hollywell/tests/fleet.rs
@@ -5,9 +5,13 @@
 
 use std::collections::BTreeMap;
 
-use hollywell::core::{
-    fleet::{AnnounceOutcome, Announcement, EXPIRY_GRACE_MS, Fleet, LATE_ENTRY_MS},
-    time::Time,
+use hollywell::{
+    core::{
+        batch::Record,
+        fleet::{AnnounceOutcome, Announcement, EXPIRY_GRACE_MS, Fleet, LATE_ENTRY_MS},
+        time::Time,
+    },
+    entry::store::Records,
 };
 
 fn target(id: &str, version: u64, draining: bool) -> Announcement {
@@ -36,6 +40,24 @@
     assert_eq!(fleet.usable("llm").count(), 0);
 }
 
+// A target whose entry was renewed while a snapshot was read was taken for gone.
+#[test]
+fn only_a_target_that_a_snapshot_does_not_list_is_gone() {
+    let mut fleet = Fleet::default();
+    for id in ["read", "beyond", "missing"] {
+        fleet.announce_at(Time(1), 1, target(id, 1, false));
+    }
+    let newest = Records {
+        end: 10,
+        records: vec![Record { offset: 8, key: "read".into(), value: None }],
+        beyond: vec!["beyond".into()],
+    };
+    fleet.restart(Time(2), newest.end, &newest.keys());
+    let usable: Vec<&str> =
+        fleet.usable("llm").map(|target| target.announcement.id.as_str()).collect();
+    assert_eq!(usable, ["beyond", "read"]);
+}
+
 #[test]
 fn an_entry_that_expires_in_a_store_outage_is_kept_for_a_grace_period() {
     let mut fleet = Fleet::default();
