--- a/crates/hollywell/src/entry/feed.rs
+++ b/crates/hollywell/src/entry/feed.rs
@@ -17,7 +17,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -90,6 +90,9 @@
     /// The records are the newest of all keys, not those from an offset on.
     #[prost(bool, tag = "4")]
     is_snapshot: bool,
+    /// In a snapshot: keys whose newest record lies at or beyond the end.
+    #[prost(string, repeated, tag = "5")]
+    beyond: Vec<String>,
 }
 
 /// Outcome of asking the sources for records of a partition.
@@ -129,6 +132,9 @@
     announced: HashMap<String, Announcement>,
     /// The newest record of each target, if it is known for all of them.
     newest: Option<HashMap<String, Record>>,
+    /// Targets that are not in `newest` because their newest record is yet to be
+    /// read.
+    beyond: BTreeSet<String>,
     /// `newest` as an encoded [`Page`] without an age, and the end up to which it
     /// was read.
     snapshot: Option<(u64, Bytes)>,
@@ -168,6 +174,7 @@
         let Some(newest) = &mut self.newest else {
             return;
         };
+        self.beyond.remove(&record.key);
         match record.value {
             Some(_) => drop(newest.insert(record.key.clone(), record.clone())),
             None => drop(newest.remove(&record.key)),
@@ -186,6 +193,7 @@
             age_ms: now.since(self.requested_at),
             records,
             is_snapshot: false,
+            beyond: vec![],
         })
     }
 
@@ -201,7 +209,8 @@
         let mut records: Vec<FeedRecord> =
             self.newest.as_ref()?.values().map(FeedRecord::new).collect();
         records.sort_by_key(|record| record.offset);
-        let page = Page { end: self.end, age_ms: 0, records, is_snapshot: true };
+        let beyond = self.beyond.iter().cloned().collect();
+        let page = Page { end: self.end, age_ms: 0, records, is_snapshot: true, beyond };
         let snapshot = Bytes::from(page.encode_to_vec());
         self.snapshot = Some((self.end, snapshot.clone()));
         Some(snapshot)
@@ -302,6 +311,7 @@
     let mut log = Log { first: newest.end, end: newest.end, ..Log::default() };
     if part.topic == shared.codec.announcements {
         log.newest = Some(HashMap::new());
+        log.beyond = newest.beyond.iter().cloned().collect();
         for record in &newest.records {
             log.is_change(shared, record);
             log.update_newest(record);
@@ -352,7 +362,7 @@
                 };
                 let records = page.records.into_iter().map(decode).collect();
                 return Fetched::Batch(Batch {
-                    records: Records { end: page.end, records, beyond: vec![] },
+                    records: Records { end: page.end, records, beyond: page.beyond },
                     requested_at: Time(requested_at.0.saturating_sub(page.age_ms)),
                     is_snapshot: page.is_snapshot,
                     is_complete: !page.is_snapshot,
