--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -39,11 +39,14 @@
 /// all of them together make a few calls a second, and the first ones try soon.
 const NOTIFIED_RETRY_MS: u64 = 1_500;
 /// Time without a response after which an append counts as slow, in
-/// milliseconds: peers are notified, and the instance that received the request
-/// makes another append. The record is the same each time, so that it does not
-/// matter which of them arrive. A store that is slow answers in some hundreds of
-/// milliseconds, a connection that is broken only after the call's timeout.
+/// milliseconds: peers are notified, and append too. A store that is slow answers
+/// in some hundreds of milliseconds, a connection that is broken only after the
+/// call's timeout.
 const SLOW_APPEND_MS: u64 = 400;
+/// The same after which the instance that received the request makes another
+/// append, unless a peer knows of the end. The record is the same each time, so
+/// that it does not matter which of them arrive.
+const REPEAT_APPEND_MS: u64 = 800;
 /// Maximum number of appends of an end that are in flight.
 const MAX_IN_FLIGHT: u32 = 3;
 /// Longest such interval after the store refused an end for its rate, in
@@ -341,7 +344,10 @@
 
     /// Whether an append is due, for an instance that waits for others first.
     fn is_append_due(&self, now: Time, wait_ms: u64) -> bool {
-        let is_repeated = self.is_origin && self.in_flight < MAX_IN_FLIGHT && self.is_slow(now);
+        let is_repeated = self.is_origin
+            && self.confirmed.is_empty()
+            && self.in_flight < MAX_IN_FLIGHT
+            && now.since(self.started_at) >= REPEAT_APPEND_MS;
         self.known && now >= self.append_at.after(wait_ms) && (self.in_flight == 0 || is_repeated)
     }
 
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -5,11 +5,7 @@
 //! before they were read, it is read as a snapshot again; the newest record of
 //! a key is never trimmed.
 
-use std::{
-    collections::{BTreeSet, HashSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use tokio::{
     sync::Notify,
@@ -93,6 +89,8 @@
     reached: u64,
     /// Pages of the snapshot that were read so far.
     newest: Newest,
+    /// When the first of these pages was requested.
+    newest_at: Time,
     /// How long the next read waits for a record.
     wait: Duration,
     /// Number of failed reads in a row.
@@ -108,6 +106,7 @@
             next,
             reached: 0,
             newest: Newest::default(),
+            newest_at: Time(0),
             wait: READ_WAIT,
             failures: 0,
             is_current: false,
@@ -175,9 +174,13 @@
         part: &Partition,
         may_follow: bool,
     ) -> Result<Batch, StoreError> {
-        let requested_at = shared.now();
+        if self.newest.is_empty() {
+            self.newest_at = shared.now();
+        }
         shared.reader.resume_newest(part, &mut self.newest).await?;
         shared.record_store_result(true);
+        // Nothing after the first page is known, however late the last is read.
+        let requested_at = self.newest_at;
         let records = std::mem::take(&mut self.newest).into_records();
         if may_follow {
             feed::start(shared, part, &records);
@@ -338,15 +341,7 @@
             {
                 let control = &mut *shared.control.borrow_mut();
                 if origin.is_snapshot {
-                    // Targets without a record in the snapshot expired or left
-                    // while their topic was not read.
-                    let listed: HashSet<&str> =
-                        records.records.iter().map(|record| record.key.as_str()).collect();
-                    let ids: Vec<String> = control.fleet.targets.keys().cloned().collect();
-                    for id in ids.iter().filter(|id| !listed.contains(id.as_str())) {
-                        control.fleet.record_end(now, records.end.saturating_sub(1), id);
-                    }
-                    control.fleet.departures.restart(records.end);
+                    control.fleet.restart(now, records.end, &records.keys());
                 }
                 for record in &records.records {
                     apply_entry(shared, control, now, record);
