Take a log for known only once its unread part was trimmed

An instance that starts reads the hints of trims that were made before, and took each as a sign that it knew all that the log held. Logs of jobs and texts counted as nothing then, although the records that were written since that trim are still there, and jobs were accepted that don't fit.

A log's initial contents are gone once it is trimmed up to the first mark. `a_trim_from_before_a_start_does_not_make_a_log_known` failed before: the log counted as empty while 400 of its records were left.

--- a/crates/hollywell/src/core/capacity.rs
+++ b/crates/hollywell/src/core/capacity.rs
@@ -231,9 +231,10 @@
         (has_excess || has_unknown).then_some(mark.end)
     }
 
-    /// Records that the log was trimmed before an offset.
+    /// Records that the log was trimmed before an offset. Its initial contents
+    /// are gone once all records from before the first mark are.
     pub fn trimmed(&mut self, before: u64) {
-        self.is_known = true;
+        self.is_known |= self.marks.front().is_some_and(|mark| mark.end <= before);
         while self.marks.front().is_some_and(|mark| mark.end <= before) {
             if let Some(mark) = self.marks.pop_front() {
                 self.trimmed_bytes = self.trimmed_bytes.max(mark.written);
--- a/crates/hollywell/tests/spare.rs
+++ b/crates/hollywell/tests/spare.rs
@@ -321,3 +321,18 @@
         assert!(bytes <= 2 * MAX, "{bytes} bytes in the log after {second} s");
     }
 }
+
+// An instance that starts reads hints of earlier trims, and took its logs for
+// empty.
+#[test]
+fn a_trim_from_before_a_start_does_not_make_a_log_known() {
+    const MAX: u64 = 50_000;
+    let mut log = Log::default();
+    log.record(Time(0), 1_000, 300_000);
+    log.trimmed(600);
+    assert_eq!(log.bytes(MAX), MAX, "records 600 to 999 are still there");
+    log.record(Time(11_000), 1_100, 10_000);
+    assert_eq!(log.trim_offset(Time(11_000), MAX, None), Some(1_000));
+    log.trimmed(1_000);
+    assert_eq!(log.bytes(MAX), 10_000);
+}
