Keep space for ends in a store that others fill

Callers saw ends of jobs that were never acknowledged, and samples of ended jobs that ran after all instances had been restarted: the store answered 507 to the ends, and nothing about them was in it.

The fill level is estimated. What a log other than those of jobs and texts held before an instance's start counted as nothing, and so did records that a source leaves out. Instances that are restarted more often than records expire accepted jobs until the store was full, the reserve for ends included, and a 507 changed nothing but a second of waiting for some purposes.

Now a log's past counts by its offsets: as much as its largest newest record for each, and by a few samples if that is a lot. The logs of jobs and texts are sampled before jobs are rejected for what is only assumed of them. What a 507 shows to be missing in the estimate is taken from the capacity, decays as records expire, and is given back by trims as far as they freed more than was counted. While the store counts as full, only ends, deletions and claims are appended; whoever gets 507 for an end trims at once, and whoever's results have to wait trims too, whether or not it was the one refused. A claim is never kept back any more, nor is the hint that tells of a trim.

`a_refusal_reserves_space_for_ends_until_it_is_made` failed before: a hint was allowed right after the refusal.

Two calls of `record_refusal` in existing tests name the size of the refused append, 0; what they check is the same.

--- a/crates/hollywell/src/core/batch/mod.rs
+++ b/crates/hollywell/src/core/batch/mod.rs
@@ -26,6 +26,8 @@
 use bytes::Bytes;
 use prost::Message as _;
 
+use crate::core::capacity::LOG_OVERHEAD;
+
 pub use garbage::{Garbage, Keys, Retention};
 pub use index::{Change, Index, Job, ResultRecord, Skip, Written};
 pub use orphans::{AttemptId, DueOrphans, MayArrive, Orphans};
@@ -351,6 +353,14 @@
     pub value: Option<Bytes>,
 }
 
+impl Record {
+    /// Bytes that the record takes in its partition's log.
+    #[must_use]
+    pub fn log_bytes(&self) -> u64 {
+        (self.key.len() + self.value.as_ref().map_or(0, Bytes::len)) as u64 + LOG_OVERHEAD
+    }
+}
+
 /// Separator between the parts of a key. Ids may not contain it.
 const SEPARATOR: char = '|';
 
--- a/crates/hollywell/src/core/capacity.rs
+++ b/crates/hollywell/src/core/capacity.rs
@@ -13,9 +13,12 @@
 //! far a log may be trimmed, [`crate::core::batch::Garbage`] which keys may be
 //! deleted.
 //!
-//! The store does not report its fill level, so [`State`] estimates it from the
-//! folded records. A refusal by the store itself ([`State::record_refusal`])
-//! takes precedence.
+//! The store does not report its fill level, so [`State`] estimates it: from the
+//! folded records, and for what a log held before this instance read it, from
+//! samples ([`Past`]). A refusal by the store itself
+//! ([`State::record_refusal`]) shows what the estimate lacks. All shares are of
+//! the rest from then on, so that what is reserved for ends is there, and logs
+//! are trimmed at once.
 //!
 //! The appends themselves are made in [`crate::entry::store`].
 
@@ -50,6 +53,12 @@
 /// How long the store counts as full after it refused an append, in
 /// milliseconds.
 const FULL_MS: u64 = 1_000;
+/// Retention time of records in a log if the settings name none, in
+/// milliseconds.
+const RETENTION_MS: u64 = 300_000;
+/// Number of places at which the past of a log is sampled: it may have been
+/// written by few large records or many small ones, and both change with time.
+const PAST_SAMPLES: u64 = 3;
 /// Shortest and longest time that a caller is told to wait for free space, in
 /// milliseconds: logs are trimmed and records deleted each second, and a minute
 /// is longer than a trainer waits for a step.
@@ -120,18 +129,83 @@
     /// longest.
     const fn share(self) -> f64 {
         match self {
-            Purpose::End | Purpose::Delete => f64::INFINITY,
-            Purpose::Claim | Purpose::Hint | Purpose::Suspect | Purpose::Usage => 0.97,
+            Purpose::End | Purpose::Delete | Purpose::Claim => f64::INFINITY,
+            Purpose::Hint | Purpose::Suspect | Purpose::Usage => 0.97,
             Purpose::Outcome | Purpose::Text => 0.94,
             Purpose::PartialText => 0.8,
             Purpose::Manifest | Purpose::Requests => 0.75,
         }
     }
 
-    /// Whether the append may be delayed or left out without breaking a
-    /// promise.
-    const fn may_wait(self) -> bool {
-        matches!(self, Purpose::PartialText | Purpose::Manifest | Purpose::Requests)
+    /// Whether the append is made although the store refused another. Small
+    /// records of all other purposes would take the bytes that an end needs.
+    const fn is_urgent(self) -> bool {
+        matches!(self, Purpose::End | Purpose::Delete | Purpose::Claim)
+    }
+}
+
+/// The records that a log held before this instance read it: how many there
+/// are is known by their offsets, their sizes from samples.
+///
+/// # Example
+///
+/// ```
+/// use hollywell::core::capacity::Past;
+///
+/// let mut past = Past::new(100, 400);
+/// assert_eq!(past.offsets(), [150, 250, 350]);
+/// // One large record, then ten small ones, then one of medium size.
+/// for (records, bytes) in [(1, 5_000), (10, 1_000), (1, 600)] {
+///     past.add_sample(records, bytes);
+/// }
+/// assert_eq!(past.bytes(), Some(100 * 5_000 + 100 * 100 + 100 * 600));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Past {
+    first: u64,
+    end: u64,
+    samples: u64,
+    /// Sum of the samples' mean record sizes.
+    mean_bytes: u64,
+}
+
+impl Past {
+    /// The past of a log that retains records from `first` up to `end`.
+    #[must_use]
+    pub const fn new(first: u64, end: u64) -> Past {
+        Past { first, end, samples: 0, mean_bytes: 0 }
+    }
+
+    /// The offsets from which samples are to be read: the middles of equal
+    /// parts.
+    #[must_use]
+    pub fn offsets(&self) -> Vec<u64> {
+        let count = self.end.saturating_sub(self.first);
+        let middle = |at| self.first + count * (2 * at + 1) / (2 * PAST_SAMPLES);
+        let mut offsets: Vec<u64> = (0..PAST_SAMPLES).map(middle).collect();
+        offsets.dedup();
+        offsets.retain(|offset| *offset < self.end);
+        offsets
+    }
+
+    /// Adds a sample of consecutive records, which take `bytes` in the log.
+    pub fn add_sample(&mut self, records: u64, bytes: u64) {
+        if records > 0 {
+            self.samples += 1;
+            self.mean_bytes = self.mean_bytes.saturating_add(bytes.div_ceil(records));
+        }
+    }
+
+    /// Estimated number of bytes in the log; `None` without a sample.
+    #[must_use]
+    pub fn bytes(&self) -> Option<u64> {
+        let count = self.end.saturating_sub(self.first);
+        if count == 0 {
+            return Some(0);
+        }
+        let sum = u128::from(count) * u128::from(self.mean_bytes);
+        let mean = sum.checked_div(u128::from(self.samples))?;
+        Some(u64::try_from(mean).unwrap_or(u64::MAX))
     }
 }
 
@@ -170,6 +244,12 @@
     /// Whether its contents are known: it was trimmed, or observed for the
     /// whole retention time of its records.
     is_known: bool,
+    /// Estimated bytes of what it held before it was first seen.
+    past: Option<u64>,
+    /// The offset up to which its records are counted.
+    counted_to: u64,
+    /// Mean size of the records read last.
+    record_bytes: u64,
 }
 
 impl Log {
@@ -188,12 +268,41 @@
         }
     }
 
+    /// Records that the log ends at `end` and that so many records were read
+    /// since the last call, with `bytes` in all. Others before `end` that were
+    /// not read count as much as these.
+    pub fn record_read(&mut self, now: Time, end: u64, records: u64, bytes: u64) {
+        self.record_bytes = bytes.checked_div(records).unwrap_or(self.record_bytes);
+        let is_first = self.marks.is_empty() && !self.is_known;
+        let advance = if is_first { 0 } else { end.saturating_sub(self.counted_to) };
+        let unread = advance.saturating_sub(records);
+        self.counted_to = self.counted_to.max(end);
+        self.record(now, end, bytes.saturating_add(unread.saturating_mul(self.record_bytes)));
+    }
+
+    /// Sets the estimated bytes of what the log held before it was first seen.
+    pub const fn set_past(&mut self, bytes: u64) {
+        self.past = Some(bytes);
+    }
+
+    /// The offset before which the contents of the log are only assumed.
+    #[must_use]
+    pub fn unsampled_before(&self) -> Option<u64> {
+        let is_unsampled = !self.is_known && self.past.is_none();
+        self.marks.front().filter(|_| is_unsampled).map(|mark| mark.end)
+    }
+
     /// Estimated number of bytes in the log. While its initial contents are not
-    /// known they are assumed to be as large as the limit, `max`.
+    /// known, and no other estimate of them was set, they are assumed to be as
+    /// large as the limit, `max`.
     #[must_use]
     pub const fn bytes(&self, max: u64) -> u64 {
-        let unknown = if self.is_known { 0 } else { max };
-        self.written - self.trimmed_bytes + unknown
+        let unknown = match self.past {
+            _ if self.is_known => 0,
+            Some(past) => past,
+            None => max,
+        };
+        (self.written - self.trimmed_bytes).saturating_add(unknown)
     }
 
     /// Removes marks whose records have expired after the retention time
@@ -231,6 +340,15 @@
         (has_excess || has_unknown).then_some(mark.end)
     }
 
+    /// Records that the log, which may take `max` bytes, was trimmed before an
+    /// offset, which freed so many bytes.
+    pub fn record_trim(&mut self, before: u64, freed: Option<u64>, max: u64) -> Trim {
+        let (was_known, bytes) = (self.is_known, self.bytes(max));
+        self.trimmed(before);
+        let was_unknown = !was_known && self.is_known;
+        Trim { freed, counted: bytes - self.bytes(max), was_unknown }
+    }
+
     /// Records that the log was trimmed before an offset. Its initial contents
     /// are gone once all records from before the first mark are.
     pub fn trimmed(&mut self, before: u64) {
@@ -243,6 +361,17 @@
     }
 }
 
+/// What a trim of a log removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trim {
+    /// Bytes of the removed records, if they were sampled.
+    pub freed: Option<u64>,
+    /// Bytes that this instance had counted for them.
+    pub counted: u64,
+    /// Whether some of them were from before this instance's first read.
+    pub was_unknown: bool,
+}
+
 /// What is known of the use of the store.
 ///
 /// # Example
@@ -261,9 +390,10 @@
 /// // Live records, accepted jobs and this job exceed 600 KB.
 /// assert!(state.admit(now, 60_000, next_delete).is_err());
 /// // A refusal by the store takes precedence over the estimate.
-/// state.record_refusal(now);
+/// state.record_refusal(now, 1_000);
+/// assert_eq!(state.unaccounted(now), 1_000_000 - 1_000 - 600_000);
 /// assert!(state.admit(now, 1, next_delete).is_err());
-/// assert!(!state.allows(now, Purpose::PartialText, 1_000));
+/// assert!(!state.allows(now, Purpose::Outcome, 1_000));
 /// assert!(state.allows(now, Purpose::End, 1_000_000));
 /// ```
 #[derive(Clone, Debug)]
@@ -277,6 +407,11 @@
     /// Bytes that this instance has appended since the last update.
     appended: u64,
     full_at: Option<Time>,
+    /// Retention time of records in a log, in milliseconds.
+    retention_ms: u64,
+    /// Bytes that the estimate lacked when the store refused an append, and
+    /// when that was.
+    unaccounted: (u64, Time),
 }
 
 impl State {
@@ -284,7 +419,24 @@
     /// bytes of capacity.
     #[must_use]
     pub const fn new(total: u64) -> State {
-        State { total, live: 0, live_at: Time(0), logs: 0, expected: 0, appended: 0, full_at: None }
+        State {
+            total,
+            live: 0,
+            live_at: Time(0),
+            logs: 0,
+            expected: 0,
+            appended: 0,
+            full_at: None,
+            retention_ms: RETENTION_MS,
+            unaccounted: (0, Time(0)),
+        }
+    }
+
+    /// The same for logs whose records expire after `retention_ms`.
+    #[must_use]
+    pub const fn with_retention(mut self, retention_ms: u64) -> State {
+        self.retention_ms = retention_ms;
+        self
     }
 
     /// Updates the estimate: bytes of live records, bytes of logs, and bytes
@@ -308,9 +460,49 @@
         self.appended = self.appended.saturating_add(bytes);
     }
 
-    /// Records that the store refused an append because it was full.
-    pub const fn record_refusal(&mut self, now: Time) {
+    /// Records that the store refused an append of so many bytes because it was
+    /// full: the rest of its capacity is in use, whatever was known of it.
+    pub fn record_refusal(&mut self, now: Time, bytes: u64) {
         self.full_at = Some(now);
+        let lacking = self.total.saturating_sub(bytes).saturating_sub(self.used());
+        if lacking >= self.unaccounted(now) {
+            self.unaccounted = (lacking, now);
+        }
+    }
+
+    /// Records that a log, counted with `before` bytes so far, was sampled and
+    /// counts with `after` from now on. What the estimate lacked at a refusal
+    /// changes by as much.
+    pub const fn record_sample(&mut self, before: u64, after: u64) {
+        let (bytes, at) = self.unaccounted;
+        if bytes > 0 {
+            self.unaccounted = (bytes.saturating_add(before).saturating_sub(after), at);
+        }
+    }
+
+    /// Records that a log was trimmed, which `trim` tells about: appends need
+    /// not wait any longer than the estimate says, and of what the estimate
+    /// lacked, that part is gone which the log held.
+    pub const fn record_trim(&mut self, trim: Trim) {
+        self.full_at = None;
+        let (bytes, at) = self.unaccounted;
+        let beyond = match trim.freed {
+            Some(freed) => freed.saturating_sub(trim.counted),
+            None if trim.was_unknown => bytes,
+            None => 0,
+        };
+        self.unaccounted = (bytes.saturating_sub(beyond), at);
+    }
+
+    /// Bytes in use beyond the estimate, as far as the store's refusals showed.
+    /// They expire within the retention time of records, at an even rate if
+    /// they were written at one.
+    #[must_use]
+    pub fn unaccounted(&self, now: Time) -> u64 {
+        let (bytes, at) = self.unaccounted;
+        let left_ms = self.retention_ms.saturating_sub(now.since(at));
+        let left = u128::from(bytes) * u128::from(left_ms) / u128::from(self.retention_ms.max(1));
+        u64::try_from(left).unwrap_or(bytes)
     }
 
     /// Whether the store recently refused an append because it was full.
@@ -319,6 +511,18 @@
         self.full_at.is_some_and(|at| now.since(at) < FULL_MS)
     }
 
+    /// The part of the capacity that is left for what the estimate includes.
+    fn usable(&self, now: Time) -> u64 {
+        self.total.saturating_sub(self.unaccounted(now))
+    }
+
+    /// Whether results have to wait for free space, so that logs are trimmed
+    /// whatever their size. The store itself is not asked while they wait.
+    #[must_use]
+    pub fn is_short(&self, now: Time) -> bool {
+        !self.allows(now, Purpose::Outcome, 0)
+    }
+
     /// Estimated number of bytes in use.
     #[must_use]
     pub const fn used(&self) -> u64 {
@@ -331,6 +535,15 @@
         self.total
     }
 
+    /// Bytes that the past of a log counts as, where none of its records is
+    /// known to be larger than `record_bytes`, and whether that is so much that
+    /// the log has to be sampled.
+    #[must_use]
+    pub fn past_bound(&self, records: u64, record_bytes: u64) -> (u64, bool) {
+        let (bound, max) = (records.saturating_mul(record_bytes), self.max_log_bytes(1));
+        (bound.min(max), bound > max)
+    }
+
     /// Bytes that each of so many logs may take before it is trimmed.
     #[must_use]
     pub fn max_log_bytes(&self, logs: usize) -> u64 {
@@ -340,9 +553,9 @@
     /// Whether an append that adds so many bytes should be made now.
     #[must_use]
     pub fn allows(&self, now: Time, purpose: Purpose, bytes: u64) -> bool {
-        let waits = purpose.may_wait() && self.is_full(now);
+        let waits = !purpose.is_urgent() && self.is_full(now);
         let then = self.used().saturating_add(bytes);
-        !waits && (then as f64) < self.total as f64 * purpose.share()
+        !waits && (then as f64) < self.usable(now) as f64 * purpose.share()
     }
 
     /// Decides whether a job that will take so many bytes may be accepted.
@@ -354,7 +567,7 @@
     pub fn admit(&self, now: Time, bytes: u64, next_delete_ms: Option<u64>) -> Result<(), u64> {
         let kept = self.live.saturating_add(self.expected).saturating_add(bytes);
         let (min, max) = RETRY_AFTER_MS;
-        if kept as f64 > self.total as f64 * ADMISSION_SHARE {
+        if kept as f64 > self.usable(now) as f64 * ADMISSION_SHARE {
             return Err(next_delete_ms.unwrap_or(min).clamp(min, max));
         }
         // Otherwise the space is taken by logs, which are trimmed each second.
--- a/crates/hollywell/src/entry/capacity.rs
+++ b/crates/hollywell/src/entry/capacity.rs
@@ -4,18 +4,18 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::{
     core::{
-        batch::{Job, MAX_CLOCK_SKEW_MS, Submission},
-        capacity::{self, LIVE_OVERHEAD, LOG_OVERHEAD, Purpose},
+        batch::{Job, MAX_CLOCK_SKEW_MS, Record, Submission},
+        capacity::{self, LIVE_OVERHEAD, LOG_OVERHEAD, Past, Purpose},
         dispatch::owner,
     },
     entry::{
         hints::{self, Hint},
         shared::{JOBS, Shared, TEXTS, unix_ms},
-        store::{Partition, Read},
+        store::{Partition, Read, Records, StoreError},
     },
 };
 
@@ -33,6 +33,8 @@
 /// Bytes of a result besides its text, in both topics, including the store's
 /// overhead.
 const OUTCOME_BYTES: u64 = 400;
+/// Maximum size of a sample of a log's older records, in KB.
+const SAMPLE_KB: usize = 16;
 /// Maximum bytes of a sample's entry in its job's manifest.
 const BRIEF_BYTES: u64 = 100;
 
@@ -40,15 +42,107 @@
 pub async fn serve(shared: Rc<Shared>) {
     let mut rejecting = false;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        // Whoever has no space for an end trims, and at once: others need not
+        // know that the store is full.
+        let must = timeout(CHECK_INTERVAL, shared.end_without_space.notified()).await.is_ok();
         let _ratio = measure(&shared);
         log_transition(&shared, &mut rejecting);
+        sample_own_logs(&shared).await;
         for part in 0..shared.partition_changed.len() {
-            trim(&shared, part).await;
+            trim(&shared, part, must).await;
         }
     }
 }
 
+/// Estimates what a log held before its first read here. Without a snapshot
+/// that is what was read; with one, all older records count as much as the
+/// largest newest one, and if that is a lot they are sampled.
+pub fn estimate_past(shared: &Rc<Shared>, part: &Partition, read: &Records, is_snapshot: bool) {
+    let sizes = || read.records.iter().map(Record::log_bytes);
+    let must_sample = {
+        let control = &mut *shared.control.borrow_mut();
+        let (bound, is_large) = control.capacity.past_bound(read.end, sizes().max().unwrap_or(0));
+        let past = if is_snapshot { bound } else { sizes().sum() };
+        control.other_logs.entry(part.clone()).or_default().set_past(past);
+        is_snapshot && is_large
+    };
+    if must_sample {
+        tokio::task::spawn_local(sample_past(shared.clone(), part.clone(), read.end));
+    }
+}
+
+/// Reads a few of a log's older records, and estimates from their sizes what it
+/// held.
+async fn sample_past(shared: Rc<Shared>, part: Partition, end: u64) {
+    if let Some(bytes) = sampled_bytes(&shared, &part, end).await {
+        log::info!("{}/{} held {bytes} bytes before {end}", part.topic, part.number);
+        let control = &mut *shared.control.borrow_mut();
+        let log = control.other_logs.entry(part).or_default();
+        let before = log.bytes(0);
+        log.set_past(bytes);
+        control.capacity.record_sample(before, log.bytes(0));
+    }
+}
+
+/// Replaces what is assumed of the logs of jobs and texts by samples, if jobs
+/// are rejected with it.
+async fn sample_own_logs(shared: &Shared) {
+    let unsampled: Vec<(usize, usize, u64)> = {
+        let control = shared.control.borrow();
+        if control.capacity.allows(shared.now(), Purpose::Manifest, 0) {
+            return;
+        }
+        let logs = control.partitions.iter().enumerate().flat_map(|(part, partition)| {
+            partition.logs.iter().enumerate().map(move |(at, log)| (part, at, log))
+        });
+        logs.filter_map(|(part, at, log)| Some((part, at, log.unsampled_before()?))).collect()
+    };
+    for (part, at, end) in unsampled {
+        let topic = [JOBS, TEXTS][at];
+        if let Some(bytes) = sampled_bytes(shared, &Partition::at(topic, part), end).await {
+            log::info!("{topic}/{part} held {bytes} bytes before {end}");
+            let control = &mut *shared.control.borrow_mut();
+            let max_log_bytes = control.capacity.max_log_bytes(2 * control.partitions.len());
+            let log = &mut control.partitions[part].logs[at];
+            let before = log.bytes(max_log_bytes);
+            log.set_past(bytes);
+            control.capacity.record_sample(before, log.bytes(max_log_bytes));
+        }
+    }
+}
+
+/// The bytes that a log holds before an offset, from a few samples; `None` if
+/// they cannot be read.
+async fn sampled_bytes(shared: &Shared, part: &Partition, end: u64) -> Option<u64> {
+    let read = async |from, max_kb| {
+        let read = Read { part: part.clone(), from, wait: Duration::ZERO, max_kb };
+        shared.reader.read(read).await
+    };
+    let sample = async |from| match read(from, Some(SAMPLE_KB)).await {
+        // A record may be larger than that.
+        Ok(sample) if sample.records.is_empty() => read(from, None).await,
+        other => other,
+    };
+    let first = match read(0, Some(SAMPLE_KB)).await {
+        Err(StoreError::Trimmed(first)) => first,
+        Ok(_) | Err(_) => 0,
+    };
+    let mut past = Past::new(first, end);
+    for from in past.offsets() {
+        match sample(from).await {
+            Ok(read) => {
+                let bytes = read.records.iter().map(Record::log_bytes).sum();
+                past.add_sample(read.records.len() as u64, bytes);
+            }
+            Err(error) => {
+                log::info!("sampling {}/{} at {from}: {error}", part.topic, part.number);
+                return None;
+            }
+        }
+    }
+    past.bytes()
+}
+
 /// Bytes of text per token, as far as they were observed.
 fn bytes_per_token(shared: &Shared) -> f64 {
     let control = shared.control.borrow();
@@ -63,8 +157,7 @@
 fn measure(shared: &Shared) -> f64 {
     let bytes_per_token = bytes_per_token(shared);
     let now = shared.now();
-    let retention_ms =
-        u64::try_from(shared.settings.store.retention.as_millis()).unwrap_or(u64::MAX);
+    let retention_ms = shared.settings.store.retention_ms();
     let control = &mut *shared.control.borrow_mut();
     let own = control.partitions.iter_mut().flat_map(|partition| &mut partition.logs);
     for log in own.chain(control.other_logs.values_mut()) {
@@ -84,7 +177,9 @@
         .map(|log| log.bytes(max_log_bytes));
     let logs = own.sum::<u64>() + others;
     control.capacity.update(now, live, logs, (tokens as f64 * bytes_per_token) as u64 + outcomes);
-    shared.meters.store_used_bytes.set(i64::try_from(control.capacity.used()).unwrap_or(i64::MAX));
+    let gauge = |bytes: u64| i64::try_from(bytes).unwrap_or(i64::MAX);
+    shared.meters.store_used_bytes.set(gauge(control.capacity.used()));
+    shared.meters.store_unaccounted_bytes.set(gauge(control.capacity.unaccounted(now)));
     bytes_per_token
 }
 
@@ -98,11 +193,13 @@
         *rejecting = !allowed;
         let (used, total) = (control.capacity.used(), control.capacity.total());
         let full = control.capacity.is_full(now);
+        let unaccounted = control.capacity.unaccounted(now);
         if allowed {
             log::info!("store has free capacity again: {used} of {total} bytes known to be used");
         } else {
             log::warn!(
-                "store is nearly full: {used} of {total} bytes known to be used, reported full: {full}"
+                "store is nearly full: {used} of {total} bytes known to be used, \
+                 {unaccounted} more by the store's refusals, reported full: {full}"
             );
         }
     }
@@ -139,20 +236,26 @@
 /// Trims the logs of a job partition and of the texts partition with the same
 /// number, and publishes a hint, from which the other instances learn that the
 /// log was in fact trimmed. Normally one instance, the owner, does it; if the
-/// owner seems not to, or the store is full, any that finds it due may.
-async fn trim(shared: &Rc<Shared>, part: usize) {
+/// owner seems not to, or the store is full, any that finds it due may; if this
+/// instance has no space for an end, it `must`.
+async fn trim(shared: &Rc<Shared>, part: usize, must: bool) {
     for (at, topic) in [JOBS, TEXTS].into_iter().enumerate() {
-        let Some((before, full)) = due_trim(shared, part, at) else {
+        let Some((before, full)) = due_trim(shared, part, at, must) else {
             continue;
         };
         let before =
             if full && topic == TEXTS { partition_end(shared, part, before).await } else { before };
+        let is_short = shared.control.borrow().capacity.unaccounted(shared.now()) > 0;
+        let freed = match is_short {
+            true => sampled_bytes(shared, &Partition::at(topic, part), before).await,
+            false => None,
+        };
         match (shared.store.trim)((Partition::at(topic, part), before)).await {
             Ok(()) => {
                 log::info!("{topic}/{part} trimmed before {before}");
-                record_trim(shared, part, at, before);
-                hints::publish(shared, &Hint::Trimmed { part, texts: topic == TEXTS, before })
-                    .await;
+                record_trim(shared, part, at, before, freed);
+                let texts = topic == TEXTS;
+                hints::publish(shared, &Hint::Trimmed { part, texts, before, freed }).await;
             }
             Err(error) => log::info!("{topic}/{part} is not trimmed yet: {error}"),
         }
@@ -160,13 +263,13 @@
 }
 
 /// The offset before which this instance must trim a log now, if any, and
-/// whether the store is full.
-fn due_trim(shared: &Shared, part: usize, at: usize) -> Option<(u64, bool)> {
+/// whether the store is full or nearly.
+fn due_trim(shared: &Shared, part: usize, at: usize, must: bool) -> Option<(u64, bool)> {
     let now = shared.now();
     let control = shared.control.borrow();
     let members = control.roster.members();
     let max_log_bytes = control.capacity.max_log_bytes(2 * control.partitions.len());
-    let full = control.capacity.is_full(now);
+    let full = must || control.capacity.is_short(now);
     // Instances that follow the jobs would have to read a snapshot again if
     // records were trimmed before they read them. Texts can also be read by
     // their keys.
@@ -177,14 +280,16 @@
     let is_helper =
         (full || is_overdue) && rand::random_bool((HELPERS / members.len() as f64).min(1.0));
     let before = log.trim_offset(now, max_log_bytes, full.then_some(min_age_ms))?;
-    (is_owner || is_helper).then_some((before, full))
+    (must || is_owner || is_helper).then_some((before, full))
 }
 
 /// Records that a log was trimmed, by this or another instance.
-pub fn record_trim(shared: &Shared, part: usize, at: usize, before: u64) {
-    let mut control = shared.control.borrow_mut();
+pub fn record_trim(shared: &Shared, part: usize, at: usize, before: u64, freed: Option<u64>) {
+    let control = &mut *shared.control.borrow_mut();
+    let max_log_bytes = control.capacity.max_log_bytes(2 * control.partitions.len());
     if let Some(partition) = control.partitions.get_mut(part) {
-        partition.logs[at].trimmed(before);
+        let trim = partition.logs[at].record_trim(before, freed, max_log_bytes);
+        control.capacity.record_trim(trim);
     }
 }
 
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -23,6 +23,7 @@
         time::Time,
     },
     entry::{
+        capacity,
         codec::Command,
         configuration,
         feed::{self, Batch},
@@ -249,6 +250,7 @@
     if is_relayed && let Some((records, age_ms)) = relay::fetch(&shared, &part).await {
         relay::keep(&shared, &part, &records, age_ms);
         position.advance(&records);
+        account(&shared, &part, &records, position.reached, true);
         let known_at = Some(Time(shared.now().0.saturating_sub(age_ms)));
         on_records(&shared, records, Origin { is_snapshot: true, requested_at: None, known_at });
     }
@@ -256,10 +258,8 @@
         let started = Instant::now();
         match position.read(&shared, &part, may_follow).await {
             Ok(Batch { records, requested_at, is_snapshot, is_complete }) => {
-                if part.topic != JOBS {
-                    shared.account_for_read(&part, &records);
-                }
                 position.advance(&records);
+                account(&shared, &part, &records, position.reached, is_snapshot);
                 position.is_current |= !is_snapshot;
                 let known_at = is_complete.then_some(requested_at);
                 let requested_at = known_at.filter(|_| !is_snapshot);
@@ -288,6 +288,18 @@
     }
 }
 
+/// Counts what was read of a log up to `next`, unless it is one of jobs, which
+/// are counted as they are folded.
+fn account(shared: &Rc<Shared>, part: &Partition, records: &Records, next: u64, is_snapshot: bool) {
+    if part.topic == JOBS {
+        return;
+    }
+    if !shared.control.borrow().other_logs.contains_key(part) {
+        capacity::estimate_past(shared, part, records, is_snapshot);
+    }
+    shared.account_for_read(part, records, next);
+}
+
 fn jobs_interval(shared: &Shared, part: usize) -> Duration {
     if shared.result_waiters[part].get() > 0 {
         return JOBS_INTERVAL;
--- a/crates/hollywell/src/entry/hints.rs
+++ b/crates/hollywell/src/entry/hints.rs
@@ -40,6 +40,10 @@
         texts: bool,
         /// The offset before which it was trimmed.
         before: u64,
+        /// The bytes that were freed, if the instance that trimmed it has
+        /// sampled them.
+        #[serde(default)]
+        freed: Option<u64>,
     },
     /// A job was accepted in a partition. Its longest samples determine how long
     /// the step takes, and should not wait for the next regular read.
@@ -53,7 +57,10 @@
 pub async fn publish(shared: &Rc<Shared>, hint: &Hint) {
     let value = serde_json::to_vec(hint).unwrap_or_default();
     let records = vec![(None, value.into())];
-    let (part, purpose) = (Partition::new(TOPIC, 0), Purpose::Hint);
+    // That there is space again has to be known while there is little.
+    let is_trim = matches!(hint, Hint::Trimmed { .. });
+    let purpose = if is_trim { Purpose::Delete } else { Purpose::Hint };
+    let part = Partition::new(TOPIC, 0);
     match shared.append(Append { part, records, expected_end: None, purpose }).await {
         Ok(_) => {}
         Err(error) => log::info!("publishing the hint {hint:?}: {error}"),
@@ -88,8 +95,8 @@
                         model: load.model,
                         version: load.version,
                     }),
-                    Ok(Hint::Trimmed { part, texts, before }) => {
-                        capacity::record_trim(shared, part, usize::from(texts), before);
+                    Ok(Hint::Trimmed { part, texts, before, freed }) => {
+                        capacity::record_trim(shared, part, usize::from(texts), before, freed);
                     }
                     Ok(Hint::Accepted { part }) => {
                         if let Some(accepted) = shared.job_accepted.get(part) {
--- a/crates/hollywell/src/entry/meters.rs
+++ b/crates/hollywell/src/entry/meters.rs
@@ -64,6 +64,8 @@
     pub announcements_skipped: IntCounter,
     /// Bytes used in the store, as far as known.
     pub store_used_bytes: IntGauge,
+    /// Bytes used in the store beyond that, as its refusals showed.
+    pub store_unaccounted_bytes: IntGauge,
     /// Jobs rejected because the store was full.
     pub jobs_without_space: IntGauge,
     /// Jobs rejected because too many samples are kept.
@@ -224,6 +226,10 @@
                 "hollywell_entry_store_used_bytes",
                 "Bytes in the store, as known.",
             )?,
+            store_unaccounted_bytes: gauge(
+                "hollywell_entry_store_unaccounted_bytes",
+                "Bytes in the store beyond those known, by its refusals.",
+            )?,
             jobs_without_space: gauge(
                 "hollywell_entry_jobs_without_room",
                 "Jobs rejected for room.",
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -126,7 +126,8 @@
         inquiry: Inquiry::default(),
         poison: poison::State::default(),
         poison_loaded: false,
-        capacity: capacity::State::new(settings.store.room_bytes),
+        capacity: capacity::State::new(settings.store.room_bytes)
+            .with_retention(settings.store.retention_ms()),
         other_logs: std::collections::HashMap::new(),
         partitions: (0..parts).map(|_| JobPartition::default()).collect(),
         models: crate::core::weight_loading::Models::default(),
@@ -166,6 +167,7 @@
         configuration_read: Notify::new(),
         group_changed: Notify::new(),
         membership: member::Membership::default(),
+        end_without_space: Notify::new(),
         job_accepted: (0..parts).map(|_| Notify::new()).collect(),
         result_waiters: (0..parts).map(|_| Cell::new(0)).collect(),
         partition_changed: (0..parts).map(|_| Notify::new()).collect(),
--- a/crates/hollywell/src/entry/settings.rs
+++ b/crates/hollywell/src/entry/settings.rs
@@ -74,6 +74,14 @@
     pub supply: relay::Supply,
 }
 
+impl Store {
+    /// Retention time of a record in its log, in milliseconds.
+    #[must_use]
+    pub fn retention_ms(&self) -> u64 {
+        u64::try_from(self.retention.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
 /// Times that the platform guarantees or requires.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Times {
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -9,7 +9,6 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use bytes::Bytes;
 use tokio::{
     sync::{Notify, watch},
     task::AbortHandle,
@@ -20,7 +19,7 @@
     clock::Clock,
     core::{
         batch::{self, Bundle, Change, Index, Manifest, Orphans, Record, Written},
-        capacity,
+        capacity::{self, Purpose},
         choice::{Load, Observations},
         configuration::{Configuration, Route, RouteKind},
         dispatch::{self, Demand, Effect, Event, JobSpec, Run, SampleId, Texts},
@@ -257,6 +256,8 @@
     pub group_changed: Notify,
     /// The state behind answers to peers that ask for the members.
     pub membership: member::Membership,
+    /// Notified when the store refused the end of a job for lack of capacity.
+    pub end_without_space: Notify,
     /// Notified when a job was accepted, by partition.
     pub job_accepted: Vec<Notify>,
     /// Number of callers that wait here for results, by partition.
@@ -338,7 +339,7 @@
     /// left is reserved for other purposes.
     pub async fn append(&self, append: Append) -> Result<Appended, StoreError> {
         let (purpose, bytes) = (append.purpose.as_str(), append.payload_bytes());
-        let stored = append.stored_bytes();
+        let (stored, is_end) = (append.stored_bytes(), append.purpose == Purpose::End);
         let allowed = self.control.borrow().capacity.allows(self.now(), append.purpose, stored);
         if !allowed {
             self.meters.failed_appends.with_label_values(&[purpose, "kept_back"]).inc();
@@ -359,7 +360,11 @@
             Err(error) => {
                 if *error == StoreError::Full {
                     let now = self.now();
-                    self.control.borrow_mut().capacity.record_refusal(now);
+                    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+                    self.control.borrow_mut().capacity.record_refusal(now, bytes);
+                    if is_end {
+                        self.end_without_space.notify_one();
+                    }
                 }
                 self.meters.failed_appends.with_label_values(&[purpose, error.as_str()]).inc();
             }
@@ -455,16 +460,14 @@
 
     /// Adds records read from a log other than those of jobs to the estimate of
     /// the store's usage: they take capacity too.
-    pub fn account_for_read(&self, part: &Partition, read: &Records) {
-        let bytes = |record: &Record| {
-            (record.key.len() + record.value.as_ref().map_or(0, Bytes::len)) as u64
-                + capacity::LOG_OVERHEAD
-        };
-        let written = read.records.iter().map(bytes).sum();
-        let last = read.records.last().map_or(0, |record| record.offset + 1);
+    /// The records were read up to the offset `next`; a source may have left
+    /// some of them out.
+    pub fn account_for_read(&self, part: &Partition, read: &Records, next: u64) {
+        let written = read.records.iter().map(Record::log_bytes).sum();
+        let count = read.records.len() as u64;
         let now = self.now();
         let mut control = self.control.borrow_mut();
-        control.other_logs.entry(part.clone()).or_default().record(now, last, written);
+        control.other_logs.entry(part.clone()).or_default().record_read(now, next, count, written);
     }
 
     /// Folds records of a job partition, skipping those folded before; `end` is
--- a/crates/hollywell/tests/spare.rs
+++ b/crates/hollywell/tests/spare.rs
@@ -3,6 +3,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use hollywell::core::{
     batch::{
@@ -10,9 +12,10 @@
         bundle_key, end_record, manifest_record, outcome_record, partial_record, partial_text_key,
         text_key,
     },
-    capacity::{Log, Purpose, State},
+    capacity::{Log, Past, Purpose, State, Trim},
     time::Time,
 };
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 
 const RETENTION: Retention = Retention { status_ms: 120_000 };
 
@@ -237,7 +240,7 @@
 fn a_refused_caller_retries_soon_only_if_trimming_frees_space() {
     let mut state = State::new(1_000_000);
     state.update(Time(0), 100_000, 100_000, 0);
-    state.record_refusal(Time(0));
+    state.record_refusal(Time(0), 0);
     let retry_ms = state.admit(Time(0), 1_000, Some(55_000)).unwrap_err();
     assert!(retry_ms <= 5_000, "expected a retry within 5 s, got {retry_ms} ms");
     state.update(Time(5_000), 600_000, 0, 0);
@@ -254,7 +257,7 @@
     assert_eq!(state.used(), 300_000);
     state.appended(50_000);
     assert_eq!(state.used(), 350_000, "appended bytes count before they are read back");
-    state.record_refusal(Time(6_000));
+    state.record_refusal(Time(6_000), 0);
     state.update(Time(6_500), 100_000, 0, 0);
     assert_eq!(state.used(), 300_000, "a full store accepts no deletions");
     state.update(Time(7_500), 100_000, 0, 0);
@@ -336,3 +339,163 @@
     log.trimmed(1_000);
     assert_eq!(log.bytes(MAX), 10_000);
 }
+
+// The estimate was too low: each second small records took what had become free,
+// and ends were refused.
+#[test]
+fn a_refusal_reserves_space_for_ends_until_it_is_made() {
+    const TOTAL: u64 = 1_000_000;
+    let mut state = State::new(TOTAL);
+    state.update(Time(0), 300_000, 100_000, 0);
+    state.record_refusal(Time(10), 0);
+    let others = [Purpose::Hint, Purpose::Suspect, Purpose::Usage, Purpose::Outcome, Purpose::Text];
+    for now in [10, 500, 5_000] {
+        for purpose in others {
+            assert!(!state.allows(Time(now), purpose, 100), "{purpose:?} at {now}");
+        }
+        for purpose in [Purpose::End, Purpose::Delete, Purpose::Claim] {
+            assert!(state.allows(Time(now), purpose, 100), "{purpose:?} at {now}");
+        }
+    }
+    // Logs of 80 KB are trimmed.
+    state.update(Time(5_100), 300_000, 20_000, 0);
+    assert!(state.allows(Time(5_100), Purpose::Outcome, 1_000));
+    assert!(!state.allows(Time(5_100), Purpose::Manifest, 1_000));
+}
+
+#[test]
+fn past_of_a_log_is_estimated_within_a_quarter() {
+    let mut random = SmallRng::seed_from_u64(3);
+    for _ in 0..500 {
+        // One of `every` records is large; both kinds grow at their own pace.
+        let (first, count) = (random.random_range(0..1_000), random.random_range(300..900));
+        let (every, small) = (random.random_range(1..4), random.random_range(100..400));
+        let (large, growth) = (random.random_range(1_000..60_000), random.random_range(0..30));
+        let size =
+            |n: u64| if n.is_multiple_of(every) { large + growth * n } else { small + n / 10 };
+        let mut past = Past::new(first, first + count);
+        for offset in past.offsets() {
+            let from = offset - first;
+            let sample: Vec<u64> = (from..count).take(12).map(size).collect();
+            past.add_sample(sample.len() as u64, sample.iter().sum());
+        }
+        let (bytes, truth) = (past.bytes().unwrap(), (0..count).map(size).sum::<u64>());
+        assert!(
+            bytes.abs_diff(truth) <= truth / 4,
+            "{bytes} for {truth}: {count} records, each {every}th of {large} + {growth} n bytes"
+        );
+    }
+}
+
+#[test]
+fn records_that_a_source_leaves_out_are_counted_by_their_offsets() {
+    let mut log = Log::default();
+    log.record_read(Time(0), 1_000, 40, 40 * 200);
+    assert_eq!(log.bytes(0), 0, "what was there before counts by another estimate");
+    log.set_past(200_000);
+    assert_eq!(log.bytes(0), 200_000);
+    log.record_read(Time(2_000), 1_100, 1, 200);
+    log.record_read(Time(4_000), 1_200, 0, 0);
+    assert_eq!(log.bytes(0), 200_000 + 200 * 200);
+    log.expire(Time(300_001), 300_000);
+    assert_eq!(log.bytes(0), 200 * 200, "the past has expired");
+}
+
+#[test]
+fn a_trim_takes_back_what_the_estimate_lacked_of_its_log() {
+    let mut state = State::new(1_000_000);
+    state.update(Time(0), 100_000, 50_000, 0);
+    state.record_refusal(Time(0), 50_000);
+    assert_eq!(state.unaccounted(Time(0)), 800_000);
+    state.record_sample(50_000, 150_000);
+    assert_eq!(state.unaccounted(Time(0)), 700_000, "a sample shows a part of it");
+    state.record_sample(150_000, 50_000);
+    let trim = |freed, counted, was_unknown| Trim { freed, counted, was_unknown };
+    state.record_trim(trim(Some(300_000), 50_000, true));
+    assert_eq!(state.unaccounted(Time(0)), 550_000);
+    assert!(!state.is_full(Time(0)));
+    state.record_trim(trim(None, 10_000, false));
+    assert_eq!(state.unaccounted(Time(0)), 550_000);
+    assert_eq!(state.unaccounted(Time(150_000)), 275_000, "half of it has expired");
+    assert_eq!(state.unaccounted(Time(300_000)), 0);
+    state.record_trim(trim(None, 0, true));
+    assert_eq!(state.unaccounted(Time(0)), 0, "all of it may have been in that log");
+}
+
+/// A store in which a log that no instance reads takes `foreign` bytes, and
+/// instances that are restarted one after the other append results as fast as
+/// they may. Returns the longest time in milliseconds until an end was stored.
+fn longest_wait_of_an_end(seed: u64, total: u64) -> u64 {
+    const INSTANCES: usize = 6;
+    const STEP_MS: u64 = 50;
+    let mut random = SmallRng::seed_from_u64(seed);
+    let foreign = total * random.random_range(50..95) / 100;
+    let (result_bytes, operator_bytes) = (total / 500, total / 10_000);
+    let mut log: VecDeque<u64> = VecDeque::new();
+    let (mut written, mut trimmed, mut operator) = (0, 0, 0);
+    let mut instances = vec![(State::new(total), Log::default()); INSTANCES];
+    let (mut waiting, mut longest) = (None, 0);
+    for step in 0..1_200 {
+        let now = Time(step * STEP_MS);
+        let restarted = step % 60 == 0;
+        if restarted {
+            let at = random.random_range(0..INSTANCES);
+            instances[at] = (State::new(total), Log::default());
+        }
+        if step % 10 == 0 {
+            operator += operator_bytes;
+        }
+        if step % 20 == 0 && waiting.is_none() {
+            waiting = Some((now, now));
+        }
+        let mut refused_end = false;
+        for at in 0..INSTANCES {
+            let used = foreign + operator + log.iter().sum::<u64>();
+            let (state, own) = &mut instances[at];
+            if step % 20 == 0 {
+                own.record(now, written, 0);
+                state.update(now, 0, operator + own.bytes(0), 0);
+            }
+            let is_end = at == 0 && waiting.is_some_and(|(_, next)| now >= next);
+            let (purpose, bytes) =
+                if is_end { (Purpose::End, 150) } else { (Purpose::Outcome, result_bytes) };
+            if !state.allows(now, purpose, bytes) {
+                continue;
+            }
+            if used + bytes > total {
+                state.record_refusal(now, bytes);
+                refused_end |= is_end;
+                if let Some((since, _)) = waiting.filter(|_| is_end) {
+                    waiting = Some((since, now.after(150)));
+                }
+                continue;
+            }
+            log.push_back(bytes);
+            written += 1;
+            instances.iter_mut().for_each(|(_, own)| own.record(now, written, bytes));
+            instances[at].0.appended(bytes);
+            if let Some((since, _)) = waiting.filter(|_| is_end) {
+                longest = longest.max(now.since(since));
+                waiting = None;
+            }
+        }
+        let trims = refused_end || step % 20 == 0 && instances[0].0.is_short(now);
+        if trims && let Some(before) = instances[0].1.trim_offset(now, total, Some(2_000)) {
+            let freed = log.drain(..usize::try_from(before - trimmed).unwrap()).sum();
+            trimmed = before;
+            for (state, own) in &mut instances {
+                let trim = own.record_trim(before, Some(freed), 0);
+                state.record_trim(trim);
+            }
+        }
+    }
+    waiting.map_or(longest, |(since, _)| longest.max(60_000 - since.0))
+}
+
+#[test]
+fn an_end_finds_space_in_a_store_that_others_have_filled() {
+    for seed in 0..40 {
+        let longest = longest_wait_of_an_end(seed, 10_000_000);
+        assert!(longest <= 6_000, "an end waited {longest} ms, seed {seed}");
+    }
+}
