--- a/crates/hollywell/src/entry/instances.rs
+++ b/crates/hollywell/src/entry/instances.rs
@@ -66,10 +66,7 @@
     }
     shared.record_store_result(true);
     let records = newest.into_records();
-    shared.account_for_read(&part, &records);
-    let names = records.records.iter().map(|record| record.key.as_str());
-    let names = names.chain(records.beyond.iter().map(String::as_str));
-    shared.control.borrow_mut().instances.replace(names);
+    shared.control.borrow_mut().instances.replace(records.keys());
 }
 
 fn due_changes(shared: &Shared) -> Changes {
