Repeat an append of an end only while no peer knows of it

A slow append has peers notified after 400 ms; another is made after 800 ms, and only if none has confirmed.

--- a/crates/hollywell/tests/ending.rs
+++ b/crates/hollywell/tests/ending.rs
@@ -510,3 +510,23 @@
     state.step(Time(4_000), &Event::Failed { job: "j".into(), why: Failure::Full });
     assert!(state.is_refused("j"));
 }
+
+// Appends of an end that a peer appends too were repeated, and all of them were
+// stored once a broken link passed them.
+#[test]
+fn an_append_without_response_is_not_repeated_once_a_peer_knows_of_the_end() {
+    let all = members(2);
+    let mut state = State::new(&all[0]);
+    state.step(Time(0), &requested("j"));
+    for at in (50..1_500).step_by(50) {
+        for effect in state.step(Time(at), &tick(&all, &["j"])) {
+            match effect {
+                Effect::Notify { member, .. } => {
+                    let jobs = vec![String::from("j")];
+                    state.step(Time(at + 10), &Event::Confirmed { member, jobs });
+                }
+                other => panic!("{other:?} at {at}"),
+            }
+        }
+    }
+}
