Send ends whatever the estimate of the store's fill lacks

- Samples could make what the estimate lacks more than the capacity.
Nothing was usable then, a share without a limit of it was no number, and ends were not sent at all.
Urgent appends don't ask the estimate any more.
- What was read after a refusal counted as read and as lacking, so that results and jobs were held back for minutes.
The sum is at most the capacity, and a refusal before the jobs were read says only that the store is full.
- An instance without space for an end sampled all logs before it trimmed any.

Evidence: an_end_is_sent_whatever_the_estimate_lacks and what_is_read_after_a_refusal_is_no_longer_lacking failed before. The order of trims has no test.

--- a/crates/hollywell/src/core/capacity.rs
+++ b/crates/hollywell/src/core/capacity.rs
@@ -455,6 +455,11 @@
         self.logs = logs;
         self.expected = expected;
         self.appended = 0;
+        // What has been read since a refusal is no longer lacking.
+        let (unaccounted, rest) = (self.unaccounted(now), self.total.saturating_sub(self.used()));
+        if unaccounted > rest {
+            self.unaccounted = (rest, now);
+        }
     }
 
     /// Adds bytes that this instance has appended: the estimate is updated only
@@ -463,6 +468,12 @@
         self.appended = self.appended.saturating_add(bytes);
     }
 
+    /// Records that the store refused an append because it was full, of which
+    /// this instance has not read enough to tell what the estimate lacks.
+    pub const fn record_full(&mut self, now: Time) {
+        self.full_at = Some(now);
+    }
+
     /// Records that the store refused an append of so many bytes because it was
     /// full: the rest of its capacity is in use, whatever was known of it.
     pub fn record_refusal(&mut self, now: Time, bytes: u64) {
@@ -556,9 +567,11 @@
     /// Whether an append that adds so many bytes should be made now.
     #[must_use]
     pub fn allows(&self, now: Time, purpose: Purpose, bytes: u64) -> bool {
-        let waits = !purpose.is_urgent() && self.is_full(now);
+        if purpose.is_urgent() {
+            return true;
+        }
         let then = self.used().saturating_add(bytes);
-        !waits && (then as f64) < self.usable(now) as f64 * purpose.share()
+        !self.is_full(now) && (then as f64) < self.usable(now) as f64 * purpose.share()
     }
 
     /// Decides whether a job that will take so many bytes may be accepted.
--- a/crates/hollywell/src/entry/capacity.rs
+++ b/crates/hollywell/src/entry/capacity.rs
@@ -47,10 +47,12 @@
         let must = timeout(CHECK_INTERVAL, shared.end_without_space.notified()).await.is_ok();
         let _ratio = measure(&shared);
         log_transition(&shared, &mut rejecting);
-        sample_own_logs(&shared).await;
         for part in 0..shared.partition_changed.len() {
             trim(&shared, part, must).await;
         }
+        if !must {
+            sample_own_logs(&shared).await;
+        }
     }
 }
 
@@ -246,7 +248,8 @@
         let before =
             if full && topic == TEXTS { partition_end(shared, part, before).await } else { before };
         let is_short = shared.control.borrow().capacity.unaccounted(shared.now()) > 0;
-        let freed = match is_short {
+        // Samples take several reads, for which an end must not wait.
+        let freed = match is_short && !must {
             true => sampled_bytes(shared, &Partition::at(topic, part), before).await,
             false => None,
         };
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -411,7 +411,12 @@
                 match error {
                     StoreError::Full => {
                         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-                        self.control.borrow_mut().capacity.record_refusal(now, bytes);
+                        let control = &mut *self.control.borrow_mut();
+                        if control.partitions.iter().all(|partition| partition.loaded) {
+                            control.capacity.record_refusal(now, bytes);
+                        } else {
+                            control.capacity.record_full(now);
+                        }
                         if is_end {
                             self.end_without_space.notify_one();
                         }
--- a/crates/hollywell/tests/spare.rs
+++ b/crates/hollywell/tests/spare.rs
@@ -499,3 +499,25 @@
         assert!(longest <= 6_000, "an end waited {longest} ms, seed {seed}");
     }
 }
+
+// What an estimate lacked was more than the whole capacity after samples, and a
+// share of nothing is no number: ends were not sent at all.
+#[test]
+fn an_end_is_sent_whatever_the_estimate_lacks() {
+    let mut state = State::new(1_000_000);
+    state.record_refusal(Time(0), 100);
+    state.record_sample(800_000, 200_000);
+    for purpose in [Purpose::End, Purpose::Delete, Purpose::Claim] {
+        assert!(state.allows(Time(10), purpose, 1_000), "{purpose:?}");
+    }
+}
+
+// What was read after a refusal counted twice: as read, and as lacking.
+#[test]
+fn what_is_read_after_a_refusal_is_no_longer_lacking() {
+    let mut state = State::new(1_000_000);
+    state.record_refusal(Time(0), 0);
+    assert_eq!(state.unaccounted(Time(0)), 1_000_000);
+    state.update(Time(1_000), 500_000, 100_000, 0);
+    assert!(state.unaccounted(Time(1_000)) <= 400_000);
+}
