Let results have their turns while an end is refused again and again

Found by a review, by reading. Each refusal put off the next less urgent append by up to two of its intervals, four seconds at the lowest rate; an end that is repeated each 200 ms renewed that, so that results waited too long for their turn and were not sent. A refusal puts them off by 400 ms at most, within which the rate still holds.

--- a/crates/hollywell/src/core/throttle.rs
+++ b/crates/hollywell/src/core/throttle.rs
@@ -30,6 +30,9 @@
 const EPOCH_MS: u64 = 500;
 /// Time without refusals after which nothing is limited, in milliseconds.
 const RELEASE_MS: u64 = 5_000;
+/// Longest time by which a refusal puts off the next append, in milliseconds. An
+/// end that is refused again and again must not hold back all else.
+const MAX_SPREAD_MS: u64 = 400;
 /// Period over which appends are counted, in milliseconds.
 const COUNT_MS: u64 = 1_000;
 /// Longest wait for a turn at which a job is accepted, in milliseconds: it needs
@@ -43,9 +46,13 @@
 const fn max_wait_ms(purpose: Purpose) -> Option<u64> {
     match purpose {
         // Others act on them at once, or they free capacity.
-        Purpose::End | Purpose::Delete | Purpose::Claim | Purpose::Instance => None,
+        Purpose::End | Purpose::Delete | Purpose::Claim => None,
         // Work that is done is lost with the process until it is stored.
-        Purpose::Outcome | Purpose::Text | Purpose::Usage | Purpose::Suspect => Some(2_000),
+        Purpose::Outcome
+        | Purpose::Text
+        | Purpose::Usage
+        | Purpose::Suspect
+        | Purpose::Instance => Some(2_000),
         // The job was admitted by a shorter wait.
         Purpose::Requests | Purpose::Manifest => Some(2_000),
         // Can be left out.
@@ -168,7 +175,7 @@
         }
         limit.refused_at = now;
         let spread_ms = (limit.interval_ms(now) as f64 * (1.0 + jitter)) as u64;
-        limit.next_at = limit.next_at.max(now.after(spread_ms));
+        limit.next_at = limit.next_at.max(now.after(spread_ms.min(MAX_SPREAD_MS)));
     }
 
     fn release(&mut self, now: Time) {
--- a/crates/hollywell/tests/throttle.rs
+++ b/crates/hollywell/tests/throttle.rs
@@ -269,3 +269,16 @@
     assert_eq!(throttle.reserve(Time(9_000), Purpose::PartialText), Ok(Time(9_000)));
     assert_eq!(throttle.reserve(Time(9_000), Purpose::PartialText), Ok(Time(9_000)));
 }
+
+// Results waited for as long as an end was refused again and again.
+#[test]
+fn refusals_of_urgent_appends_do_not_hold_back_results_for_good() {
+    let mut throttle = Throttle::default();
+    let mut stored = 0;
+    for at in (0..60_000).step_by(200) {
+        throttle.record_refusal(Time(at), 1.0);
+        stored += u32::from(throttle.reserve(Time(at + 10), Purpose::Outcome).is_ok());
+    }
+    // The lowest rate is one in two seconds.
+    assert!(stored >= 20, "{stored} results in a minute");
+}
