Space out writes of the record of instances; promise nothing of a job at a stop

A write that failed was repeated each 250 ms by every instance of a fleet that starts, without a limit on its rate. And a job whose body was still arriving when a stopping instance gave its last answers was refused as not run, though another instance may have accepted the same job: 502 now.

--- a/crates/hollywell/src/entry/ingress.rs
+++ b/crates/hollywell/src/entry/ingress.rs
@@ -272,6 +272,8 @@
     if route.kind != RouteKind::Batch && !may_begin(shared, answered_by) {
         return refuse(shared, Kind::Draining);
     }
+    // Another instance may have accepted the same job.
+    connection.may_have_run.set(route.kind == RouteKind::Batch);
     let body = intake::read(shared, connection, body, limit, arrived.after(receive_ms)).await;
     let body = match body {
         Ok(body) => body,
--- a/crates/hollywell/src/entry/instances.rs
+++ b/crates/hollywell/src/entry/instances.rs
@@ -25,6 +25,11 @@
 const READ_INTERVAL: Duration = Duration::from_secs(30);
 /// Interval between checks whether something has to be written.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between attempts to write, and its jitter as a factor: all instances
+/// of a fleet may start together.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// See [`RETRY_INTERVAL`].
+const RETRY_JITTER: std::ops::RangeInclusive<f64> = 0.5..=1.5;
 /// Maximum number of records of a kind in one append.
 const MAX_BATCH: usize = 250;
 /// A value: a record without one is a deletion.
@@ -46,10 +51,9 @@
         let mut changes = due_changes(&shared);
         changes.added.truncate(MAX_BATCH);
         changes.removed.truncate(MAX_BATCH);
-        if !changes.is_empty() {
-            write(&shared, &changes).await;
-        }
-        sleep(CHECK_INTERVAL).await;
+        let is_written = changes.is_empty() || write(&shared, &changes).await;
+        let retry = || RETRY_INTERVAL.mul_f64(rand::random_range(RETRY_JITTER));
+        sleep(if is_written { CHECK_INTERVAL } else { retry() }).await;
     }
 }
 
@@ -80,7 +84,8 @@
     control.instances.changes(now, group)
 }
 
-async fn write(shared: &Shared, changes: &Changes) {
+/// Writes changes; returns whether the store took them.
+async fn write(shared: &Shared, changes: &Changes) -> bool {
     let added = changes.added.iter().map(|name| (Some(name.clone()), Bytes::from_static(EXISTS)));
     let removed = changes.removed.iter().map(|name| (Some(name.clone()), Bytes::new()));
     let records = added.chain(removed).collect();
@@ -90,7 +95,11 @@
             let (added, removed) = (changes.added.join(" "), changes.removed.join(" "));
             log::info!("record of instances: added {added}, removed {removed}");
             shared.control.borrow_mut().instances.written(changes);
+            true
+        }
+        Err(error) => {
+            log::info!("writing the record of instances: {error}");
+            false
         }
-        Err(error) => log::info!("writing the record of instances: {error}"),
     }
 }
