Break off a response whose head does not come within 256 KB

A target that sends interim responses without end was read until the deadline. Each of them is short and is dropped once it was read, so that no limit on a head or on memory applied, and the thread that serves all callers was busy parsing them.

What is read of a connection until the head of a response is complete is limited: four times the largest head, as part of the body may come with it.

--- a/crates/hollywell/src/entry/exchange.rs
+++ b/crates/hollywell/src/entry/exchange.rs
@@ -60,6 +60,10 @@
 /// Maximum size of a response's head, and of what is read of a body at a time,
 /// in bytes.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of bytes that are read until the head of a response is
+/// complete. Interim responses precede it, each of which may be short; some of the
+/// body may have arrived with it.
+const MAX_READ_BYTES: usize = 4 * MAX_BUFFER_BYTES;
 /// Idle timeout if the peer states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 
@@ -143,6 +147,9 @@
     has_received: Rc<Cell<bool>>,
     /// Number of reads from the address that returned bytes.
     reads: Rc<Cell<u64>>,
+    /// Bytes that may be read until the head of a response is complete; `None`
+    /// while none is expected.
+    head_bytes_left: Rc<Cell<Option<usize>>>,
 }
 
 /// The byte stream of a connection.
@@ -150,6 +157,7 @@
     tcp: TcpStream,
     has_received: Rc<Cell<bool>>,
     reads: Rc<Cell<u64>>,
+    head_bytes_left: Rc<Cell<Option<usize>>>,
 }
 
 impl AsyncRead for Stream {
@@ -160,10 +168,18 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.tcp).poll_read(context, buffer))?;
-        if buffer.filled().len() > before {
+        let received = buffer.filled().len() - before;
+        if received > 0 {
             self.has_received.set(true);
             self.reads.set(self.reads.get() + 1);
         }
+        if let Some(left) = self.head_bytes_left.get() {
+            let Some(left) = left.checked_sub(received) else {
+                let why = "a response has no head within the bytes that it may have";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, why)));
+            };
+            self.head_bytes_left.set(Some(left));
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -361,7 +377,13 @@
         tcp.set_nodelay(true).map_err(|error| not_sent(&error))?;
         let has_received = Rc::new(Cell::new(false));
         let reads = self.reads.borrow_mut().entry(address).or_default().clone();
-        let stream = Stream { tcp, has_received: has_received.clone(), reads: reads.clone() };
+        let head_bytes_left = Rc::new(Cell::new(None));
+        let stream = Stream {
+            tcp,
+            has_received: has_received.clone(),
+            reads: reads.clone(),
+            head_bytes_left: head_bytes_left.clone(),
+        };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, connection) =
@@ -372,7 +394,7 @@
         tokio::task::spawn_local(async move {
             let _reported_by_request = connection.await;
         });
-        Ok(Connection { sender, has_received, reads })
+        Ok(Connection { sender, has_received, reads, head_bytes_left })
     }
 
     /// Checks, after an exchange failed, whether the process at an address has
@@ -501,8 +523,11 @@
         };
         let id = self.id_of(request.headers());
         connection.has_received.set(false);
+        connection.head_bytes_left.set(Some(MAX_READ_BYTES));
         checkout.sent = Some((since_boot(), connection.reads.get()));
-        let response = connection.sender.send_request(request).await.map_err(|error| {
+        let response = connection.sender.send_request(request).await;
+        connection.head_bytes_left.set(None);
+        let response = response.map_err(|error| {
             // A response that ends within its head is a fault of the target.
             let is_unanswered = is_reused && !connection.has_received.get();
             if error.is_canceled() {
