Log how old the configuration is, and who read it, where it refuses a caller

A request was refused with 404 or 401 and no line said on what grounds the configuration counted as current. The lines of refused routes and callers now name the age and the instance that read the operator's topic. Only log lines change; built, no test run yet.

--- a/crates/hollywell/src/entry/caller.rs
+++ b/crates/hollywell/src/entry/caller.rs
@@ -40,7 +40,8 @@
     directory.authenticate(values.iter().map(http::HeaderValue::as_bytes)).map_err(
         |why: AuthError| {
             shared.meters.unauthenticated.with_label_values(&[why.as_str()]).inc();
-            log::info!("a caller is not known: {}", why.as_str());
+            let provenance = configuration::provenance(shared);
+            log::info!("a caller is not known: {}; configuration {provenance}", why.as_str());
             Kind::UnknownCaller
         },
     )
@@ -55,7 +56,8 @@
     headers: &HeaderMap,
 ) -> Result<(Route, Caller), Kind> {
     let Some(route) = configuration.route(host, path).cloned() else {
-        log::info!("no route for {host} {path} in configuration {}", configuration.version);
+        let (version, provenance) = (configuration.version, configuration::provenance(shared));
+        log::info!("no route for {host} {path} in configuration {version}, {provenance}");
         return Err(Kind::NoRoute);
     };
     let caller = match &configuration.organisations {
--- a/crates/hollywell/src/entry/configuration.rs
+++ b/crates/hollywell/src/entry/configuration.rs
@@ -109,13 +109,27 @@
     on.iter().for_each(|domain| set_evacuated(shared, domain, true));
 }
 
-/// Records that the operator's topic was read up to its state at an instant.
-pub(super) fn mark_current(shared: &Shared, at: Time) {
+/// Records that the operator's topic was read up to its state at an instant, here
+/// or by the peer `by`.
+pub(super) fn mark_current(shared: &Shared, at: Time, by: &str) {
     let mut control = shared.control.borrow_mut();
-    control.configuration_read_at = control.configuration_read_at.max(Some(at));
+    if control.configuration_read_at < Some(at) {
+        control.configuration_read_at = Some(at);
+        by.clone_into(&mut control.configuration_read_by);
+    }
     shared.configuration_read.notify_waiters();
 }
 
+/// Who read the configuration last, and how long ago, for log lines.
+pub(super) fn provenance(shared: &Shared) -> String {
+    match age_ms(shared) {
+        Some(age_ms) => {
+            format!("read {age_ms} ms ago by {}", shared.control.borrow().configuration_read_by)
+        }
+        None => "never read to its end".to_owned(),
+    }
+}
+
 /// The time since the configuration was known to be current, in milliseconds;
 /// `None` before it was first read.
 #[must_use]
@@ -160,7 +174,7 @@
                 .as_ref()
                 .map_or(0, |configuration| configuration.version);
             if version >= message.version {
-                mark_current(&shared, known_at);
+                mark_current(&shared, known_at, &peer);
             }
             shared.apply_routes();
         }
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -469,7 +469,7 @@
                 end_withdrawn_evacuations(shared, &records);
             }
             if let Some(requested_at) = origin.requested_at {
-                configuration::mark_current(shared, requested_at);
+                configuration::mark_current(shared, requested_at, "this instance");
             }
             shared.apply_routes();
         },
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -125,6 +125,7 @@
     let control = Control {
         configuration: None,
         configuration_read_at: None,
+        configuration_read_by: String::new(),
         fleet: Fleet::default(),
         observations: Observations::default(),
         hedges: hedge::State::default(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -140,6 +140,8 @@
     /// The time up to which the operator's topic is known; `None` before it
     /// was read.
     pub configuration_read_at: Option<Time>,
+    /// Who read it up to then: this instance or a peer.
+    pub configuration_read_by: String,
     /// The known targets.
     pub fleet: Fleet,
     /// Observed load and faults of the targets.
