Express instants that lie before a process began

What callers saw: an instance that had just started accepted a revoked key, and refused a new route with 404, although it and its peers had read no configuration for seconds.

Cause: a peer states the age of what it knows, and the receiver computed the instant by a subtraction that ended at zero. Clocks began at one second, so whatever was older than the process counted as known one second before its start; and each process passed that on with a fresh start, so that facts grew older without limit while their stated age stayed small. Class: a time that can't be expressed is taken for the nearest that can.

Configurations, departures, records of sources and members of such an age are not taken; ends, claims, replaced maps and orders take the earliest instant, which only keeps them, or a wait, longer.

--- a/crates/hollywell/src/clock.rs
+++ b/crates/hollywell/src/clock.rs
@@ -42,7 +42,7 @@
 }
 
 impl Clock {
-    /// Creates a clock that starts at one second, because time zero means "never".
+    /// Creates a clock that begins at [`Time::START`].
     #[must_use]
     pub fn start() -> Clock {
         Clock::reading(since_boot)
@@ -59,7 +59,7 @@
     pub fn now(&self) -> Time {
         let elapsed = (self.read)().saturating_sub(self.start);
         let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-        Time(1_000).after(elapsed_ms)
+        Time::START.after(elapsed_ms)
     }
 
     /// Returns the time left until `until`, or zero if it has passed.
--- a/crates/hollywell/src/core/claim.rs
+++ b/crates/hollywell/src/core/claim.rs
@@ -134,7 +134,8 @@
     /// Stores a copy of another instance's claim, unless a claim that may have
     /// run is known already.
     pub fn keep(&mut self, copy: &Copy, now: Time) {
-        let at = Time(now.0.saturating_sub(copy.age_ms));
+        // A claim that counts as newer than it is only stays longer.
+        let at = now.before(copy.age_ms).unwrap_or(Time::EARLIEST);
         let known = self.claims.get(&copy.key);
         if known.is_some_and(|claim| !matches!(claim.phase, Phase::Refused(_))) {
             return;
--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending.rs
@@ -570,7 +570,8 @@
         }
         let mut effects = Vec::new();
         for Notice { end, age_ms } in ends {
-            let since = Time(now.0.saturating_sub(*age_ms));
+            // An end that counts as newer than it is only stays longer.
+            let since = now.before(*age_ms).unwrap_or(Time::EARLIEST);
             effects.extend(self.add(now, end, since, false));
             if let Some(pending) = self.pending.get_mut(end) {
                 pending.since = pending.since.min(since);
--- a/crates/hollywell/src/core/fleet.rs
+++ b/crates/hollywell/src/core/fleet.rs
@@ -371,8 +371,9 @@
     fn remove_target(&mut self, id: &str) -> Option<Announcement> {
         let announcement = self.targets.remove(id)?.announcement;
         if self.is_known_pool(&announcement.pool) {
-            self.counts.0 -= 1;
-            self.counts.1 -= usize::from(announcement.start_ms.is_some());
+            let (all, reporting) = &mut self.counts;
+            *all -= 1;
+            *reporting -= usize::from(announcement.start_ms.is_some());
         }
         Some(announcement)
     }
--- a/crates/hollywell/src/core/owner/mod.rs
+++ b/crates/hollywell/src/core/owner/mod.rs
@@ -275,7 +275,8 @@
         let reported = self.handoffs().flat_map(|(handoff, received_at)| {
             handoff.history.iter().map(|old| Replaced {
                 map: old.map.clone(),
-                at: Time(received_at.0.saturating_sub(old.ago_ms)),
+                // A later replacement only makes claims count as lost for longer.
+                at: received_at.before(old.ago_ms).unwrap_or(Time::EARLIEST),
             })
         });
         let mut maps: BTreeMap<u64, Replaced> = BTreeMap::new();
--- a/crates/hollywell/src/core/read_rate.rs
+++ b/crates/hollywell/src/core/read_rate.rs
@@ -183,7 +183,7 @@
             if self.waiting.first().is_some_and(|first| *first < ticket) {
                 return Err(now.after(RECHECK_MS));
             }
-            let earliest = Time(now.0.saturating_sub(BURST_MS));
+            let earliest = now.before(BURST_MS).unwrap_or(Time::EARLIEST);
             limit.next_at = limit.next_at.max(earliest).after(limit.interval_ms(now));
         }
         self.waiting.remove(&ticket);
--- a/crates/hollywell/src/core/reducer/agreed.rs
+++ b/crates/hollywell/src/core/reducer/agreed.rs
@@ -44,6 +44,10 @@
             self.on_changes(changes);
         }
         if at_end && !self.fold.has_gap() {
+            if !self.log_read && self.snapshot_at == Time::EARLIEST {
+                // A log without a snapshot is not overdue for one.
+                self.snapshot_at = self.now;
+            }
             self.log_read = true;
             self.owner.confirm_by_log(sent);
         }
--- a/crates/hollywell/src/core/reducer/mod.rs
+++ b/crates/hollywell/src/core/reducer/mod.rs
@@ -267,7 +267,7 @@
             fold: Fold::default(),
             behind_since: None,
             log_read: false,
-            snapshot_at: Time(0),
+            snapshot_at: Time::EARLIEST,
             snapshot_tried_at: Time(0),
             owner: owner::State::new(config.id.clone(), config.ownership),
             desired: (BTreeSet::new(), Time(0)),
--- a/crates/hollywell/src/core/reducer/orders.rs
+++ b/crates/hollywell/src/core/reducer/orders.rs
@@ -49,7 +49,8 @@
             }
             let until = self.now.after(self.config.order_ms);
             self.sent_orders.insert(target.clone(), SentOrder { until, in_flight: true });
-            let before = Time(self.lease.held_until().0.saturating_sub(self.order_limit_ms()));
+            let before = self.lease.held_until().before(self.order_limit_ms());
+            let before = before.unwrap_or(Time::EARLIEST);
             self.emit(Effect::Order { target, address, order, before });
         }
     }
--- a/crates/hollywell/src/core/store_lease.rs
+++ b/crates/hollywell/src/core/store_lease.rs
@@ -128,7 +128,7 @@
             return self.last_order(timing);
         }
         let (claim, read_at) = self.last.as_ref()?;
-        Some(Time(read_at.0.saturating_sub(claim.others_ms?)))
+        Some(order_at(*read_at, claim.others_ms?))
     }
 
     /// When an earlier holder may have given its last order.
@@ -138,7 +138,7 @@
             return Some(read_at.after(timing.term_ms));
         }
         let quiet_ms = claim.quiet_ms?;
-        Some(Time(read_at.0.saturating_sub(quiet_ms)))
+        Some(order_at(*read_at, quiet_ms))
     }
 
     /// Returns the claim to append now, if any. `rank` staggers the challenges
@@ -230,3 +230,12 @@
         self.fence.filter(|_| in_term && self.announced)
     }
 }
+
+/// The time `ago_ms` before another, or a later one if that can't be expressed: it
+/// only delays the next order.
+const fn order_at(read_at: Time, ago_ms: u64) -> Time {
+    match read_at.before(ago_ms) {
+        Some(at) => at,
+        None => Time::EARLIEST,
+    }
+}
--- a/crates/hollywell/src/entry/configuration.rs
+++ b/crates/hollywell/src/entry/configuration.rs
@@ -160,9 +160,9 @@
                 .newest_versions
                 .iter()
                 .for_each(|(model, version)| adopt_version(&shared, model, *version));
-            let known_at = Time(requested_at.0.saturating_sub(message.age_ms));
+            let known_at = requested_at.before(message.age_ms);
             if let Some(evacuated) = message.evacuated
-                && shared.control.borrow().configuration_read_at < Some(known_at)
+                && shared.control.borrow().configuration_read_at < known_at
             {
                 replace_evacuated(&shared, &evacuated, |_| false);
             }
@@ -173,7 +173,7 @@
                 .configuration
                 .as_ref()
                 .map_or(0, |configuration| configuration.version);
-            if version >= message.version {
+            if let Some(known_at) = known_at.filter(|_| version >= message.version) {
                 mark_current(&shared, known_at, &peer);
             }
             shared.apply_routes();
--- a/crates/hollywell/src/entry/departures.rs
+++ b/crates/hollywell/src/entry/departures.rs
@@ -12,7 +12,7 @@
 use prost::Message as _;
 
 use crate::{
-    core::{departure::Page, time::Time},
+    core::departure::Page,
     entry::{peers, shared::Shared},
 };
 
@@ -81,7 +81,10 @@
             return;
         }
     };
-    let known_at = Time(requested_at.0.saturating_sub(listing.age_ms));
+    let Some(known_at) = requested_at.before(listing.age_ms) else {
+        log::info!("{peer} knows of departures up to {} ms ago only", listing.age_ms);
+        return;
+    };
     let departures = listing.departures.into_iter().map(|each| (each.target, each.offset));
     let page = Page { from: listing.from, end: listing.end, departures: departures.collect() };
     let is_taken = {
--- a/crates/hollywell/src/entry/feed.rs
+++ b/crates/hollywell/src/entry/feed.rs
@@ -366,8 +366,9 @@
     let mut outcome = Fetched::NoSource;
     for source in sources(shared).into_iter().take(MAX_SOURCES) {
         let requested_at = shared.now();
-        match fetch_from(shared, part, from, &source).await {
-            Ok(Some(page)) if page.age_ms <= MAX_AGE_MS => {
+        let page = fetch_from(shared, part, from, &source).await;
+        match page.map(|page| page.map(|page| (requested_at.before(page.age_ms), page))) {
+            Ok(Some((Some(requested_at), page))) if page.age_ms <= MAX_AGE_MS => {
                 if shared.feed.note_source(part, &source) {
                     log::info!("{}/{} is fed by {source}", part.topic, part.number);
                 }
@@ -379,12 +380,12 @@
                 let records = page.records.into_iter().map(decode).collect();
                 return Fetched::Batch(Batch {
                     records: Records { end: page.end, records, beyond: page.beyond },
-                    requested_at: Time(requested_at.0.saturating_sub(page.age_ms)),
+                    requested_at,
                     is_snapshot: page.is_snapshot,
                     is_complete: !page.is_snapshot,
                 });
             }
-            Ok(Some(page)) => {
+            Ok(Some((_, page))) => {
                 log::info!(
                     "{source} last read {part:?} {} ms ago, more than {MAX_AGE_MS} ms",
                     page.age_ms
--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -259,7 +259,7 @@
         relay::keep(&shared, &part, &records, age_ms);
         position.advance(&records);
         account(&shared, &part, &records, position.reached, true);
-        let known_at = Some(Time(shared.now().0.saturating_sub(age_ms)));
+        let known_at = shared.now().before(age_ms);
         on_records(&shared, records, Origin { is_snapshot: true, requested_at: None, known_at });
     }
     loop {
--- a/crates/hollywell/src/entry/member.rs
+++ b/crates/hollywell/src/entry/member.rs
@@ -201,16 +201,15 @@
         return false;
     }
     for source in feed::sources(shared) {
-        let requested_at = shared.now();
         match fetch(shared, &source).await {
-            Ok(list) => {
+            Ok((list, read_at)) => {
                 let known = {
                     let control = &mut *shared.control.borrow_mut();
                     control.roster.set_group_full(list.full);
                     control.roster.members().to_vec()
                 };
                 let members = if list.members.is_empty() { known } else { list.members };
-                apply_members(shared, &members, Time(requested_at.0.saturating_sub(list.age_ms)));
+                apply_members(shared, &members, read_at);
                 return true;
             }
             Err(why) => log::info!("reading the members from {source} failed: {why}"),
@@ -219,7 +218,9 @@
     false
 }
 
-async fn fetch(shared: &Rc<Shared>, source: &str) -> Result<MemberList, String> {
+/// Fetches the members from a source, with the time at which they were read.
+async fn fetch(shared: &Rc<Shared>, source: &str) -> Result<(MemberList, Time), String> {
+    let requested_at = shared.now();
     let known = fingerprint(shared.control.borrow().roster.members());
     let answer = peers::get(shared, source, &format!("{PATH}{known}"), IDLE_TIMEOUT).await?;
     let status = answer.head.status;
@@ -239,10 +240,10 @@
             list.fingerprint
         ));
     }
-    if list.age_ms > MAX_AGE_MS {
-        return Err(format!("they were read {} ms ago, more than {MAX_AGE_MS}", list.age_ms));
+    match requested_at.before(list.age_ms) {
+        Some(read_at) if list.age_ms <= MAX_AGE_MS => Ok((list, read_at)),
+        _ => Err(format!("they were read {} ms ago, more than {MAX_AGE_MS}", list.age_ms)),
     }
-    Ok(list)
 }
 
 /// Answers a peer with the members, once they differ from those that it knows;
--- a/crates/hollywell/src/entry/unidentified_ends.rs
+++ b/crates/hollywell/src/entry/unidentified_ends.rs
@@ -413,7 +413,8 @@
         Identity::Presumed(_) if !is_told_to_all => None,
         Identity::Presumed(_) | Identity::Unknown => Some(by),
     };
-    let since = Time(shared.now().0.saturating_sub(age_ms));
+    // An end that counts as newer than it is only stays longer.
+    let since = shared.now().before(age_ms).unwrap_or(Time::EARLIEST);
     // A stopping instance would lose it.
     let is_stopping = shared.control.borrow().is_stopping();
     match !is_stopping && add(shared, asked, since, cared_by) {
--- a/crates/xtask/src/guards.rs
+++ b/crates/xtask/src/guards.rs
@@ -302,8 +302,8 @@
     Guard {
         name: "time left of the lease when an order is sent",
         file: REDUCER_ORDERS,
-        find: "let before = Time(self.lease.held_until().0.saturating_sub(self.order_limit_ms()));",
-        replace: "let before = Time(u64::MAX);",
+        find: "let before = self.lease.held_until().before(self.order_limit_ms());",
+        replace: "let before = Some(Time(u64::MAX));",
         proof: SAMPLES,
     },
     Guard {
