--- a/crates/hollywell/src/core/ending.rs
+++ b/crates/hollywell/src/core/ending/mod.rs
@@ -26,14 +26,17 @@
 //! The calls themselves, and what the end of a job means to others, are handled
 //! elsewhere ([`crate::core::dispatch`], [`crate::core::batch`]).
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-};
+mod history;
+mod pending;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::core::{batch::End, roster, time::Time};
+use pending::Pending;
+
+pub use history::{Failure, History, Reason, Unstored};
 
 /// Back-off between appends of an end by the instance that received the
 /// request, in milliseconds; multiplied by the number of failures, up to
@@ -45,17 +48,6 @@
 /// The same for instances that were notified, multiplied by their rank in tens:
 /// all of them together make a few calls a second, and the first ones try soon.
 const NOTIFIED_RETRY_MS: u64 = 1_500;
-/// Time without a response after which an append counts as slow, in
-/// milliseconds: peers are notified, and append too. A store that is slow answers
-/// in some hundreds of milliseconds, a connection that is broken only after the
-/// call's timeout.
-const SLOW_APPEND_MS: u64 = 400;
-/// The same after which the instance that received the request makes another
-/// append, unless a peer knows of the end. The record is the same each time, so
-/// that it does not matter which of them arrive.
-const REPEAT_APPEND_MS: u64 = 800;
-/// Maximum number of appends of an end that are in flight.
-const MAX_IN_FLIGHT: u32 = 3;
 /// Longest such interval after the store refused an end for its rate, in
 /// milliseconds: it serves calls all the time, and a second is a quarter of what
 /// an end may take.
@@ -85,120 +77,6 @@
 /// the store accepts nothing.
 const MAX_PENDING: usize = 4_096;
 
-/// Age in milliseconds from which an end that is not stored is reported, by the
-/// instance that received the request: an end may take seconds, and most take
-/// milliseconds. It is reported again each time its age has doubled.
-const OVERDUE_MS: u64 = 2_000;
-/// The same for an instance that was notified: if the one that received the
-/// request is lost, some other has to report it.
-const NOTIFIED_OVERDUE_MS: u64 = 16_000;
-
-/// Why an append of an end failed. The names in logs and metrics are given by
-/// [`Failure::as_str`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Failure {
-    /// The store has no capacity left.
-    Full,
-    /// All callers together made too many calls.
-    RateLimited,
-    /// The store, or the partition, was down or had too many calls waiting.
-    Unavailable,
-    /// The store was not reached.
-    NotSent,
-    /// No response arrived; the store may have appended the end.
-    NoResponse,
-    /// The response cannot be decoded.
-    Malformed,
-}
-
-impl Failure {
-    /// The name in logs and metrics.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Failure::Full => "full",
-            Failure::RateLimited => "rate",
-            Failure::Unavailable => "unavailable",
-            Failure::NotSent => "not_sent",
-            Failure::NoResponse => "no_response",
-            Failure::Malformed => "malformed",
-        }
-    }
-
-    /// Whether the store certainly did nothing; if not, it may have appended
-    /// the end.
-    const fn is_refusal(self) -> bool {
-        !matches!(self, Failure::NoResponse)
-    }
-}
-
-/// Why an end is not stored. The names in logs and metrics are given by
-/// [`Reason::as_str`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Reason {
-    /// The last append failed.
-    Failed(Failure),
-    /// The first append is in flight.
-    InFlight,
-    /// No append was made yet: instances that were notified append later.
-    Waiting,
-}
-
-impl Reason {
-    /// The name in logs and metrics.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use hollywell::core::ending::{Failure, Reason};
-    ///
-    /// assert_eq!(Reason::Failed(Failure::RateLimited).as_str(), "rate");
-    /// ```
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Reason::Failed(failure) => failure.as_str(),
-            Reason::InFlight => "in_flight",
-            Reason::Waiting => "waiting",
-        }
-    }
-}
-
-/// Pending ends that are not stored for the same reason.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Unstored {
-    /// How many there are.
-    pub count: usize,
-    /// How long ago the oldest was requested, in milliseconds.
-    pub oldest_ms: u64,
-}
-
-/// What became of an end that is not stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct History {
-    /// How long ago it was requested, in milliseconds.
-    pub age_ms: u64,
-    /// Why it is not stored.
-    pub reason: Reason,
-    /// Number of appends made here.
-    pub appends: u32,
-    /// Number of failed ones, by cause.
-    pub failed: BTreeMap<Failure, u32>,
-    /// Number of peers that have confirmed the end.
-    pub peers: usize,
-}
-
-impl fmt::Display for History {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let History { age_ms, reason, appends, failed, peers } = self;
-        write!(f, "{age_ms} ms: {}, {appends} appends", reason.as_str())?;
-        for (failure, count) in failed {
-            write!(f, ", {}: {count}", failure.as_str())?;
-        }
-        write!(f, ", known to {peers} peers")
-    }
-}
-
 /// A requested end, as told to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
@@ -288,89 +166,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct Pending {
-    /// When the end was requested.
-    since: Time,
-    /// Whether the job may exist, as far as was known at the last tick.
-    may_exist: bool,
-    /// Whether a caller requested the end at this instance.
-    is_origin: bool,
-    /// Number of appends in flight, and when the last of them was started.
-    in_flight: u32,
-    started_at: Time,
-    /// When the next append is made if none is in flight.
-    append_at: Time,
-    /// Number of appends made.
-    appends: u32,
-    /// Number of failed ones, and by cause.
-    failures: u32,
-    failed: BTreeMap<Failure, u32>,
-    /// Whether peers have to be notified, since the store may not distribute
-    /// the end: an append failed or is slow.
-    notify_peers: bool,
-    /// Why the last append failed.
-    last_failure: Option<Failure>,
-    /// The age at which the end is reported next, in milliseconds.
-    report_at_ms: u64,
-    /// Whether it was appended, and not yet read back.
-    stored: bool,
-    /// The members that have confirmed the end, and when.
-    confirmed: BTreeMap<String, Time>,
-}
-
-impl Pending {
-    fn reason(&self) -> Reason {
-        match self.last_failure {
-            Some(failure) => Reason::Failed(failure),
-            None if self.in_flight > 0 => Reason::InFlight,
-            None => Reason::Waiting,
-        }
-    }
-
-    /// Counts an append that is started.
-    fn start_append(&mut self, now: Time) {
-        self.in_flight += 1;
-        self.started_at = now;
-        self.appends += 1;
-    }
-
-    /// Whether the last append has been in flight for too long.
-    fn is_slow(&self, now: Time) -> bool {
-        self.in_flight > 0 && now.since(self.started_at) >= SLOW_APPEND_MS
-    }
-
-    /// Whether an append is due, for an instance that waits for others first, where an
-    /// append may take `append_ms`.
-    fn is_append_due(&self, now: Time, wait_ms: u64, append_ms: u64) -> bool {
-        let is_repeated = self.is_origin
-            && self.confirmed.is_empty()
-            && self.in_flight < MAX_IN_FLIGHT
-            && now.since(self.started_at) >= REPEAT_APPEND_MS.max(append_ms);
-        now >= self.append_at.after(wait_ms) && (self.in_flight == 0 || is_repeated)
-    }
-
-    /// The history of the end if it is due to be reported.
-    fn report(&mut self, now: Time) -> Option<History> {
-        let age_ms = now.since(self.since);
-        let min_ms = if self.is_origin { OVERDUE_MS } else { NOTIFIED_OVERDUE_MS };
-        let is_due = age_ms >= self.report_at_ms.max(min_ms);
-        // Every instance holds the end of a job that does not exist.
-        let is_reported = self.is_origin || self.may_exist;
-        if self.stored || !is_due || !is_reported {
-            return None;
-        }
-        self.report_at_ms = 2 * age_ms;
-        Some(History {
-            age_ms,
-            reason: self.reason(),
-            appends: self.appends,
-            failed: self.failed.clone(),
-            peers: self.confirmed.len(),
-        })
-    }
-}
-
 /// A part of a delay, from half to all of it, that differs between instances,
 /// ends and attempts: what failed together must not be repeated together.
 fn spread(delay_ms: u64, own_id: &str, job: &str, attempt: u32) -> u64 {
@@ -505,7 +300,7 @@
     /// All pending ends, to be told to a peer that asks.
     #[must_use]
     pub fn notices(&self, now: Time) -> Vec<Notice> {
-        self.pending.iter().map(|(end, pending)| notice(now, end, pending)).collect()
+        self.pending.iter().map(|(end, pending)| pending.notice(now, end)).collect()
     }
 
     /// The pending ends.
@@ -724,10 +519,6 @@
             is_due && pending.notify_peers
         };
         let ends = self.pending.iter().filter(|(_, pending)| is_unconfirmed(pending));
-        ends.map(|(end, pending)| notice(now, end, pending)).collect()
+        ends.map(|(end, pending)| pending.notice(now, end)).collect()
     }
 }
-
-fn notice(now: Time, end: &End, pending: &Pending) -> Notice {
-    Notice { end: end.clone(), age_ms: now.since(pending.since) }
-}
