--- a/crates/hollywell/tests/ages.rs
+++ b/crates/hollywell/tests/ages.rs
@@ -127,6 +127,10 @@
     assert!(lease.fence(at, 0).is_some(), "an order waits for one that was given long before");
 }
 
+fn is_part_of_name(c: char) -> bool {
+    c.is_alphanumeric() || c == '_' || c == '.'
+}
+
 /// Expressions that subtract from a [`Time`] other than by its own operations.
 fn subtractions(source: &str) -> Vec<&str> {
     let methods = ["saturating_sub", "checked_sub", "wrapping_sub", "overflowing_sub"];
@@ -140,22 +144,54 @@
     let code = |at: usize| !source[..at].rsplit('\n').next().unwrap().contains("//");
     let found = source.match_indices(".0").filter(|(at, _)| {
         // Not the fraction of a number.
-        let is_field = !source[..*at].ends_with(|before: char| before.is_ascii_digit());
-        is_field && code(*at) && is_subtraction(&source[at + 2..])
+        let before = source[..*at].trim_end_matches(|c: char| c.is_ascii_digit());
+        let is_number = before.len() < *at && !before.ends_with(is_part_of_name);
+        !is_number && code(*at) && is_subtraction(&source[at + 2..])
     });
     found.map(|(at, _)| source[..at].rsplit('\n').next().unwrap_or_default()).collect()
 }
 
-fn check_folder(folder: &Path, found: &mut Vec<String>) {
+/// Expressions that build a [`Time`] from a computed number, and patterns that take
+/// its number out.
+fn constructions(source: &str) -> Vec<&str> {
+    let is_literal = |argument: &str| {
+        let number = argument.chars().all(|c| c.is_ascii_digit() || c == '_');
+        number && !argument.is_empty() || argument == "u64::MAX"
+    };
+    let found = source.match_indices("Time").filter(|(at, name)| {
+        let (before, after) = (&source[..*at], &source[at + name.len()..]);
+        let is_comment = before.rsplit('\n').next().unwrap().contains("//");
+        let argument = after.trim_start().strip_prefix('(').map(str::trim_start);
+        let is_call = argument.is_some_and(|argument| {
+            argument.split_once(')').is_none_or(|(argument, _)| !is_literal(argument))
+        });
+        // As a function, for instance of `map`.
+        let is_function = after.starts_with(')')
+            && before.strip_suffix('(').is_some_and(|before| {
+                let name = before.rsplit(|c: char| !(c.is_alphanumeric() || c == '_')).next();
+                name.unwrap().starts_with(|c: char| c.is_ascii_lowercase())
+            });
+        let is_name = before.ends_with(|c: char| c.is_alphanumeric() || c == '_');
+        !is_name && !is_comment && (is_call || is_function)
+    });
+    let line = |at: usize| {
+        let begin = source[..at].rfind('\n').map_or(0, |end| end + 1);
+        let end = source[at..].find('\n').map_or(source.len(), |length| at + length);
+        &source[begin..end]
+    };
+    found.map(|(at, _)| line(at)).collect()
+}
+
+fn check_folder(folder: &Path, search: &impl Fn(&str) -> Vec<&str>, found: &mut Vec<String>) {
     for entry in fs::read_dir(folder).unwrap() {
         let path = entry.unwrap().path();
         if path.is_dir() {
-            check_folder(&path, found);
+            check_folder(&path, search, found);
         } else if path.extension().is_some_and(|extension| extension == "rs")
             && !path.ends_with("core/time.rs")
         {
             let source = fs::read_to_string(&path).unwrap();
-            let lines = subtractions(&source).into_iter();
+            let lines = search(&source).into_iter();
             found.extend(lines.map(|line| format!("{}: {}", path.display(), line.trim())));
         }
     }
@@ -170,15 +206,57 @@
         "let ms = now\n    .0\n    .checked_sub(age)",
         "shared.now().0 .wrapping_sub(age)",
         "at.0 -= age",
+        "self.desired.1.0 - age",
+        "at2.0.saturating_sub(age)",
     ] {
         assert_eq!(subtractions(written).len(), 1, "{written}");
     }
-    for written in ["1.0 - share", "now.before(age)", "pair.0 + age", "// Time(now.0 - age)"] {
+    for written in
+        ["1.0 - share", "0.1.0 + age", "now.before(age)", "pair.0 + age", "// Time(now.0 - age)"]
+    {
         assert!(subtractions(written).is_empty(), "{written}");
     }
+    let found = in_sources(&subtractions);
+    assert!(found.is_empty(), "use Time::before or Time::since: {found:#?}");
+}
+
+fn in_sources(search: &impl Fn(&str) -> Vec<&str>) -> Vec<String> {
     let mut found = Vec::new();
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    check_folder(&root.join("src"), &mut found);
-    check_folder(&root.join("../../platform/src"), &mut found);
-    assert!(found.is_empty(), "use Time::before or Time::since: {found:#?}");
+    check_folder(&root.join("src"), search, &mut found);
+    check_folder(&root.join("../../platform/src"), search, &mut found);
+    found
+}
+
+// A number that was taken out of a time, or made up, says nothing of where the clock
+// begins.
+#[test]
+fn time_is_built_from_a_number() {
+    for written in [
+        "let ms = now.0; let at = Time(ms.saturating_sub(age));",
+        "let Time(ms) = now; known_at(ms - age)",
+        "time::Time(u64::saturating_sub(now.0, age))",
+        "Time(now.0 as i64 - age)",
+        "let at = now.0.checked_sub(age).map(Time);",
+        "Time(\n    rank * RANK_MS,\n)",
+    ] {
+        assert_eq!(constructions(written).len(), 1, "{written}");
+    }
+    for written in [
+        "Time(0)",
+        "Time(1_000)",
+        "Time(u64::MAX)",
+        "fn at(&self) -> Time {",
+        "RetryTime(ms)",
+        "At(Time)",
+        "(u64, Time)",
+        "/// Time(ms)",
+        "Time::START",
+    ] {
+        assert!(constructions(written).is_empty(), "{written}");
+    }
+    let mut found = in_sources(&constructions);
+    // Times of the process's own clock that other threads share.
+    found.retain(|line| !(line.contains("/watchdog.rs: ") && line.contains(".load(Ordering::")));
+    assert!(found.is_empty(), "use the operations of Time: {found:#?}");
 }
