Count the wait before an activation in the ages of inherited claims

What callers saw: keys stayed refused or uncertain beyond the time for which callers retry them, longer with each restart in series.

Cause: what a hand-over says (the age of a claim, the time left of a lost one) was taken for the state at the activation, which may come minutes later. The time of arrival was kept and dropped. It is counted now.

Found by review.

--- a/crates/hollywell/src/core/owner/mod.rs
+++ b/crates/hollywell/src/core/owner/mod.rs
@@ -225,10 +225,16 @@
             self.claim_losses.push(ClaimLoss { map, sources: sources.clone(), until });
         }
         let mut copies = vec![];
-        for (handoff, _) in received.into_values() {
-            copies.extend(handoff.copies);
+        for (handoff, received_at) in received.into_values() {
+            let waited_ms = now.since(received_at);
+            copies.extend(
+                handoff
+                    .copies
+                    .into_iter()
+                    .map(|copy| Copy { age_ms: copy.age_ms.saturating_add(waited_ms), ..copy }),
+            );
             for loss in handoff.claim_losses {
-                let until = now.after(loss.left_ms);
+                let until = received_at.after(loss.left_ms);
                 self.claim_losses.push(ClaimLoss { map: loss.map, sources: loss.sources, until });
             }
         }
