Take no promise that was made before a heartbeat was sent

What callers would see: an instance that was cut off acts as the owner of keys for up to log_away_ms although its peers have replaced it.

Cause: an answer to a heartbeat names the reading of the clock at which it was sent, and a restarted process took an answer to its earlier run's heartbeat for a promise from the future. A reading that is later than now is no promise of this run. Open: an earlier run that was shorter than this one's age is not told apart; the answer would have to carry the run.

Found by review.

--- a/crates/hollywell/src/core/reducer/peers.rs
+++ b/crates/hollywell/src/core/reducer/peers.rs
@@ -104,7 +104,10 @@
             peer.record_reading(reading, now);
         }
         if is_local {
-            self.owner.confirm_by_peer(from, epoch, sent);
+            // A later reading is that of an earlier run, whose clock this is not.
+            if sent <= now {
+                self.owner.confirm_by_peer(from, epoch, sent);
+            }
             let active_epoch = reading.map(|reading| reading.epoch);
             if active_epoch != Some(self.owner.map().epoch) {
                 self.hand_over_to(from);
