Count what an instance appends before its first estimate

Cause: the start of the counting period was the earliest instant, and since clocks begin 30 days after it the first update took the period for long past and forgot what had been appended.

Found by review.

--- a/crates/hollywell/src/core/capacity.rs
+++ b/crates/hollywell/src/core/capacity.rs
@@ -456,7 +456,7 @@
     /// Bytes that this instance has appended since `appended_from`, and in the
     /// period before it.
     appended: [u64; 2],
-    appended_from: Time,
+    appended_from: Option<Time>,
     full_at: Option<Time>,
     /// Retention time of records in a log, in milliseconds.
     retention_ms: u64,
@@ -477,7 +477,7 @@
             logs: 0,
             expected: 0,
             appended: [0, 0],
-            appended_from: Time(0),
+            appended_from: None,
             full_at: None,
             retention_ms: RETENTION_MS,
             unaccounted: (0, Time(0)),
@@ -513,10 +513,14 @@
 
     /// Drops what this instance has appended once it is part of the estimate.
     const fn expire_appended(&mut self, now: Time) {
-        let age_ms = now.since(self.appended_from);
+        let Some(from) = self.appended_from else {
+            self.appended_from = Some(now);
+            return;
+        };
+        let age_ms = now.since(from);
         if age_ms >= READ_BACK_MS {
             let last = if age_ms < 2 * READ_BACK_MS { self.appended[0] } else { 0 };
-            (self.appended, self.appended_from) = ([0, last], now);
+            (self.appended, self.appended_from) = ([0, last], Some(now));
         }
     }
 
