Delay the first claims of a lease by rank from its first read

Cause: the delay by which instances' first claims are staggered was an instant of the clock and not a time since anything, so that all instances claimed a lease without a holder at once. It counts from the first read of the partition's end now, which observe_end is told; the tests that call it pass their time.

Found by review.

--- a/crates/hollywell/src/core/store_lease.rs
+++ b/crates/hollywell/src/core/store_lease.rs
@@ -76,8 +76,8 @@
 pub struct StoreLease {
     /// End of the partition as last read, where the next read starts.
     pub end: u64,
-    /// Whether the partition was read to its end.
-    is_read: bool,
+    /// When the partition was first read to its end.
+    read_at: Option<Time>,
     last: Option<(Claim, Time)>,
     fence: Option<u64>,
     held_until: Time,
@@ -103,9 +103,9 @@
     }
 
     /// Records that the partition was read to its end.
-    pub fn observe_end(&mut self, end: u64) {
+    pub fn observe_end(&mut self, now: Time, end: u64) {
         self.end = self.end.max(end);
-        self.is_read = true;
+        self.read_at.get_or_insert(now);
     }
 
     /// Returns true if this instance holds the lease, as far as it knows.
@@ -152,9 +152,7 @@
         rank: u64,
         orders: bool,
     ) -> Option<Claim> {
-        if !self.is_read {
-            return None;
-        }
+        let read_at = self.read_at?;
         let last_order = match self.fence {
             Some(_) => self.ordered_at,
             None => self.last_order(timing),
@@ -174,7 +172,7 @@
             _ if renews.is_some() || self.is_earlier_run(local) => now,
             Some((last, at)) if last.released => at.after(rank * RANK_MS),
             Some((_, at)) => at.after(timing.term_ms + GUARD_MS + rank * RANK_MS),
-            None => Time(rank * RANK_MS),
+            None => read_at.after(rank * RANK_MS),
         };
         (now >= due).then_some(claim)
     }
--- a/crates/hollywell/src/entry/lease.rs
+++ b/crates/hollywell/src/entry/lease.rs
@@ -137,7 +137,7 @@
                         Err(error) => log::warn!("claim at {} skipped: {error}", record.offset),
                     }
                 }
-                state.observe_end(records.end);
+                state.observe_end(shared.now(), records.end);
             }
             Err(StoreError::Trimmed(first)) => self.state.borrow_mut().end = first,
             Err(error) => {
--- a/crates/hollywell/tests/ages.rs
+++ b/crates/hollywell/tests/ages.rs
@@ -117,7 +117,7 @@
         released: true,
     };
     lease.observe("b@10.0.0.2:80/1", start, 0, &claim);
-    lease.observe_end(1);
+    lease.observe_end(start, 1);
     let at = start.after(1_500);
     let own = lease.claim("b@10.0.0.2:80/1", at, timing, 0, true).unwrap();
     assert_eq!(own.quiet_ms, Some(10_500), "the last order's age, as the next holder states it");
--- a/crates/hollywell/tests/clocks.rs
+++ b/crates/hollywell/tests/clocks.rs
@@ -130,7 +130,7 @@
     let timing = Timing { term_ms: 3_000, apart_ms: 10_000 };
     let start = Clock::start().now();
     let mut lease = StoreLease::default();
-    lease.observe_end(0);
+    lease.observe_end(start, 0);
     let claims_at = |rank, at| lease.claim("a@10.0.0.1:80/1", at, timing, rank, false).is_some();
     assert!(claims_at(0, start));
     assert!(!claims_at(7, start), "the last instance claims with the first");
--- a/crates/hollywell/tests/tenure.rs
+++ b/crates/hollywell/tests/tenure.rs
@@ -31,7 +31,7 @@
         for (offset, claim) in self.0.iter().enumerate().skip(to.lease.end as usize) {
             to.lease.observe(&to.name, now, offset as u64, claim);
         }
-        to.lease.observe_end(self.0.len() as u64);
+        to.lease.observe_end(now, self.0.len() as u64);
     }
 
     /// Appends a claim unless another record was appended since the claimant's
