Begin the clock of the reader of the store where all clocks begin

time_is_built_from_a_number (tests/ages.rs, by review) fails where a Time is made of a number; this was the last place but the watchdog's atomics. The reader's times are only compared with each other; tests/reader.rs (12) and read_rate.rs (8) pass.

--- a/crates/hollywell/src/entry/reader.rs
+++ b/crates/hollywell/src/entry/reader.rs
@@ -435,7 +435,7 @@
     }
 
     fn now(&self) -> Time {
-        Time(u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX))
+        Time::START.after(u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX))
     }
 }
 
