--- a/crates/hollywell/src/entry/follow.rs
+++ b/crates/hollywell/src/entry/follow.rs
@@ -190,7 +190,7 @@
             feed::start(shared, part, &records);
         }
         if relay::is_relayed(shared, part) {
-            relay::keep(shared, part, &records, shared.now().since(requested_at));
+            relay::keep(shared, part, &records, requested_at);
         }
         Ok(Batch { records, requested_at, is_snapshot: true, is_complete: true })
     }
@@ -255,12 +255,12 @@
     // nothing works without the configuration.
     let may_follow = part.topic != shared.codec.operator_topic;
     let mut position = Position::new(keyed);
-    if is_relayed && let Some((records, age_ms)) = relay::fetch(&shared, &part).await {
-        relay::keep(&shared, &part, &records, age_ms);
+    if is_relayed && let Some((records, known_at)) = relay::fetch(&shared, &part).await {
+        relay::keep(&shared, &part, &records, known_at);
         position.advance(&records);
         account(&shared, &part, &records, position.reached, true);
-        let known_at = shared.now().before(age_ms);
-        on_records(&shared, records, Origin { is_snapshot: true, requested_at: None, known_at });
+        let origin = Origin { is_snapshot: true, requested_at: None, known_at: Some(known_at) };
+        on_records(&shared, records, origin);
     }
     loop {
         let started = Instant::now();
--- a/crates/hollywell/src/entry/relay.rs
+++ b/crates/hollywell/src/entry/relay.rs
@@ -109,15 +109,8 @@
 
 struct CachedSnapshot {
     body: Bytes,
-    /// Its age at `cached_at`.
-    age_ms: u64,
-    cached_at: Time,
-}
-
-impl CachedSnapshot {
-    fn age_ms(&self, now: Time) -> u64 {
-        self.age_ms + now.since(self.cached_at)
-    }
+    /// When the store was asked for it.
+    known_at: Time,
 }
 
 /// Snapshots that were read recently and are served to other instances.
@@ -138,32 +131,32 @@
 impl Relay {
     /// Evicts snapshots that are too old to be served.
     pub fn expire(&self, now: Time) {
-        self.cached.borrow_mut().retain(|_, cached| cached.age_ms(now) < CACHE_MS);
+        self.cached.borrow_mut().retain(|_, cached| now.since(cached.known_at) < CACHE_MS);
         self.held.expire(now);
     }
 
     fn get(&self, now: Time, part: &Partition) -> Option<(Bytes, u64)> {
         let cached = self.cached.borrow();
         let cached = cached.get(part)?;
-        let age_ms = cached.age_ms(now);
+        let age_ms = now.since(cached.known_at);
         (age_ms < CACHE_MS).then(|| (cached.body.clone(), age_ms))
     }
 }
 
-/// Caches a snapshot of a partition, which is `age_ms` old, for other instances
-/// of the failure domain, if any of them uses this one.
-pub fn keep(shared: &Shared, part: &Partition, read: &Records, age_ms: u64) {
+/// Caches a snapshot of a partition, for which the store was asked at `known_at`,
+/// for other instances of the failure domain, if any of them uses this one.
+pub fn keep(shared: &Shared, part: &Partition, read: &Records, known_at: Time) {
     if relay::has_relays(shared.control.borrow().roster.members(), &shared.instance_id) {
         let body = Bytes::from(Snapshot::new(read).encode_to_vec());
-        let cached = CachedSnapshot { body, age_ms, cached_at: shared.now() };
+        let cached = CachedSnapshot { body, known_at };
         shared.relay.cached.borrow_mut().insert(part.clone(), cached);
     }
     shared.relay.changed.notify_waiters();
 }
 
-/// Fetches a snapshot of a partition from another instance, with its age in
-/// milliseconds; `None` if this instance must read the store.
-pub async fn fetch(shared: &Rc<Shared>, part: &Partition) -> Option<(Records, u64)> {
+/// Fetches a snapshot of a partition from another instance, with the time at which
+/// the store was asked for it; `None` if this instance must read the store.
+pub async fn fetch(shared: &Rc<Shared>, part: &Partition) -> Option<(Records, Time)> {
     wait_for_members(shared).await;
     update_holder(shared);
     if part.topic == JOBS
@@ -183,9 +176,9 @@
             relay::parent(control.roster.members(), &shared.instance_id).map(str::to_owned)
         }?;
         match fetch_from(shared, PATH, part, &parent, IDLE_TIMEOUT).await {
-            Ok(Some((records, age_ms))) => {
-                log_taken(part, &parent, &records, age_ms);
-                return Some((records, age_ms));
+            Ok(Some((records, known_at))) => {
+                log_taken(part, &parent, &records, shared.now().since(known_at));
+                return Some((records, known_at));
             }
             Ok(None) => {}
             Err(why) => {
@@ -235,7 +228,7 @@
 
 /// Fetches a snapshot from an instance that has read all of a partition before;
 /// `None` if none was found.
-async fn fetch_held(shared: &Rc<Shared>, part: &Partition) -> Option<(Records, u64)> {
+async fn fetch_held(shared: &Rc<Shared>, part: &Partition) -> Option<(Records, Time)> {
     let holders: Vec<String> = {
         let control = shared.control.borrow();
         let holders = relay::holders(control.roster.members(), &shared.instance_id);
@@ -243,9 +236,9 @@
     };
     for holder in holders {
         match fetch_from(shared, HELD_PATH, part, &holder, HELD_TIMEOUT).await {
-            Ok(Some((records, age_ms))) => {
-                log_taken(part, &holder, &records, age_ms);
-                return Some((records, age_ms));
+            Ok(Some((records, known_at))) => {
+                log_taken(part, &holder, &records, shared.now().since(known_at));
+                return Some((records, known_at));
             }
             Ok(None) => {}
             Err(why) => log::info!("{holder} holds no {}/{}: {why}", part.topic, part.number),
@@ -286,6 +279,7 @@
 
 fn snapshot_response(body: Bytes, age_ms: u64) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
+    // Its unit is a second; it is never less than the age.
     response.headers_mut().insert(header::AGE, age_ms.div_ceil(1_000).into());
     response
 }
@@ -314,8 +308,10 @@
     part: &Partition,
     parent: &str,
     limit: Duration,
-) -> Result<Option<(Records, u64)>, String> {
+) -> Result<Option<(Records, Time)>, String> {
     let path = format!("{prefix}{}/{}", part.topic, part.number);
+    // The time that the answer takes counts as part of the snapshot's age.
+    let requested_at = shared.now();
     let answer = peers::get(shared, parent, &path, limit).await?;
     let (status, age) = (answer.head.status, answer.header(&header::AGE).map(str::to_owned));
     let body = answer.read_body_with_idle_timeout(MAX_RESPONSE_BYTES, IDLE_TIMEOUT).await;
@@ -323,9 +319,10 @@
     match status {
         StatusCode::OK => {
             let age = age.and_then(|age| age.parse::<u64>().ok()).ok_or("no age")?;
+            let known_at = requested_at.before(age.saturating_mul(1_000));
+            let known_at = known_at.ok_or_else(|| format!("an age of {age} s"))?;
             let snapshot = Snapshot::decode(body).map_err(|error| error.to_string())?;
-            // The header's unit is a second, rounded up.
-            Ok(Some((snapshot.into_records(), age * 1_000)))
+            Ok(Some((snapshot.into_records(), known_at)))
         }
         StatusCode::SERVICE_UNAVAILABLE => Ok(None),
         other => Err(other.to_string()),
