--- a/crates/hollywell/tests/ages.rs
+++ b/crates/hollywell/tests/ages.rs
@@ -10,6 +10,7 @@
     clock::Clock,
     core::{
         claim::{Claims, Copy},
+        departure::{Departures, Page},
         ending::{Event, Notice, State},
         id::Instance,
         owner::{self, Map},
@@ -64,6 +65,34 @@
     assert_eq!(age_ms, AGE_MS);
 }
 
+#[test]
+fn departures_grow_younger_with_each_instance_that_passes_them_on() {
+    let age_ms = age_after_restarts(|start, age_ms, end| {
+        // Each has taken all targets from one peer, and takes later departures from
+        // another.
+        let mut departures = Departures::default();
+        departures.restart(100);
+        departures.mark_known(start.before(age_ms + LIFE_MS).unwrap(), 100);
+        let page = Page { from: 100, end: 121, departures: vec![("a".into(), 120)] };
+        assert!(departures.merge(start, start.before(age_ms).unwrap(), &page), "news isn't taken");
+        departures.age_ms(end).unwrap()
+    });
+    assert_eq!(age_ms, AGE_MS);
+}
+
+// What was read last, but is known of an earlier time, does not make it younger.
+#[test]
+fn departures_that_a_peer_knew_earlier_are_taken_for_news() {
+    let start = Clock::start().now();
+    let mut departures = Departures::default();
+    departures.restart(100);
+    departures.mark_known(start.before(KNOWN_MS).unwrap(), 100);
+    let page = Page { from: 100, end: 121, departures: vec![] };
+    let earlier = start.before(KNOWN_MS + LIFE_MS).unwrap();
+    assert!(!departures.merge(start, earlier, &page), "older knowledge is taken");
+    assert_eq!(departures.age_ms(start), Some(KNOWN_MS));
+}
+
 #[test]
 fn claim_outlives_the_retry_horizon_in_restarts_in_series() {
     let age_ms = age_after_restarts(|start, age_ms, end| {
@@ -127,6 +156,36 @@
     assert!(lease.fence(at, 0).is_some(), "an order waits for one that was given long before");
 }
 
+#[test]
+fn order_grows_younger_with_each_holder_of_the_lease() {
+    let timing = Timing { term_ms: 3_000, apart_ms: 10_000 };
+    let stated = |run: u64, start: Time, age_ms, end| {
+        let mut lease = StoreLease::default();
+        // The same instance after a restart, so that the orders of others count.
+        let (before, own) = (format!("a@10.0.0.1:80/{run}"), format!("a@10.0.0.1:80/{}", run + 1));
+        let claim = Claim {
+            holder: before,
+            renews: None,
+            orders: false,
+            quiet_ms: Some(age_ms),
+            others_ms: Some(age_ms),
+            released: true,
+        };
+        lease.observe(&own, start, 0, &claim);
+        lease.observe_end(start, 1);
+        let claim = lease.claim(&own, end, timing, 0, false).unwrap();
+        lease.record_grant(end, 1, &claim, timing);
+        (claim.quiet_ms.unwrap(), lease.release(&own, end).unwrap().others_ms.unwrap())
+    };
+    for of_others in [false, true] {
+        let age_ms = age_after_restarts(|start, age_ms, end| {
+            let (any, others) = stated(1, start, age_ms, end);
+            if of_others { others } else { any }
+        });
+        assert_eq!(age_ms, AGE_MS, "orders of others only: {of_others}");
+    }
+}
+
 fn is_part_of_name(c: char) -> bool {
     c.is_alphanumeric() || c == '_' || c == '.'
 }
--- a/crates/hollywell/tests/held.rs
+++ b/crates/hollywell/tests/held.rs
@@ -6,7 +6,10 @@
 use std::{cell::RefCell, collections::BTreeMap};
 
 use bytes::Bytes;
-use hollywell::core::{self, batch::Record, time::Time};
+use hollywell::{
+    clock::Clock,
+    core::{self, batch::Record, time::Time},
+};
 
 // Compiled here as well: what a snapshot holds can't be seen from outside the crate.
 #[path = "../src/entry/held.rs"]
@@ -101,3 +104,22 @@
     // It is begun anew.
     assert!(held.begin_partial(0, 9));
 }
+
+// Each holder took what a peer had read longer ago than it ran itself for as old as
+// itself, and stated that to the next.
+#[test]
+fn snapshot_grows_younger_with_each_holder_that_passes_it_on() {
+    const KNOWN_MS: u64 = 400_000;
+    const LIFE_MS: u64 = 700;
+    let mut age_ms = KNOWN_MS;
+    for restarts in 1..=5 {
+        let start = Clock::start().now();
+        let held = Held::default();
+        held.set_holder(true);
+        held.begin(0);
+        let known_at = start.before(age_ms).unwrap();
+        let taken = held.snapshot(0, known_at, |_| Bytes::new()).unwrap();
+        age_ms = start.after(LIFE_MS).since(taken.known_at);
+        assert_eq!(age_ms, KNOWN_MS + restarts * LIFE_MS, "after {restarts} restarts");
+    }
+}
