Let logs of texts take the room that logs of jobs leave

After a loss of all power most bytes went to pages of texts by key, up to 1 MB for a few texts.

Cause: the room for logs was shared equally among all of them, although the logs of jobs take a fiftieth of their share. Ten seconds after a start each log of texts was trimmed to its eighth (20 MB of 188), so that the texts of earlier jobs could be read by their keys only. The size of what a log held before a start counted as at most a smaller share still.

Change: `State::trim_limit` divides the room by what the logs hold: smaller logs leave the rest of their share to larger ones, and no log is trimmed while all fit. All logs together take no more than before. What a log of known record size held before a start counts up to that limit.

--- a/crates/hollywell/src/core/capacity.rs
+++ b/crates/hollywell/src/core/capacity.rs
@@ -309,6 +309,13 @@
         self.past_record_bytes = bytes;
     }
 
+    /// Whether the size of the records is known that the log held before it was first
+    /// seen.
+    #[must_use]
+    pub const fn is_record_size_known(&self) -> bool {
+        self.past_record_bytes.is_some()
+    }
+
     /// Sets the estimated bytes of what the log held before it was first seen.
     pub const fn set_past(&mut self, bytes: u64) {
         self.past = Some(bytes);
@@ -334,6 +341,13 @@
         (self.written - self.trimmed_bytes).saturating_add(unknown)
     }
 
+    /// Estimated number of bytes in the log, like [`Log::bytes`], but all of its initial
+    /// contents count if the size of their records is known.
+    #[must_use]
+    pub fn estimated_bytes(&self, max: u64) -> u64 {
+        self.bytes(self.past_bytes().unwrap_or(max))
+    }
+
     /// Estimated bytes of its initial contents, if the size of a record is known.
     fn past_bytes(&self) -> Option<u64> {
         let end = self.marks.front()?.end;
@@ -628,8 +642,9 @@
         (self.total as f64 * LOGS_SHARE) as u64 / logs.max(1) as u64
     }
 
-    /// Bytes beyond which each of so many logs is trimmed: more than
-    /// [`State::max_log_bytes`] while live records and accepted jobs leave it.
+    /// Bytes beyond which a log is trimmed, where all logs hold so many bytes: an equal
+    /// share of what live records and accepted jobs leave, and what smaller logs leave of
+    /// theirs. At least [`State::max_log_bytes`].
     ///
     /// # Example
     ///
@@ -638,15 +653,29 @@
     ///
     /// let mut state = State::new(1_000_000);
     /// state.update(Time(0), 100_000, 0, 50_000);
-    /// assert_eq!(state.trim_limit(2), 150_000);
+    /// assert_eq!(state.trim_limit(&[400_000, 400_000]), 150_000);
+    /// // A small log leaves the rest of its share to the other one.
+    /// assert_eq!(state.trim_limit(&[400_000, 10_000]), 290_000);
+    /// // None is trimmed while all of them have room.
+    /// assert_eq!(state.trim_limit(&[200_000, 10_000]), 290_000);
     /// state.update(Time(1_000), 300_000, 0, 50_000);
-    /// assert_eq!(state.trim_limit(2), state.max_log_bytes(2));
+    /// assert_eq!(state.trim_limit(&[400_000, 400_000]), state.max_log_bytes(2));
     /// ```
     #[must_use]
-    pub fn trim_limit(&self, logs: usize) -> u64 {
+    pub fn trim_limit(&self, logs: &[u64]) -> u64 {
         let kept = self.live.saturating_add(self.expected);
-        let spare = ((self.total as f64 * USED_SHARE) as u64).saturating_sub(kept);
-        (spare / logs.max(1) as u64).max(self.max_log_bytes(logs))
+        let mut spare = ((self.total as f64 * USED_SHARE) as u64).saturating_sub(kept);
+        let mut sizes = logs.to_vec();
+        sizes.sort_unstable();
+        let mut share = spare;
+        for (at, bytes) in sizes.iter().enumerate() {
+            share = spare / (sizes.len() - at) as u64;
+            if *bytes >= share {
+                break;
+            }
+            spare -= bytes;
+        }
+        share.max(self.max_log_bytes(logs.len()))
     }
 
     /// Whether an append that adds so many bytes should be made now.
--- a/crates/hollywell/src/entry/capacity.rs
+++ b/crates/hollywell/src/entry/capacity.rs
@@ -9,12 +9,12 @@
 use crate::{
     core::{
         batch::{Job, MAX_CLOCK_SKEW_MS, Record, Submission},
-        capacity::{self, LIVE_OVERHEAD, LOG_OVERHEAD, Past, Purpose},
+        capacity::{self, LIVE_OVERHEAD, LOG_OVERHEAD, Log, Past, Purpose},
         dispatch::owner,
     },
     entry::{
         hints::{self, Hint},
-        shared::{JOBS, Shared, TEXTS, unix_ms},
+        shared::{Control, JOBS, Shared, TEXTS, unix_ms},
         store::{Partition, Read, Records, StoreError},
     },
 };
@@ -104,11 +104,11 @@
         if let Some(bytes) = sampled_bytes(shared, &Partition::at(topic, part), end).await {
             log::info!("{topic}/{part} held {bytes} bytes before {end}");
             let control = &mut *shared.control.borrow_mut();
-            let max_log_bytes = control.capacity.max_log_bytes(2 * control.partitions.len());
+            let max_past_bytes = PastBytes::of(control);
             let log = &mut control.partitions[part].logs[at];
-            let before = log.bytes(max_log_bytes);
+            let before = log.bytes(max_past_bytes.limit(log));
             log.set_past(bytes);
-            control.capacity.record_sample(before, log.bytes(max_log_bytes));
+            control.capacity.record_sample(before, log.bytes(max_past_bytes.limit(log)));
         }
     }
 }
@@ -171,12 +171,12 @@
     let tokens: u64 = jobs().map(Job::remaining_tokens).sum();
     let samples = jobs().filter(|job| !job.ended).map(|job| job.done.len() - job.results.len());
     let outcomes = samples.sum::<usize>() as u64 * OUTCOME_BYTES;
-    let max_log_bytes = control.capacity.max_log_bytes(2 * control.partitions.len());
+    let max_past_bytes = PastBytes::of(control);
     let own = control
         .partitions
         .iter()
         .flat_map(|partition| &partition.logs)
-        .map(|log| log.bytes(max_log_bytes));
+        .map(|log| log.bytes(max_past_bytes.limit(log)));
     let logs = own.sum::<u64>() + others;
     control.capacity.update(now, live, logs, (tokens as f64 * bytes_per_token) as u64 + outcomes);
     let gauge = |bytes: u64| i64::try_from(bytes).unwrap_or(i64::MAX);
@@ -271,7 +271,7 @@
     let now = shared.now();
     let control = shared.control.borrow();
     let members = control.roster.members();
-    let limit = control.capacity.trim_limit(2 * control.partitions.len());
+    let limit = trim_limit(&control);
     let full = must || control.capacity.is_short(now);
     // Instances that follow the jobs would have to read a snapshot again if
     // records were trimmed before they read them. Texts can also be read by
@@ -286,12 +286,41 @@
     (must || is_owner || is_helper).then_some((before, full))
 }
 
+/// Bytes beyond which a log of jobs or texts is trimmed.
+fn trim_limit(control: &Control) -> u64 {
+    let logs = || control.partitions.iter().flat_map(|partition| &partition.logs);
+    let max_log_bytes = control.capacity.max_log_bytes(logs().count());
+    let sizes: Vec<u64> = logs().map(|log| log.estimated_bytes(max_log_bytes)).collect();
+    control.capacity.trim_limit(&sizes)
+}
+
+/// Bytes that the initial contents of a log of jobs or texts count as at most.
+struct PastBytes {
+    /// If the size of their records is known: more are trimmed.
+    of_known_records: u64,
+    of_others: u64,
+}
+
+impl PastBytes {
+    fn of(control: &Control) -> PastBytes {
+        PastBytes {
+            of_known_records: trim_limit(control),
+            of_others: control.capacity.max_log_bytes(2 * control.partitions.len()),
+        }
+    }
+
+    const fn limit(&self, log: &Log) -> u64 {
+        if log.is_record_size_known() { self.of_known_records } else { self.of_others }
+    }
+}
+
 /// Records that a log was trimmed, by this or another instance.
 pub fn record_trim(shared: &Shared, part: usize, at: usize, before: u64, freed: Option<u64>) {
     let control = &mut *shared.control.borrow_mut();
-    let max_log_bytes = control.capacity.max_log_bytes(2 * control.partitions.len());
+    let max_past_bytes = PastBytes::of(control);
     if let Some(partition) = control.partitions.get_mut(part) {
-        let trim = partition.logs[at].record_trim(before, freed, max_log_bytes);
+        let log = &mut partition.logs[at];
+        let trim = log.record_trim(before, freed, max_past_bytes.limit(log));
         control.capacity.record_trim(trim);
     }
 }
--- a/crates/hollywell/tests/spare.rs
+++ b/crates/hollywell/tests/spare.rs
@@ -361,6 +361,40 @@
     }
 }
 
+// Each log was trimmed at an equal share, whatever the others held.
+#[test]
+fn logs_that_fit_together_are_not_trimmed() {
+    let mut state = State::new(10_000_000);
+    state.update(Time(0), 500_000, 0, 500_000);
+    let sizes = [20_000, 1_500_000, 30_000, 1_600_000];
+    assert!(state.trim_limit(&sizes) > 1_600_000, "all of them fit in 3,500,000 bytes");
+    // Where they don't, what remains of them does.
+    for large in [2_000_000, 3_000_000, 9_000_000] {
+        let sizes = [20_000, large, 30_000, large + 100_000];
+        let limit = state.trim_limit(&sizes);
+        assert!(limit < large, "a limit of {limit} for logs of {large} bytes");
+        let left: u64 = sizes.iter().map(|bytes| limit.min(*bytes)).sum();
+        assert!((3_400_000..=3_500_000).contains(&left), "{left} bytes of {large} each");
+    }
+}
+
+// What a log held before a start counted as little, as each log's smallest share, while
+// it was trimmed at a larger one.
+#[test]
+fn records_from_before_a_start_count_as_long_as_they_are_not_trimmed() {
+    let mut log = Log::default();
+    log.record(Time(0), 1_000, 0);
+    assert!(!log.is_record_size_known());
+    assert_eq!(log.estimated_bytes(20_000), 20_000, "of unknown size");
+    log.set_past_record(Some(100));
+    assert!(log.is_record_size_known());
+    assert_eq!(log.estimated_bytes(20_000), 100_000);
+    log.record(Time(11_000), 1_100, 10_000);
+    assert_eq!(log.trim_offset(Time(11_000), 60_000, None), Some(500));
+    log.trimmed(500);
+    assert_eq!(log.estimated_bytes(20_000), 60_000);
+}
+
 // The estimate from the size of a record kept what was there at each start.
 #[test]
 fn a_log_of_records_of_known_size_is_trimmed_although_instances_restart() {
