Keep jobs in their logs after a start while there is room

What callers saw: nothing by itself. Ten seconds after a start an instance trimmed the logs of jobs whole, however small they were, so that followers that were behind had to read all newest records again; and until then each counted as its largest share (10 MB), which texts could not take.

Cause: the size of the records that a log of jobs held before the start was not known, unlike that of texts.

Change: `Written` counts the records of the jobs as well, and their mean size is the estimate, as for texts.

Platform tests room (6) and texts (8) pass.

--- a/crates/hollywell/src/core/batch/index.rs
+++ b/crates/hollywell/src/core/batch/index.rs
@@ -115,6 +115,8 @@
 pub struct Written {
     /// Bytes in the jobs partition.
     pub jobs: u64,
+    /// Records in the jobs partition.
+    pub job_records: u64,
     /// Bytes in the texts partition, counted from the references to them.
     pub texts: u64,
     /// Records in the texts partition, counted likewise.
@@ -148,6 +150,7 @@
         let skip = |why: &str| Skip { key: record.key.clone(), why: why.to_owned() };
         let value_len = record.value.as_ref().map_or(0, Bytes::len);
         self.written.jobs += (record.key.len() + value_len) as u64 + LOG_OVERHEAD;
+        self.written.job_records += 1;
         let mut parts = record.key.splitn(4, SEPARATOR);
         let job = parts.next().unwrap_or_default();
         let Some(kind) = parts.next() else {
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -126,6 +126,7 @@
         let written = self.index.written;
         let before = std::mem::replace(&mut self.logged, written);
         self.logs[0].record(now, self.next, written.jobs - before.jobs);
+        self.logs[0].set_past_record(written.jobs.checked_div(written.job_records));
         self.logs[1].record(now, written.texts_end, written.texts - before.texts);
         self.logs[1].set_past_record(written.texts.checked_div(written.text_records));
     }
