Send an append again that gets no response

What callers saw: while the store performed writes late and without a response, results, ends and new jobs took 4 to 12 s, steps failed whole, and jobs were refused because no result of their partition had been stored for 4 s.

Cause: an append without a response was waited for until its timeout of 1.5 s, although the store had not queued it. Then its partition counted as slow: results paused for up to 3.5 s, and the next append had a timeout of 3.5 s. A result takes two appends.

Change: each append without a condition has a number of a producer that has one append in flight. If there is no response for four times what the partition's appends usually take (200 ms at least, 700 ms if nothing is known), a copy is sent, the next ones after twice that each. The store performs one copy and gives every copy its response, so that one which is performed seconds later adds nothing. Where the partition is known to be slow, no copy is sent. A producer whose append has an unknown outcome is not used again. The time of an append is that of the copy that was answered, so a lost response doesn't make its partition slow.

--- a/crates/hollywell/src/core/append_queue.rs
+++ b/crates/hollywell/src/core/append_queue.rs
@@ -55,6 +55,14 @@
 /// Longest timeout, in milliseconds: callers wait no longer.
 const MAX_TIMEOUT_MS: u64 = 6_000;
 
+/// Time without a response after which an append is sent once more, as a multiple of the
+/// time that one to the same partition usually takes.
+const REPEAT_FACTOR: u64 = 4;
+/// Shortest such time, in milliseconds.
+const MIN_REPEAT_MS: u64 = 200;
+/// Part of the newest append in the usual time of a partition's appends: one in this many.
+const USUAL_WEIGHT: u64 = 8;
+
 /// Whether a record is held back while its partition is slow.
 const fn is_held_back(purpose: Purpose) -> bool {
     matches!(
@@ -100,6 +108,8 @@
 #[derive(Clone, Debug)]
 pub struct Queues<K> {
     slow: HashMap<K, Slow>,
+    /// How long the appends to a partition usually take, in milliseconds.
+    usual_ms: HashMap<K, u64>,
 }
 
 /// A partition whose appends take long.
@@ -127,7 +137,7 @@
 
 impl<K> Default for Queues<K> {
     fn default() -> Queues<K> {
-        Queues { slow: HashMap::new() }
+        Queues { slow: HashMap::new(), usual_ms: HashMap::new() }
     }
 }
 
@@ -141,6 +151,10 @@
     ) where
         K: Borrow<Q>,
     {
+        match self.usual_ms.get_mut(part) {
+            Some(usual) => *usual = (*usual * (USUAL_WEIGHT - 1) + took_ms) / USUAL_WEIGHT,
+            None => drop(self.usual_ms.insert(part.to_owned(), took_ms)),
+        }
         if took_ms < SLOW_MS {
             self.slow.remove(part);
             return;
@@ -220,6 +234,36 @@
         self.slow(now, part).map_or(TIMEOUT_MS, Slow::longest_ms)
     }
 
+    /// Time without a response after which an append is sent once more, in milliseconds:
+    /// the store has performed it and the response is lost, or it performs it seconds
+    /// later, and has not queued it. `None` if the partition is known to be slow, where
+    /// the response is still to come and a repeat makes the queue longer.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hollywell::core::{append_queue::Queues, time::Time};
+    ///
+    /// let mut queues = Queues::default();
+    /// queues.record_append(Time(1_000), "a", 10);
+    /// assert_eq!(queues.repeat_ms(Time(1_000), "a"), Some(200));
+    /// queues.record_append(Time(1_000), "b", 400);
+    /// assert_eq!(queues.repeat_ms(Time(1_000), "b"), Some(1_600));
+    /// queues.record_append(Time(2_000), "b", 800);
+    /// assert_eq!(queues.repeat_ms(Time(2_000), "b"), None);
+    /// ```
+    #[must_use]
+    pub fn repeat_ms<Q: Eq + Hash + ?Sized>(&self, now: Time, part: &Q) -> Option<u64>
+    where
+        K: Borrow<Q>,
+    {
+        if self.slow(now, part).is_some_and(|slow| slow.is_certain) {
+            return None;
+        }
+        let usual = self.usual_ms.get(part).map(|usual| usual * REPEAT_FACTOR);
+        Some(usual.unwrap_or(SLOW_MS).max(MIN_REPEAT_MS))
+    }
+
     /// How long a record for a partition has to be held back, in milliseconds, as far
     /// as is known now: an end that it waits for may be stored before.
     #[must_use]
--- a/crates/hollywell/src/entry/append.rs
+++ b/crates/hollywell/src/entry/append.rs
@@ -12,9 +12,10 @@
         time::Time,
     },
     entry::{
+        producers::{Patience, Sent},
         reserve,
         shared::{JOBS, Shared, TEXTS},
-        store::{Append, Appended, Partition, StoreError, WithTimeout},
+        store::{Append, Appended, Partition, StoreError},
     },
 };
 
@@ -82,16 +83,16 @@
             self.meters.failed_appends.with_label_values(&[purpose, "kept_back"]).inc();
             return Err(StoreError::Full);
         }
-        let (part, kind, sent_at) = (append.part.clone(), append.purpose, self.now());
-        let timeout_ms = self.control.borrow().append_queues.timeout_ms(sent_at, &part);
-        let timeout = Duration::from_millis(timeout_ms);
-        let appended = (self.store.append)(WithTimeout { call: append, timeout }).await;
+        let (part, kind) = (append.part.clone(), append.purpose);
+        let patience = self.patience(&part);
+        let name = || self.unique_key_part();
+        let Sent { appended, at } = self.producers.send(&self.store, append, patience, name).await;
         // A store that is full, or whose partition ends elsewhere, is available.
         self.record_store_result(matches!(
             appended,
             Ok(_) | Err(StoreError::Full | StoreError::EndMismatch(_))
         ));
-        self.record_queue(&part, kind, sent_at, timeout_ms, &appended);
+        self.record_queue(&part, kind, at.elapsed(), patience.timeout, &appended);
         match &appended {
             Ok(_) => {
                 let now = self.now();
@@ -128,23 +129,33 @@
         appended
     }
 
+    fn patience(&self, part: &Partition) -> Patience {
+        let (now, control) = (self.now(), self.control.borrow());
+        let repeat_ms = control.append_queues.repeat_ms(now, part);
+        Patience {
+            repeat: repeat_ms.map(Duration::from_millis),
+            timeout: Duration::from_millis(control.append_queues.timeout_ms(now, part)),
+        }
+    }
+
     /// Records what an append says of its partition's queue.
     fn record_queue(
         &self,
         part: &Partition,
         purpose: Purpose,
-        sent_at: Time,
-        timeout_ms: u64,
+        took: Duration,
+        timeout: Duration,
         appended: &Result<Appended, StoreError>,
     ) {
         let now = self.now();
+        let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
         let queues = &mut self.control.borrow_mut().append_queues;
         match appended {
             Ok(_) | Err(StoreError::EndMismatch(_)) => {
-                queues.record_append(now, part, now.since(sent_at));
+                queues.record_append(now, part, took_ms);
             }
-            Err(StoreError::OutcomeUnknown(_)) if now.since(sent_at) >= timeout_ms => {
-                queues.record_timeout(now, part, timeout_ms);
+            Err(StoreError::OutcomeUnknown(_)) if took >= timeout => {
+                queues.record_timeout(now, part, took_ms);
             }
             Err(StoreError::Unavailable) => {
                 queues.record_refusal(now, part, purpose, rand::random_range(0.0..=1.0));
--- a/crates/hollywell/src/entry/mod.rs
+++ b/crates/hollywell/src/entry/mod.rs
@@ -46,6 +46,7 @@
 pub mod orders;
 pub mod outbox;
 pub mod peers;
+pub mod producers;
 pub mod reader;
 pub mod relay;
 pub mod reload;
--- a/crates/hollywell/src/entry/serve.rs
+++ b/crates/hollywell/src/entry/serve.rs
@@ -199,6 +199,7 @@
         result_waiters: (0..parts).map(|_| Cell::new(0)).collect(),
         waiting_reads: WaitingReads::new(limits.waiting_reads),
         partition_changed: (0..parts).map(|_| Notify::new()).collect(),
+        producers: entry::producers::Producers::default(),
         outbox: (0..parts).map(|_| outbox::Outbox::default()).collect(),
         text_cache: Rc::default(),
         probe_permits: RefCell::default(),
--- a/crates/hollywell/src/entry/shared.rs
+++ b/crates/hollywell/src/entry/shared.rs
@@ -54,7 +54,7 @@
         jobs::{self, WaitingReads},
         member,
         meters::Meters,
-        outbox,
+        outbox, producers,
         reader::Reader,
         relay::Relay,
         reserve, resume, run,
@@ -376,6 +376,8 @@
     pub partition_changed: Vec<Notify>,
     /// Results to be appended to the store, by partition.
     pub outbox: Vec<outbox::Outbox>,
+    /// The producers of its appends.
+    pub producers: producers::Producers,
     /// Complete texts that were read or written recently.
     pub text_cache: Rc<TextCache>,
     /// Suspects that are not stored yet.
--- a/crates/hollywell/src/entry/store.rs
+++ b/crates/hollywell/src/entry/store.rs
@@ -127,6 +127,25 @@
     }
 }
 
+/// Identifies an append among those of one producer, so that the store performs it once
+/// however often it is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sequence {
+    /// The producer, known to one partition.
+    pub producer: String,
+    /// The append's number, one more than that of the producer's last one.
+    pub number: u64,
+}
+
+/// An append as it is sent.
+#[derive(Clone, Debug)]
+pub struct Sequenced {
+    /// The append.
+    pub append: Append,
+    /// Its place among those of a producer; `None` if it is sent once.
+    pub sequence: Option<Sequence>,
+}
+
 /// A call with a timeout of its response.
 #[derive(Clone, Debug)]
 pub struct WithTimeout<T> {
@@ -259,7 +278,7 @@
 #[derive(Clone)]
 pub struct Client {
     /// Appends records.
-    pub append: Call<WithTimeout<Append>, Appended>,
+    pub append: Call<WithTimeout<Sequenced>, Appended>,
     /// Reads records; waits for the first if there is none.
     pub read: Call<WithIdleTimeout<Read>, Records>,
     /// Reads the newest record of each key, page by page.
--- a/crates/hollywell/tests/append_queue.rs
+++ b/crates/hollywell/tests/append_queue.rs
@@ -254,6 +254,18 @@
     assert_eq!(slow().hold_ms(Time(11_000), &0, Purpose::Outcome, waiting), 0, "long ago");
 }
 
+// What waits in a queue would be repeated there, and make it longer.
+#[test]
+fn append_to_a_slow_partition_is_not_sent_again() {
+    let mut queues = Queues::default();
+    assert_eq!(queues.repeat_ms(Time(0), &0), Some(700), "nothing is known");
+    queues.record_timeout(Time(1_500), &0, 1_500);
+    assert!(queues.repeat_ms(Time(1_600), &0).is_some(), "a response may be lost");
+    queues.record_refusal(Time(1_700), &0, Purpose::End, 0.0);
+    assert_eq!(queues.repeat_ms(Time(1_700), &0), None, "it waits in a full queue");
+    assert_eq!(slow().repeat_ms(Time(1_100), &0), None);
+}
+
 // Appends that the partition performed later were given up and repeated.
 #[test]
 fn append_is_given_up_in_the_queue_of_a_slow_partition() {
--- a/crates/hollywell/tests/reader.rs
+++ b/crates/hollywell/tests/reader.rs
@@ -17,8 +17,8 @@
     entry::{
         reader::Reader,
         store::{
-            Append, Client, Join, LocalFuture, Newest, Page, Partition, Read, Records, StoreError,
-            WithTimeout,
+            Client, Join, LocalFuture, Newest, Page, Partition, Read, Records, Sequenced,
+            StoreError, WithTimeout,
         },
     },
 };
@@ -118,7 +118,7 @@
             records
         };
         Client {
-            append: refused::<WithTimeout<Append>, _>(),
+            append: refused::<WithTimeout<Sequenced>, _>(),
             read: Rc::new(read),
             newest: Rc::new(newest),
             join: refused::<Join, _>(),
