Judge the store's queue by response times above the least of the last minute

What callers saw: beside a store that takes 300 ms for each response at any load, an instance kept 32 KB of texts in flight for as long as it ran, and followers asked a store that takes 450 ms for 256 KB at a time, although nothing queued there.

Cause: the bound on bytes of texts (250 ms) and the timeout (400 ms) each took a long response time for a long queue. A queue adds to the time that a response takes without one.

core::queue_time tells the two apart for both: time in the queue is what a response takes above the least time of the last minute. At most 400 ms count as the store's own, and a store counts as fast until it was slow for a whole minute, so that a young process, or one in a crowd, judges as before. Where a queue grows beyond such a least time, the store counts as fast again: the least time may have been that of a queue.

Outcome of text_window.rs has one more figure for it; the checks that stood before are the same.

Cost: instances that keep a queue filled for a minute try a larger bound once, and the queue may then be longer than a second for at most 10 per mille of the time (simulation of 240 s).

--- a/crates/hollywell/src/core/mod.rs
+++ b/crates/hollywell/src/core/mod.rs
@@ -35,6 +35,7 @@
 //! | [`permit`] | which instance may do what only one may do at a time |
 //! | [`memory`] | whether one more part of a response is read |
 //! | [`shutdown`] | what a stopping instance may still begin |
+//! | [`queue_time`] | how long responses of the store wait in its queue |
 //! | [`text_window`] | how many bytes of texts are read from the store at a time |
 //! | [`throttle`] | how fast less urgent records are written while the store refuses calls |
 //! | [`append_queue`] | what is held back while the appends to a partition take long |
@@ -78,6 +79,7 @@
 pub mod pace;
 pub mod permit;
 pub mod poison;
+pub mod queue_time;
 pub mod read_rate;
 pub mod reducer;
 pub mod relay;
--- a/crates/hollywell/src/core/text_window.rs
+++ b/crates/hollywell/src/core/text_window.rs
@@ -6,13 +6,13 @@
 //! are most of what is read. Where each caller's text is asked for at once, the
 //! queue is as long as there are callers, and beyond two seconds the store refuses
 //! reads of all kinds. Therefore the bytes that are asked for at a time are bounded:
-//! the bound is halved while responses are slow, and doubled while they are not and
-//! reads wait for it, so that the queue of all instances together stays short.
+//! the bound is halved while responses wait long in the queue, and doubled while they
+//! don't and reads wait for it, so that the queue of all instances together stays short.
 //!
 //! The waiting itself is done in [`crate::entry::reader`]. How many reads are made
 //! in a second is decided in [`crate::core::read_rate`].
 
-use crate::core::time::Time;
+use crate::core::{queue_time::QueueTime, time::Time};
 
 /// Smallest bound, in bytes: several texts of the usual size.
 const MIN_BYTES: u64 = 32 << 10;
@@ -20,13 +20,13 @@
 const FIRST_BYTES: u64 = 128 << 10;
 /// Largest bound, in bytes: a few large responses.
 const MAX_BYTES: u64 = 4 << 20;
-/// Response time from which the queue counts as long, in milliseconds. The operator's
+/// Time in the queue from which it counts as long, in milliseconds. The operator's
 /// commands have two seconds, and may need two reads.
-const SLOW_MS: u64 = 250;
-/// Time in which slow responses count as one, in milliseconds: those of reads that
-/// were sent by the bound before.
+const LONG_QUEUE_MS: u64 = 250;
+/// Time in which responses from a long queue count as one, in milliseconds: those of
+/// reads that were sent by the bound before.
 const EPOCH_MS: u64 = 500;
-/// Time in which responses that are not slow count as one, in milliseconds.
+/// Time in which other responses count as one, in milliseconds.
 const GROWTH_MS: u64 = 1_000;
 
 /// The bound on bytes of texts in flight.
@@ -57,6 +57,7 @@
     changed_at: Time,
     /// A read had to wait since the bound last grew.
     has_waited: bool,
+    queue_time: QueueTime,
 }
 
 impl Default for TextWindow {
@@ -67,6 +68,7 @@
             reduced_at: None,
             changed_at: Time(0),
             has_waited: false,
+            queue_time: QueueTime::default(),
         }
     }
 }
@@ -95,14 +97,18 @@
         self.in_flight = self.in_flight.saturating_sub(bytes);
     }
 
-    /// Records the response time of any read, in milliseconds.
-    pub fn record_answer(&mut self, now: Time, took_ms: u64) {
-        if took_ms >= SLOW_MS {
+    /// Records the response time of any read; returns how much of it was spent in the
+    /// store's queue, both in milliseconds.
+    pub fn record_answer(&mut self, now: Time, took_ms: u64) -> u64 {
+        let queue_ms = self.queue_time.record(now, took_ms);
+        if queue_ms >= LONG_QUEUE_MS {
+            self.queue_time.record_growth();
             self.reduce(now);
         } else if self.has_waited && now.since(self.changed_at) >= GROWTH_MS {
             self.limit = (2 * self.limit).min(MAX_BYTES);
             (self.changed_at, self.has_waited) = (now, false);
         }
+        queue_ms
     }
 
     /// Records that the store refused a read as too much was waiting, or that a
--- a/crates/hollywell/src/core/timeout.rs
+++ b/crates/hollywell/src/core/timeout.rs
@@ -30,9 +30,9 @@
 /// Shortest timeout while the store is crowded, in milliseconds: it refuses what
 /// would wait for two seconds, and other answers take that and their own time.
 const CROWDED_TIMEOUT_MS: f64 = 2_500.0;
-/// Response time from which the store counts as crowded, in milliseconds.
-const CROWDED_ANSWER_MS: u64 = 400;
-/// Number of faster answers after which it no longer does. A single one may have
+/// Time in the store's queue from which it counts as crowded, in milliseconds.
+const CROWDED_QUEUE_MS: u64 = 400;
+/// Number of other answers after which it no longer does. A single one may have
 /// come between two large ones.
 const CALM_ANSWERS: u32 = 16;
 /// Maximum number of doublings of the timeout after timeouts in a row.
@@ -72,7 +72,7 @@
     mean_ms: Option<f64>,
     variation_ms: f64,
     timeouts: u32,
-    /// Fast answers left until the store no longer counts as crowded.
+    /// Answers from a short queue left until the store no longer counts as crowded.
     crowded: u32,
 }
 
@@ -88,7 +88,7 @@
     }
 
     /// Whether answers wait in the store's queue: it refused a call for its length,
-    /// or answered slowly.
+    /// or answers came from a long one.
     #[must_use]
     pub fn is_crowded(&self) -> bool {
         self.crowded > 0
@@ -99,13 +99,19 @@
         self.crowded = CALM_ANSWERS;
     }
 
+    /// Records how long the last answer waited in the store's queue, in milliseconds.
+    pub fn record_queue(&mut self, queue_ms: u64) {
+        if queue_ms >= CROWDED_QUEUE_MS {
+            self.crowded = CALM_ANSWERS;
+        }
+    }
+
     /// Records the response time of a call, without the time that the call
     /// asked the store to wait.
     pub fn record_answer(&mut self, took_ms: u64) {
         let took = took_ms as f64;
         self.timeouts = 0;
-        let is_slow = took_ms >= CROWDED_ANSWER_MS;
-        self.crowded = if is_slow { CALM_ANSWERS } else { self.crowded.saturating_sub(1) };
+        self.crowded = self.crowded.saturating_sub(1);
         let Some(mean) = self.mean_ms else {
             self.mean_ms = Some(took);
             self.variation_ms = took / 2.0;
--- a/crates/hollywell/src/entry/reader.rs
+++ b/crates/hollywell/src/entry/reader.rs
@@ -391,7 +391,7 @@
                 let beyond = took.saturating_sub(wait).as_millis();
                 let beyond_ms = u64::try_from(beyond).unwrap_or(u64::MAX);
                 timeout.record_answer(beyond_ms);
-                texts.record_answer(now, beyond_ms);
+                timeout.record_queue(texts.record_answer(now, beyond_ms));
             }
             Err(StoreError::Unavailable) if is_refused => {
                 timeout.record_refusal();
--- a/crates/hollywell/tests/reader.rs
+++ b/crates/hollywell/tests/reader.rs
@@ -424,6 +424,30 @@
     assert!(last.is_some_and(|kb| kb <= 256), "asked for {last:?} KB");
 }
 
+// Followers asked a store that takes as long for each response, without a queue, for
+// small responses only.
+#[tokio::test(start_paused = true)]
+async fn followers_take_a_slow_store_for_a_crowded_one() {
+    let asked = Rc::new(RefCell::new(Vec::new()));
+    let noted = asked.clone();
+    let mut client = Store::new().client(0);
+    client.read = Rc::new(move |limited| {
+        noted.borrow_mut().push(limited.read.max_kb);
+        Box::pin(async {
+            sleep_until(Instant::now() + Duration::from_millis(450)).await;
+            Ok(Records::default())
+        })
+    });
+    let reader = Rc::new(Reader::new(client));
+    for _ in 0..300 {
+        let part = Partition::at("jobs", 0);
+        let read = Read { part, from: 0, wait: Duration::ZERO, max_kb: None };
+        reader.read_for(ReadPurpose::Jobs, read).await.unwrap();
+    }
+    let last = *asked.borrow().last().unwrap();
+    assert_eq!(last, None, "asked for {last:?} KB");
+}
+
 // The timeout stayed long after the crowd, so that a lost connection went unnoticed.
 #[test]
 fn lost_connection_goes_unnoticed_after_a_crowd() {
--- a/crates/hollywell/tests/text_window.rs
+++ b/crates/hollywell/tests/text_window.rs
@@ -17,15 +17,22 @@
     queue_ms: u64,
     /// Share of the time in which the store sends texts, in percent.
     busy_percent: u64,
+    /// Share of the time in which the queue is longer than a second, in per mille.
+    long_per_mille: u64,
     refused: u32,
 }
 
 fn run(instances: usize, text_bytes: u64, bytes_per_ms: u64) -> Outcome {
+    run_until(END_MS, instances, text_bytes, bytes_per_ms)
+}
+
+fn run_until(end_ms: u64, instances: usize, text_bytes: u64, bytes_per_ms: u64) -> Outcome {
     let mut windows = vec![TextWindow::default(); instances];
     // Reads in flight: when they end, when they were sent, and by whom.
     let mut reads: BinaryHeap<std::cmp::Reverse<(u64, u64, usize)>> = BinaryHeap::new();
     let (mut free_at, mut idle_ms, mut queue_ms, mut refused) = (0_u64, 0, 0, 0);
-    for now in 0..END_MS {
+    let mut long_ms = 0;
+    for now in 0..end_ms {
         while reads.peek().is_some_and(|read| read.0.0 <= now) {
             let Some(std::cmp::Reverse((_, sent_at, by))) = reads.pop() else { break };
             windows[by].end(text_bytes);
@@ -48,10 +55,12 @@
         if now >= SETTLING_MS {
             queue_ms = queue_ms.max(free_at.saturating_sub(now));
             idle_ms += u64::from(free_at <= now);
+            long_ms += u64::from(free_at.saturating_sub(now) > 1_000);
         }
     }
-    let busy_percent = 100 - 100 * idle_ms / (END_MS - SETTLING_MS);
-    Outcome { queue_ms, busy_percent, refused }
+    let busy_percent = 100 - 100 * idle_ms / (end_ms - SETTLING_MS);
+    let long_per_mille = 1_000 * long_ms / (end_ms - SETTLING_MS);
+    Outcome { queue_ms, busy_percent, long_per_mille, refused }
 }
 
 // The operator's commands waited for two seconds behind texts, or were refused.
@@ -67,6 +76,19 @@
     }
 }
 
+// A queue that instances kept filled for a minute was taken for a slow store, again and
+// again, and grew each time.
+#[test]
+fn queue_that_is_never_empty_grows() {
+    for (instances, text_bytes, bytes_per_ms) in
+        [(168, 20_000, 10_000), (84, 20_000, 5_000), (250, 20_000, 10_000), (15, 6_000, 2_000)]
+    {
+        let outcome = run_until(240_000, instances, text_bytes, bytes_per_ms);
+        assert!(outcome.long_per_mille <= 10, "{instances} instances: {outcome:?}");
+        assert_eq!(outcome.refused, 0, "{instances} instances: {outcome:?}");
+    }
+}
+
 // Callers that came at once had 4 MB in flight at each instance before the first response.
 #[test]
 fn first_reads_of_all_callers_are_sent_at_once() {
