Use places that instances which run nothing leave free

What callers saw: samples waited for their instance's share of the places until one of its runs ended, while half of the places were free, because the share of each instance stays with it also while it has nothing to run.

Cause: shares are counted from jobs and members. An instance whose samples are done but not readable, or that can't run them, keeps its share, and nobody else may use it.

Change: a sample that has waited for a second takes a place beyond the share at a target whose last report, at most 2 s old, left places free. Three quarters of the target's slots are divided among those that have requests there, in proportion to them, so that together they take no more than is free; one report lets an instance at most double its requests. Instances that run nothing there are not counted. Once they run something, reports show it, nobody goes beyond its share, and the places come back as runs end.

Its world moved to a function that share_of_others_is_given_back_once_they_run_something uses too; its assertions are the same.

--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::core::{fleet::Announcement, time::Time};
+use crate::core::{fleet::Announcement, room, time::Time};
 
 /// Time over which the reported load of other instances decays to the expected
 /// one, in milliseconds: about the run time of a sample of median length.
@@ -53,6 +53,10 @@
 const IDLE_CONNECTION_MS: u64 = 6_000;
 /// How long a target's report of free slots is relied on, in milliseconds.
 const REPORT_AGE_MS: u64 = 400;
+/// How long a target's report of places that nobody uses lets an instance have more
+/// than its share there, in milliseconds: longer than the wait of a sample after which
+/// one does.
+const LENT_REPORT_AGE_MS: u64 = 2_000;
 /// Load, as a share of a target's slots, up to which the target has room for
 /// more than an instance's own share.
 const FREE_SHARE: f64 = 0.75;
@@ -86,6 +90,8 @@
     pub own_requests: u32,
     other_requests: u32,
     other_requests_at: Time,
+    /// This instance's requests there when that was reported.
+    own_requests_then: u32,
     avoid_until: Time,
     /// When an exchange last failed.
     failed_at: Time,
@@ -171,6 +177,7 @@
         observation.other_requests =
             load.running.saturating_add(load.waiting).saturating_sub(observation.own_requests);
         observation.other_requests_at = now;
+        observation.own_requests_then = observation.own_requests;
         observation.last_response_at = now;
     }
 
@@ -302,6 +309,53 @@
             && load < f64::from(target.slots) * FREE_SHARE
     }
 
+    /// Whether this instance may have one more request at a target than its
+    /// share, of the places that the target last reported as free.
+    ///
+    /// Whoever has requests there divides these places, each in proportion to
+    /// its own, so that together they take no more than is free; instances that
+    /// run nothing there are not counted. A report lets an instance at most
+    /// double its requests, as others may act on one from the same moment.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use hollywell::core::{choice::{Load, Observations}, fleet::Announcement, time::Time};
+    ///
+    /// let target = Announcement {
+    ///     id: "a".into(), pool: "p".into(), address: ([127, 0, 0, 1], 80).into(),
+    ///     domain: "d".into(), slots: 12, draining: false, cold: false,
+    ///     versions: Default::default(), start_ms: None, sequence: 0,
+    /// };
+    /// let load = |running| Load { running, waiting: 0, slots: 12, slowdown_percent: None };
+    /// let mut observations = Observations::default();
+    /// observations.request_started("a");
+    /// observations.record_load(Time(5), "a", load(1));
+    /// assert!(observations.may_borrow(Time(6), &target, 0));
+    /// observations.request_started("a");
+    /// assert!(!observations.may_borrow(Time(6), &target, 0), "more than twice as many");
+    /// // The others have come back: what they leave is kept for them.
+    /// observations.record_load(Time(7), "a", load(9));
+    /// assert!(!observations.may_borrow(Time(8), &target, 0));
+    /// ```
+    #[must_use]
+    pub fn may_borrow(&self, now: Time, target: &Announcement, salt: u64) -> bool {
+        let Some(observation) = self.targets.get(&target.id) else {
+            return false;
+        };
+        let own = f64::from(observation.own_requests_then);
+        let load = own + f64::from(observation.other_requests);
+        let free = f64::from(target.slots) * FREE_SHARE - load;
+        let is_known = now.since(observation.other_requests_at) < LENT_REPORT_AGE_MS;
+        if load <= 0.0 || free <= 0.0 || !is_known {
+            return false;
+        }
+        // Drawn once for each report: what is drawn anew would add up.
+        let seed = salt ^ observation.other_requests_at.0;
+        let allowed = room::draw(own + own.min(free * own / load), &target.id, seed);
+        (observation.own_requests as usize) < allowed
+    }
+
     /// Median pace of the targets whose pace is known, in milliseconds per
     /// event.
     #[must_use]
--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -55,6 +55,8 @@
     pub group: &'a str,
     pub tokens: Tokens,
     pub need: Need,
+    /// Whether the sample has waited for long.
+    pub waits_long: bool,
 }
 
 /// One job's part in the demand on its targets.
@@ -326,7 +328,9 @@
         }
     }
 
-    /// Chooses the best target that has room for a sample.
+    /// Chooses the best target that has room for a sample: one at which this
+    /// instance has places of its share left, else, for a sample that has
+    /// waited for long, one that has places which nobody uses.
     pub(super) fn choose<'a>(
         &self,
         now: Time,
@@ -336,9 +340,33 @@
         (request, memory): (&Request<'_>, Memory),
     ) -> Result<&'a Announcement, Wait> {
         targets.retain(|target| !is_loading(room, now, target, request.model));
-        let able = targets.len();
-        targets.retain(|target| self.is_within_share(now, request, target));
-        let mut wait = if targets.len() < able { Wait::Share } else { Wait::Places };
+        let is_within = |target: &&Announcement| self.is_within_share(now, request, target);
+        let (own, mut lent): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_within);
+        let all_own = lent.is_empty();
+        lent.retain(|target| {
+            request.waits_long && observations.may_borrow(now, target, request.salt)
+        });
+        let mut wait = if all_own { Wait::Places } else { Wait::Share };
+        for targets in [own, lent] {
+            match self.choose_of(now, room, targets, observations, (request, memory)) {
+                Ok(target) => return Ok(target),
+                Err(Wait::Memory) => wait = Wait::Memory,
+                Err(_) => {}
+            }
+        }
+        Err(wait)
+    }
+
+    /// Chooses the best of these targets that has room for a sample.
+    fn choose_of<'a>(
+        &self,
+        now: Time,
+        room: &Ledger,
+        mut targets: Vec<&'a Announcement>,
+        observations: &Observations,
+        (request, memory): (&Request<'_>, Memory),
+    ) -> Result<&'a Announcement, Wait> {
+        let mut wait = Wait::Places;
         for _ in 0..MAX_CHECKED {
             let best = observations.choose(now, targets.iter().copied(), request.need);
             let Some(target) = best else {
--- a/crates/hollywell/src/core/dispatch/start.rs
+++ b/crates/hollywell/src/core/dispatch/start.rs
@@ -22,8 +22,8 @@
 /// still go to whichever target has a free slot first.
 pub(super) const MAX_LOAD: f64 = 1.6;
 
-/// Time at no target after which a sample tries a target that is avoided, in
-/// milliseconds.
+/// Time at no target after which a sample tries a target that is avoided, or takes a place
+/// beyond this instance's share that nobody uses, in milliseconds.
 const TRIAL_WAIT_MS: u64 = 1_000;
 
 /// Priority of all samples at targets whose memory is stated. A target preempts
@@ -84,6 +84,7 @@
             instances: members,
             salt: salt ^ self.next_run,
         };
+        let waits_long = now.since(active.progress[sample_id.index].idle_since) >= TRIAL_WAIT_MS;
         let choices = active.choices(sample_id.index, active.targets(pool, fleet));
         let memory = fleet.memory_of(pool);
         let tokens = memory
@@ -94,7 +95,8 @@
                 None => observations.choose(now, Vec::into_iter(targets), need).ok_or(Wait::Places),
                 Some((memory, tokens)) => {
                     let (model, group) = (&spec.model, &item.group);
-                    let request = Request { salt, job: &sample_id.job, model, group, tokens, need };
+                    let job = &sample_id.job;
+                    let request = Request { salt, job, model, group, tokens, need, waits_long };
                     self.demand.choose(now, &self.room, targets, observations, (&request, memory))
                 }
             }
@@ -106,7 +108,6 @@
                 break;
             }
         }
-        let waits_long = now.since(active.progress[sample_id.index].idle_since) >= TRIAL_WAIT_MS;
         let trial = if chosen.is_err() && waits_long {
             let has_room = |target: &Announcement| {
                 let place = |memory| self.demand.place(now, target, memory, observations);
--- a/crates/hollywell/tests/waiting.rs
+++ b/crates/hollywell/tests/waiting.rs
@@ -24,6 +24,8 @@
     fleet: Fleet,
     observations: Observations,
     now: u64,
+    /// Requests of other instances at each target.
+    others: u32,
     /// The target of each run in flight.
     runs: BTreeMap<Run, (usize, String)>,
     /// What was reported of samples at no target: the cause, and each sample with
@@ -78,6 +80,7 @@
             fleet,
             observations: Observations::default(),
             now: 0,
+            others: 0,
             runs: BTreeMap::new(),
             unplaced: vec![],
             reassigned: vec![],
@@ -128,7 +131,7 @@
                 continue;
             };
             let load = Load {
-                running: self.runs_at(&target),
+                running: self.runs_at(&target) + self.others,
                 waiting: 0,
                 slots: SLOTS,
                 slowdown_percent: None,
@@ -302,21 +305,49 @@
 /// of this instance waited until one of its runs ended.
 #[test]
 fn share_of_instances_that_run_nothing_is_used() {
+    let (mut world, own) = one_of_twelve(240);
+    assert!((10..=24).contains(&own), "{own} samples of half of the places");
+    world.run_for(MAX_WAIT_MS);
+    assert_eq!(world.runs.len(), own, "samples at targets after 5 s, of those to run");
+}
+
+/// An instance that had used the places of others went on doing so.
+#[test]
+fn share_of_others_is_given_back_once_they_run_something() {
+    let (mut world, own) = one_of_twelve(960);
+    world.run_for(MAX_WAIT_MS);
+    let most = world.runs.len();
+    assert!(most < 48, "{most} runs, of {own}: nothing is left for the others");
+    assert!(most > 24, "{most} runs, of {own}: the case needs places that are used for others");
+    world.others = 8;
+    for run in world.runs.keys().copied().collect::<Vec<_>>() {
+        world.now += TICK_MS;
+        let started = {
+            world.runs.remove(&run);
+            world.step(&Event::Ended { run, end: End::Whole })
+        };
+        world.serve(&started);
+    }
+    world.run_for(2_000);
+    assert!(world.runs.len() <= 8, "{} runs, of a share of 4", world.runs.len());
+}
+
+/// This instance and eleven others that run nothing, with a job of so many samples
+/// and four targets. Returns the number of samples that are its own.
+fn one_of_twelve(samples: usize) -> (World, usize) {
     let mut all: Vec<String> = (0..11).map(|n| format!("i{n}")).collect();
     all.push("me".into());
     let mut world = World::new(&all, 4);
     let memory = Memory { tokens: 10_000_000, event_tokens: 50 };
     world.fleet.set_memory([("llm".to_owned(), memory)].into_iter());
     world.now = 1_000;
-    let mut spec = job_spec("j", 240);
+    let mut spec = job_spec("j", samples);
     for (at, sample) in spec.samples.iter_mut().enumerate() {
         sample.group = format!("g{at}");
     }
     let is_own = |at: &usize| owner(&all, "j", &format!("g{at}")) == Some("me");
-    let own: Vec<usize> = (0..240).filter(is_own).collect();
-    assert!((10..=24).contains(&own.len()), "{} samples of half of the places", own.len());
+    let own = (0..samples).filter(is_own).count();
     let started = world.step(&Event::Opened(spec));
     world.serve(&started);
-    world.run_for(MAX_WAIT_MS);
-    assert_eq!(world.runs.len(), own.len(), "samples at targets after 5 s, of those to run");
+    (world, own)
 }
