--- a/crates/hollywell/src/core/choice.rs
+++ b/crates/hollywell/src/core/choice.rs
@@ -56,7 +56,7 @@
 /// How long a target's report of places that nobody uses lets an instance have more
 /// than its share there, in milliseconds: longer than the wait of a sample after which
 /// one does.
-const LENT_REPORT_AGE_MS: u64 = 2_000;
+const IDLE_REPORT_AGE_MS: u64 = 2_000;
 /// Load, as a share of a target's slots, up to which the target has room for
 /// more than an instance's own share.
 const FREE_SHARE: f64 = 0.75;
@@ -346,7 +346,7 @@
         let own = f64::from(observation.own_requests_then);
         let load = own + f64::from(observation.other_requests);
         let free = f64::from(target.slots) * FREE_SHARE - load;
-        let is_known = now.since(observation.other_requests_at) < LENT_REPORT_AGE_MS;
+        let is_known = now.since(observation.other_requests_at) < IDLE_REPORT_AGE_MS;
         if load <= 0.0 || free <= 0.0 || !is_known {
             return false;
         }
--- a/crates/hollywell/src/core/dispatch/place.rs
+++ b/crates/hollywell/src/core/dispatch/place.rs
@@ -341,13 +341,13 @@
     ) -> Result<&'a Announcement, Wait> {
         targets.retain(|target| !is_loading(room, now, target, request.model));
         let is_within = |target: &&Announcement| self.is_within_share(now, request, target);
-        let (own, mut lent): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_within);
-        let all_own = lent.is_empty();
-        lent.retain(|target| {
+        let (own, mut beyond): (Vec<_>, Vec<_>) = targets.into_iter().partition(is_within);
+        let all_own = beyond.is_empty();
+        beyond.retain(|target| {
             request.waits_long && observations.may_borrow(now, target, request.salt)
         });
         let mut wait = if all_own { Wait::Places } else { Wait::Share };
-        for targets in [own, lent] {
+        for targets in [own, beyond] {
             match self.choose_of(now, room, targets, observations, (request, memory)) {
                 Ok(target) => return Ok(target),
                 Err(Wait::Memory) => wait = Wait::Memory,
--- a/crates/hollywell/src/entry/append.rs
+++ b/crates/hollywell/src/entry/append.rs
@@ -12,7 +12,7 @@
         time::Time,
     },
     entry::{
-        producers::{Patience, Sent},
+        producers::{Schedule, Sent},
         reserve,
         shared::{JOBS, Shared, TEXTS},
         store::{Append, Appended, Partition, StoreError},
@@ -84,15 +84,15 @@
             return Err(StoreError::Full);
         }
         let (part, kind) = (append.part.clone(), append.purpose);
-        let patience = self.patience(&part);
+        let schedule = self.schedule(&part);
         let name = || self.unique_key_part();
-        let Sent { appended, at } = self.producers.send(&self.store, append, patience, name).await;
+        let Sent { appended, at } = self.producers.send(&self.store, append, schedule, name).await;
         // A store that is full, or whose partition ends elsewhere, is available.
         self.record_store_result(matches!(
             appended,
             Ok(_) | Err(StoreError::Full | StoreError::EndMismatch(_))
         ));
-        self.record_queue(&part, kind, at.elapsed(), patience.timeout, &appended);
+        self.record_queue(&part, kind, at.elapsed(), schedule.timeout, &appended);
         match &appended {
             Ok(_) => {
                 let now = self.now();
@@ -129,10 +129,10 @@
         appended
     }
 
-    fn patience(&self, part: &Partition) -> Patience {
+    fn schedule(&self, part: &Partition) -> Schedule {
         let (now, control) = (self.now(), self.control.borrow());
         let repeat_ms = control.append_queues.repeat_ms(now, part);
-        Patience {
+        Schedule {
             repeat: repeat_ms.map(Duration::from_millis),
             timeout: Duration::from_millis(control.append_queues.timeout_ms(now, part)),
         }
--- a/crates/hollywell/src/entry/producers.rs
+++ b/crates/hollywell/src/entry/producers.rs
@@ -26,7 +26,7 @@
 
 /// When an append is sent and given up.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
+pub struct Schedule {
     /// Time without a response after which it is sent once more, then twice that; `None`
     /// if it is sent once.
     pub repeat: Option<Duration>,
@@ -50,15 +50,15 @@
         &self,
         store: &Client,
         append: Append,
-        patience: Patience,
+        schedule: Schedule,
         name: impl FnOnce() -> String,
     ) -> Sent {
         // The condition would fail for a copy of an append that was performed.
         let sequence = append.expected_end.is_none().then(|| self.take(&append.part, name));
         let part = append.part.clone();
-        let repeat = patience.repeat.filter(|_| sequence.is_some());
+        let repeat = schedule.repeat.filter(|_| sequence.is_some());
         let send = Sequenced { append, sequence: sequence.clone() };
-        let sent = send_copies(store, &send, Patience { repeat, ..patience }).await;
+        let sent = send_copies(store, &send, Schedule { repeat, ..schedule }).await;
         if let Some(sequence) = sequence {
             let next = match &sent.appended {
                 Ok(_) => Some(Sequence { number: sequence.number + 1, ..sequence }),
@@ -76,11 +76,11 @@
     }
 }
 
-async fn send_copies(store: &Client, send: &Sequenced, patience: Patience) -> Sent {
+async fn send_copies(store: &Client, send: &Sequenced, schedule: Schedule) -> Sent {
     let first_at = Instant::now();
-    let given_up_at = first_at + patience.timeout;
+    let given_up_at = first_at + schedule.timeout;
     let mut copies: JoinSet<Sent> = JoinSet::new();
-    let mut interval = patience.repeat;
+    let mut interval = schedule.repeat;
     let mut outcome: Option<StoreError> = None;
     let mut next_at = Some(first_at);
     loop {
